--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and measurements over stand-ins."""
--- /dev/null
+++ b/pistachiohill/__init__.py
@@ -0,0 +1,3 @@
+"""Dispatch sub-second tasks to targets and answer for every outcome."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/pistachiohill/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: admits, starts and remembers the tasks of one target."""
--- /dev/null
+++ b/pistachiohill/agent/metrics.py
@@ -0,0 +1,37 @@
+"""Prometheus metrics of an agent."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from ..metrics import DURATION_BUCKETS_S, JobLabels
+
+
+class AgentMetrics:
+    """Metrics of one agent process."""
+
+    def __init__(self) -> None:
+        """Register all metrics in a registry of their own."""
+        self.registry = CollectorRegistry()
+        self.labels = JobLabels()
+        self.run_s = Histogram(
+            "pistachiohill_task_run_seconds",
+            "Time from start to answer of a task at its target.",
+            ["member", "job"],
+            buckets=DURATION_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.reports = Counter(
+            "pistachiohill_task_reports",
+            "Tasks settled at this agent, by verdict and reason.",
+            ["verdict", "reason"],
+            registry=self.registry,
+        )
+        self.occupied = Gauge(
+            "pistachiohill_agent_occupied_tasks",
+            "Tasks queued or running.",
+            registry=self.registry,
+        )
+        self.view_age_s = Gauge(
+            "pistachiohill_view_age_seconds",
+            "Age of the view of the failure domain.",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/pistachiohill/agent/target_client.py
@@ -0,0 +1,97 @@
+"""Calls to the target, with a verdict for every way in which they can end."""
+
+import httpcore
+from attrs import frozen
+
+from ..errors import RefusalReason, Verdict
+from .const import (
+    MAX_ANSWER_BYTES,
+    TARGET_CONNECT_TIMEOUT_S,
+    TARGET_CONNECTIONS,
+    TARGET_KEEPALIVE_S,
+)
+
+HEADER_TASK_ID = "task-id"
+HEADER_MEMBER = "member"
+HEADER_JOB = "job"
+
+
+@frozen
+class TargetCall:
+    """One task as the target sees it; `task_id` is the same for every caller of this task."""
+
+    task_id: str
+    member: str
+    job: str
+    payload: bytes
+    timeout_s: float
+    refusal_is_not_run: bool
+
+
+@frozen
+class TargetAnswer:
+    """How a call ended; `reason` is None on success."""
+
+    verdict: Verdict
+    reason: RefusalReason | None
+    status_code: int = 0
+    body: bytes = b""
+
+
+class TargetClient:
+    """Sends tasks to the target over kept connections."""
+
+    def __init__(self) -> None:
+        """Prepare a pool; nothing is opened yet."""
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=TARGET_CONNECTIONS, keepalive_expiry=TARGET_KEEPALIVE_S
+        )
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def async_call(self, url: str, call: TargetCall) -> TargetAnswer:
+        """Run one task at the target.
+
+        A connection that could not be opened carried no request, so that verdict is NOT_RUN. Any
+        other lost answer may have run.
+        """
+        headers: dict[bytes | str, bytes | str] = {
+            HEADER_TASK_ID: call.task_id,
+            HEADER_MEMBER: call.member,
+            HEADER_JOB: call.job,
+        }
+        timeouts = {
+            "connect": min(TARGET_CONNECT_TIMEOUT_S, call.timeout_s),
+            "read": call.timeout_s,
+            "write": call.timeout_s,
+            "pool": call.timeout_s,
+        }
+        try:
+            response = await self._pool.request(
+                "POST",
+                f"{url}/tasks",
+                headers=headers,
+                content=call.payload,
+                extensions={"timeout": timeouts},
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout):
+            return TargetAnswer(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
+        except httpcore.TimeoutException:
+            return TargetAnswer(Verdict.MAY_HAVE_RUN, RefusalReason.TARGET_TIMEOUT)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return TargetAnswer(Verdict.MAY_HAVE_RUN, RefusalReason.TARGET_LOST)
+        return _read_answer(call, response.status, response.content)
+
+
+def _read_answer(call: TargetCall, status: int, body: bytes) -> TargetAnswer:
+    if len(body) > MAX_ANSWER_BYTES:
+        return TargetAnswer(Verdict.RAN, RefusalReason.TARGET_FAILED, status)
+    if 200 <= status < 300:
+        return TargetAnswer(Verdict.RAN, None, status, body)
+    if status == 503 and call.refusal_is_not_run:
+        return TargetAnswer(Verdict.NOT_RUN, RefusalReason.TARGET_REFUSED, status)
+    if status == 503:
+        return TargetAnswer(Verdict.MAY_HAVE_RUN, RefusalReason.TARGET_REFUSED, status)
+    return TargetAnswer(Verdict.RAN, RefusalReason.TARGET_FAILED, status)
--- /dev/null
+++ b/pistachiohill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/pistachiohill/cli/main.py
@@ -0,0 +1,245 @@
+"""The `pistachiohill` command.
+
+Exit codes: 0 done, 1 failed after running, 2 invalid input, 3 not run, 4 may have run, 5 another
+change won, 6 no entry reachable.
+"""
+
+import json
+import os
+import secrets
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+import trio
+
+from .. import logs
+from ..settings.const import ROOT_PATH
+from ..settings.daemon import load_daemon_settings
+from ..settings.errors import SettingsError
+from ..settings.models import AGENT_FIELDS, ENTRY_FIELDS, AgentSettings, EntrySettings
+from ..settings.tree import parse_node
+from .const import DEFAULT_ENTRIES, ENV_ENTRIES, ENV_TOKEN, ExitCode
+from .operator import OperatorClient, exit_code
+
+
+def _entries(entries: str) -> list[str]:
+    text = entries or os.environ.get(ENV_ENTRIES, DEFAULT_ENTRIES)
+    return [item for item in text.split(",") if item]
+
+
+def _operator(entries: str, token: str) -> OperatorClient:
+    return OperatorClient(_entries(entries), token or os.environ.get(ENV_TOKEN, ""))
+
+
+def _finish(
+    client: OperatorClient, method: str, path: str, value: dict[str, Any] | None = None
+) -> None:
+    answer = client.call(method, path, value)
+    print(json.dumps(answer.value, indent=2) if answer else "no entry reachable")
+    sys.exit(exit_code(answer))
+
+
+def _exit_invalid(err: SettingsError) -> None:
+    for problem in err.problems:
+        print(problem, file=sys.stderr)
+    sys.exit(ExitCode.INVALID)
+
+
+class Config:
+    """Settings tree: consortium, consortium/MEMBER and consortium/MEMBER/JOB."""
+
+    def validate(self, path: str, file: str) -> None:
+        """Check a TOML file as the node at a path; prints every problem."""
+        try:
+            parse_node(path, Path(file).read_text(encoding="utf-8"), 0)
+        except OSError as err:
+            print(err, file=sys.stderr)
+            sys.exit(ExitCode.INVALID)
+        except SettingsError as err:
+            _exit_invalid(err)
+        print("valid")
+
+    def publish(
+        self,
+        path: str,
+        file: str,
+        expected_version: int = -1,
+        change_id: str = "",
+        author: str = "",
+        entries: str = "",
+        token: str = "",
+    ) -> None:
+        """Publish a TOML file as the node at a path.
+
+        expected_version: version that you saw, 0 for a new node, -1 for any; racing operators
+        are told who won (exit code 5).
+        change_id: name of this change; repeat a command under the same one when its answer was
+        lost.
+        """
+        text = Path(file).read_text(encoding="utf-8")
+        try:
+            parse_node(path, text, 0)
+        except SettingsError as err:
+            _exit_invalid(err)
+        value = {
+            "path": path,
+            "values_toml": text,
+            "expected_version": expected_version,
+            "change_id": str(change_id) or secrets.token_hex(8),
+            "author": str(author),
+        }
+        _finish(_operator(entries, token), "POST", "/v1/operator/changes", value)
+
+    def delete(
+        self, path: str, expected_version: int = -1, entries: str = "", token: str = ""
+    ) -> None:
+        """Delete the node at a path; its job or member can no longer submit."""
+        value = {"path": path, "deleted": True, "expected_version": expected_version}
+        _finish(_operator(entries, token), "POST", "/v1/operator/changes", value)
+
+    def show(self, entries: str = "", token: str = "") -> None:
+        """Print all nodes with their versions, and the failure domains."""
+        _finish(_operator(entries, token), "GET", "/v1/operator/settings")
+
+    def explain(self, path: str = ROOT_PATH, entries: str = "", token: str = "") -> None:
+        """Print each effective value at a path and the node it comes from."""
+        answer = _operator(entries, token).call("GET", f"/v1/operator/explain?path={path}")
+        if answer is None or answer.status != 200:
+            print(json.dumps(answer.value) if answer else "no entry reachable", file=sys.stderr)
+            sys.exit(exit_code(answer))
+        for item in answer.value["values"]:
+            print(f"{item['name']:22} {json.dumps(item['value']):28} {item['source']}")
+
+    def change(self, change_id: str, entries: str = "", token: str = "") -> None:
+        """Look up what became of a change."""
+        _finish(_operator(entries, token), "GET", f"/v1/operator/changes/{change_id}")
+
+
+class Domain:
+    """Failure domains: take out and bring back."""
+
+    def out(
+        self,
+        domain: str,
+        expected_version: int = -1,
+        change_id: str = "",
+        author: str = "",
+        entries: str = "",
+        token: str = "",
+    ) -> None:
+        """Take a failure domain out: queued tasks move elsewhere, running ones finish."""
+        self._put(domain, True, expected_version, change_id, author, entries, token)
+
+    def back(
+        self,
+        domain: str,
+        expected_version: int = -1,
+        change_id: str = "",
+        author: str = "",
+        entries: str = "",
+        token: str = "",
+    ) -> None:
+        """Bring a failure domain back; its targets ramp up over ramp_s seconds."""
+        self._put(domain, False, expected_version, change_id, author, entries, token)
+
+    def _put(
+        self,
+        domain: str,
+        out: bool,
+        expected_version: int,
+        change_id: str,
+        author: str,
+        entries: str,
+        token: str,
+    ) -> None:
+        value = {
+            "out": out,
+            "expected_version": expected_version,
+            "change_id": str(change_id) or secrets.token_hex(8),
+            "author": str(author),
+        }
+        _finish(_operator(entries, token), "PUT", f"/v1/operator/domains/{domain}", value)
+
+
+class PistachioHill:
+    """Dispatch sub-second tasks to targets and answer for every outcome.
+
+    Clients read the entries' URLs, comma-separated, from --entries or PISTACHIOHILL_ENTRIES, and
+    the token from --token or PISTACHIOHILL_TOKEN.
+    """
+
+    def __init__(self) -> None:
+        """Group the subcommands."""
+        self.config = Config()
+        self.domain = Domain()
+
+    def entry(self, settings: str = "", verbosity: int = 0, **overrides: Any) -> None:
+        """Run an entry process.
+
+        settings: TOML file; every name of docs/SETTINGS.md can be given as an option as well, for
+        example --http_port=8080. All faults are listed at once, with exit code 2.
+        """
+        from ..daemon.root import async_run_entry
+
+        try:
+            loaded = load_daemon_settings(EntrySettings, ENTRY_FIELDS, settings or None, overrides)
+        except SettingsError as err:
+            _exit_invalid(err)
+            return
+        logs.setup(loaded.name, verbosity)
+        trio.run(async_run_entry, loaded)
+
+    def agent(self, settings: str = "", verbosity: int = 0, **overrides: Any) -> None:
+        """Run an agent process beside its target; options as for `entry`."""
+        from ..daemon.root import async_run_agent
+
+        try:
+            loaded = load_daemon_settings(AgentSettings, AGENT_FIELDS, settings or None, overrides)
+        except SettingsError as err:
+            _exit_invalid(err)
+            return
+        logs.setup(loaded.name, verbosity)
+        trio.run(async_run_agent, loaded)
+
+    def submit(
+        self,
+        job: str,
+        payloads: str = "",
+        tasks: int = 0,
+        payload: str = "{}",
+        deadline_s: float = 30.0,
+        entries: str = "",
+        token: str = "",
+    ) -> None:
+        """Submit a job and print its result as JSON.
+
+        payloads: file with one task's payload on each line; else `tasks` copies of `payload`.
+        deadline_s: longest time for the answer, in seconds.
+        """
+        from .submit import run_submit
+
+        lines = _payloads(payloads, tasks, payload)
+        member_token = token or os.environ.get(ENV_TOKEN, "")
+        sys.exit(run_submit(_entries(entries), member_token, job, lines, float(deadline_s)))
+
+    def status(self, entries: str = "", token: str = "") -> None:
+        """Print which log offset every process has in force and how old its view is."""
+        _finish(_operator(entries, token), "GET", "/v1/operator/status")
+
+    def fairness(self, entries: str = "", token: str = "") -> None:
+        """Print what your member offered, what it got, what was refused and by which rule."""
+        _finish(_operator(entries, token), "GET", "/v1/fairness")
+
+
+def _payloads(path: str, tasks: int, payload: object) -> list[bytes]:
+    if path:
+        return Path(path).read_bytes().splitlines()
+    text = payload if isinstance(payload, str) else json.dumps(payload)
+    return [text.encode()] * max(1, tasks)
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(PistachioHill, name="pistachiohill")
--- /dev/null
+++ b/pistachiohill/const.py
@@ -0,0 +1,41 @@
+"""Names and limits shared by all packages."""
+
+from enum import StrEnum
+from typing import Final
+
+PROTOCOL_VERSION: Final = 1
+MAX_JOB_TASKS: Final = 1400
+MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
+VIEW_EXCHANGE_INTERVAL_S: Final = 1.0
+
+
+class Role(StrEnum):
+    """What a process does."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class TaskState(StrEnum):
+    """State of one task at an agent."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    SETTLED = "settled"
+    FENCED = "fenced"
+
+
+class JobState(StrEnum):
+    """State of a submission as its caller sees it."""
+
+    RUNNING = "running"
+    COMPLETE = "complete"
+    FAILED = "failed"
+
+
+class ForwardAction(StrEnum):
+    """What an entry asks of the owner of a submission."""
+
+    PUT = "put"
+    GET = "get"
+    CANCEL = "cancel"
--- /dev/null
+++ b/pistachiohill/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: thin processes around the library."""
--- /dev/null
+++ b/pistachiohill/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: answers callers and operators, places tasks at agents, recovers from lost owners."""
--- /dev/null
+++ b/pistachiohill/entry/const.py
@@ -0,0 +1,15 @@
+"""Limits and intervals of an entry."""
+
+from typing import Final
+
+RECONNECT_MIN_S: Final = 0.05
+RECONNECT_MAX_S: Final = 3.0
+REFUSED_CONNECTS_UNTIL_LOST: Final = 2
+IDLE_SILENCE_S: Final = 30.0
+PEER_SILENCE_S: Final = 4.0
+EXPIRY_INTERVAL_S: Final = 1.0
+SEAL_TIMEOUT_S: Final = 2.0
+SEAL_BATCH_DELAY_S: Final = 0.01
+OWNER_LINK_GRACE_S: Final = 0.5
+RETRY_AFTER_S: Final = 1.0
+MAX_IDS_PER_REQUEST: Final = 1000
--- /dev/null
+++ b/pistachiohill/entry/operator_api.py
@@ -0,0 +1,242 @@
+"""HTTP interface for operators: changes, failure domains, settings and status."""
+
+import secrets
+from typing import Any
+
+import attrs
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from .. import clock, logs
+from ..consortium.const import ANY_VERSION, NO_OFFSET
+from ..consortium.publisher import async_publish
+from ..consortium.view import ConsortiumView
+from ..errors import Refusal, RefusalReason, Verdict
+from ..http.models import HttpError, Problem, Request, Response, invalid, json_response, read_object
+from ..http.server import Route, route
+from ..platform_log.client import LogClient
+from ..protocol.models import ChangeRecord, DomainChangeRecord, PublishRecord
+from ..settings.const import MAX_NAME_CHARS
+from ..settings.errors import SettingsError
+from ..settings.models import EntrySettings
+from ..settings.tree import explain, level_of, parse_node
+from .agents import AgentDirectory
+from .auth import authenticate_operator
+from .metrics import EntryMetrics
+from .owner import SubmissionService
+from .peers import PeerDirectory
+
+
+class OperatorApi:
+    """Routes of operators, probes and metrics."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        incarnation: str,
+        view: ConsortiumView,
+        log: LogClient,
+        directory: AgentDirectory,
+        peers: PeerDirectory,
+        submissions: SubmissionService,
+        metrics: EntryMetrics,
+    ) -> None:
+        """Keep the parts."""
+        self._settings = settings
+        self._incarnation = incarnation
+        self._view = view
+        self._log = log
+        self._directory = directory
+        self._peers = peers
+        self._submissions = submissions
+        self._metrics = metrics
+
+    def routes(self) -> list[Route]:
+        """Return the routes of this interface."""
+        return [
+            route("GET", "/live", self._async_live),
+            route("GET", "/ready", self._async_ready),
+            route("GET", "/metrics", self._async_metrics),
+            route("POST", "/v1/operator/changes", self._async_post_change),
+            route("GET", "/v1/operator/changes/{}", self._async_get_change),
+            route("PUT", "/v1/operator/domains/{}", self._async_put_domain),
+            route("GET", "/v1/operator/settings", self._async_get_settings),
+            route("GET", "/v1/operator/explain", self._async_explain),
+            route("GET", "/v1/operator/status", self._async_status),
+        ]
+
+    async def _async_live(self, request: Request) -> Response:
+        return json_response({"incarnation": self._incarnation})
+
+    async def _async_ready(self, request: Request) -> Response:
+        ready = self._submissions.ready
+        value = {"ready": ready, "offset": self._view.state.offset}
+        return json_response(value, 200 if ready else 503)
+
+    async def _async_metrics(self, request: Request) -> Response:
+        self._metrics.view_age_s.set(self._view.age_s(clock.boot_s()))
+        self._metrics.applied_offset.set(self._view.state.offset)
+        return Response(200, generate_latest(self._metrics.registry), CONTENT_TYPE_LATEST)
+
+    async def _async_post_change(self, request: Request) -> Response:
+        self._authenticate(request)
+        value = read_object(request.body)
+        path, text = _read_text(value, "path"), _read_text(value, "values_toml", "")
+        try:
+            parse_node(path, text, 0)
+        except SettingsError as err:
+            return _settings_problem(err)
+        record = PublishRecord(
+            change_id=_read_text(value, "change_id", secrets.token_hex(8)),
+            path=path,
+            expected_version=_read_version(value),
+            values_toml=text,
+            author=_read_text(value, "author", ""),
+            deleted=value.get("deleted") is True,
+        )
+        return await self._async_publish(record)
+
+    async def _async_put_domain(self, request: Request) -> Response:
+        self._authenticate(request)
+        value = read_object(request.body)
+        if not isinstance(value.get("out"), bool):
+            raise invalid("out", "expected true or false")
+        if len(request.path_values[0]) > MAX_NAME_CHARS:
+            raise invalid("domain", f"longer than {MAX_NAME_CHARS} characters")
+        record = DomainChangeRecord(
+            change_id=_read_text(value, "change_id", secrets.token_hex(8)),
+            domain=request.path_values[0],
+            out=value["out"],
+            expected_version=_read_version(value),
+            author=_read_text(value, "author", ""),
+        )
+        return await self._async_publish(record)
+
+    async def _async_publish(self, record: PublishRecord | DomainChangeRecord) -> Response:
+        fate = await async_publish(self._log, self._view, record)
+        if isinstance(fate, Refusal):
+            status = 503 if fate.verdict == Verdict.NOT_RUN else 504
+            raise HttpError(
+                Problem(
+                    status,
+                    fate.reason,
+                    fate.verdict,
+                    fate.detail,
+                    retry_after_s=fate.retry_after_s,
+                )
+            )
+        logs.event("change", change=fate.change_id, accepted=fate.accepted, offset=fate.offset)
+        return _fate_response(fate)
+
+    async def _async_get_change(self, request: Request) -> Response:
+        self._authenticate(request)
+        fate = self._view.state.changes.get(request.path_values[0])
+        if fate is None:
+            raise invalid("change_id", "no such change up to the applied offset", 404)
+        return _fate_response(fate)
+
+    async def _async_get_settings(self, request: Request) -> Response:
+        self._authenticate(request)
+        state = self._view.state
+        nodes = [
+            {"path": node.path, "values_toml": node.text, "version": node.version}
+            for node in sorted(state.nodes.values(), key=lambda item: item.path)
+            if not node.deleted
+        ]
+        domains = [attrs.asdict(record) for record in state.domains.values()]
+        return json_response({"offset": state.offset, "nodes": nodes, "domains": domains})
+
+    async def _async_explain(self, request: Request) -> Response:
+        self._authenticate(request)
+        path = request.query.get("path", "consortium")
+        if level_of(path) is None:
+            raise invalid("path", "expected consortium, consortium/MEMBER or consortium/MEMBER/JOB")
+        values = explain(self._view.state.nodes, path)
+        return json_response({"path": path, "values": [attrs.asdict(item) for item in values]})
+
+    async def _async_status(self, request: Request) -> Response:
+        self._authenticate(request)
+        now_s = clock.boot_s()
+        state = self._view.state
+        return json_response(
+            {
+                "entry": self._incarnation,
+                "name": self._settings.name,
+                "ready": self._submissions.ready,
+                "offset": state.offset,
+                "view_age_s": min(self._view.age_s(now_s), 1e9),
+                "domains_out": [name for name, item in state.domains.items() if item.out],
+                "peers": self._peer_values(),
+                "agents": self._agent_values(now_s),
+                "unlinked": self._unlinked(),
+            }
+        )
+
+    def _peer_values(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "entry": peer.link.peer_incarnation,
+                "offset": peer.offset,
+                "view_age_s": peer.age_s,
+            }
+            for peer in self._peers.peers
+        ]
+
+    def _agent_values(self, now_s: float) -> list[dict[str, Any]]:
+        return [
+            {
+                "agent": agent.incarnation,
+                "domain": agent.process.domain,
+                "service": agent.service,
+                "linked": agent.link is not None,
+                "accepting": agent.accepting,
+                "slots": agent.load.slots,
+                "occupied": agent.load.load,
+                "factor": round(agent.load.factor, 3),
+                "quarantined_s": max(0.0, agent.load.quarantined_until_s - now_s),
+                "offset": agent.applied_offset,
+                "view_age_s": agent.view_age_s,
+            }
+            for agent in self._directory.agents.values()
+        ]
+
+    def _unlinked(self) -> list[str]:
+        linked = self._peers.incarnations() | {self._incarnation}
+        return [
+            process.incarnation
+            for process in self._view.state.processes.values()
+            if process.role == "entry"
+            and process.ended_offset == NO_OFFSET
+            and process.incarnation not in linked
+        ]
+
+    def _authenticate(self, request: Request) -> None:
+        authenticate_operator(self._settings.operator_token_sha256, request.headers)
+
+
+def _fate_response(fate: ChangeRecord) -> Response:
+    return json_response(attrs.asdict(fate), 200 if fate.accepted else 409)
+
+
+def _settings_problem(err: SettingsError) -> Response:
+    problems = [attrs.asdict(problem) for problem in err.problems]
+    value = {
+        "type": f"urn:pistachiohill:problem:{RefusalReason.INVALID}",
+        "status": 422,
+        "verdict": str(Verdict.NOT_RUN),
+        "problems": problems,
+    }
+    return json_response(value, 422)
+
+
+def _read_text(value: dict[str, Any], name: str, default: str | None = None) -> str:
+    text = value.get(name, default)
+    if not isinstance(text, str):
+        raise invalid(name, "expected a string")
+    return text
+
+
+def _read_version(value: dict[str, Any]) -> int:
+    version = value.get("expected_version", ANY_VERSION)
+    if type(version) is not int or version < ANY_VERSION:
+        raise invalid("expected_version", "expected a version, 0 for a new node or -1 for any")
+    return version
--- /dev/null
+++ b/pistachiohill/entry/owner.py
@@ -0,0 +1,246 @@
+"""Take, forward or recover submissions: the same call at any entry gives the same answer."""
+
+from collections.abc import Callable
+
+import trio
+
+from .. import clock, logs
+from ..consortium.const import NO_OFFSET
+from ..consortium.view import ConsortiumView
+from ..const import ForwardAction, Role
+from ..errors import RefusalReason, Verdict
+from ..protocol.link import Link
+from ..protocol.models import Forward, ForwardedTask, ForwardReply
+from ..settings.const import ROOT_PATH
+from ..settings.models import EntrySettings, JobSettings
+from ..submissions.identifiers import IdIssuer, SubmissionId, parse_submission_id
+from ..submissions.models import JobAnswer, JobRequest, failed, new_submission, refused
+from .accounting import Accounting
+from .const import OWNER_LINK_GRACE_S, RETRY_AFTER_S
+from .dispatcher import Dispatcher, jitter
+from .peers import PeerDirectory
+from .recovery import Recovery
+
+FORWARD_MARGIN_S = 2.0
+
+
+class SubmissionService:
+    """Answers put, get and cancel for every submission, whoever owns it."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        issuer: IdIssuer,
+        view: ConsortiumView,
+        view_confirmed_at: Callable[[float], float],
+        dispatcher: Dispatcher,
+        peers: PeerDirectory,
+        recovery: Recovery,
+        accounting: Accounting,
+    ) -> None:
+        """Keep the parts."""
+        self.stopping = False
+        self._settings = settings
+        self._issuer = issuer
+        self._view = view
+        self._view_confirmed_at = view_confirmed_at
+        self._dispatcher = dispatcher
+        self._peers = peers
+        self._recovery = recovery
+        self._accounting = accounting
+
+    @property
+    def loaded(self) -> bool:
+        """Return whether this entry has a state to answer from."""
+        return self._view.state.offset > NO_OFFSET
+
+    @property
+    def ready(self) -> bool:
+        """Return whether this entry may take submissions."""
+        return self.loaded and not self.stopping
+
+    def issue_ids(self, member: str, count: int) -> list[str]:
+        """Return new submission identifiers owned by this incarnation."""
+        offset = self._view.state.offset
+        now_s = clock.wall_s()
+        return [self._issuer.issue(member, offset, now_s) for _ in range(count)]
+
+    async def async_put(self, submission_id: str, request: JobRequest, wait_s: float) -> JobAnswer:
+        """Run a job once, however often and wherever it is put."""
+        action = self._forward(ForwardAction.PUT, submission_id, request.member, wait_s, request)
+        return await self._async_route(submission_id, request.member, action, wait_s)
+
+    async def async_get(self, submission_id: str, member: str, wait_s: float) -> JobAnswer:
+        """Return a submission's answer, waiting up to `wait_s` for it."""
+        action = self._forward(ForwardAction.GET, submission_id, member, wait_s)
+        return await self._async_route(submission_id, member, action, wait_s)
+
+    async def async_cancel(self, submission_id: str, member: str) -> JobAnswer:
+        """Cancel a submission and return its answer."""
+        action = self._forward(ForwardAction.CANCEL, submission_id, member, FORWARD_MARGIN_S)
+        return await self._async_route(submission_id, member, action, FORWARD_MARGIN_S)
+
+    async def async_answer_forward(self, message: Forward) -> ForwardReply:
+        """Answer a submission that another entry passed on."""
+        answer = await self._async_own(message)
+        return answer.to_reply(message.request_id)
+
+    def _forward(
+        self,
+        action: ForwardAction,
+        submission_id: str,
+        member: str,
+        wait_s: float,
+        request: JobRequest | None = None,
+    ) -> Forward:
+        payloads = request.payloads if request else ()
+        return Forward(
+            request_id=0,
+            submission_id=submission_id,
+            member=member,
+            action=action,
+            job=request.job if request else "",
+            deadline_in_s=request.deadline_s if request else 0.0,
+            wait_s=wait_s,
+            tasks=[ForwardedTask(payload) for payload in payloads],
+        )
+
+    async def _async_route(
+        self, submission_id: str, member: str, message: Forward, wait_s: float
+    ) -> JobAnswer:
+        parsed = parse_submission_id(submission_id)
+        if parsed is None:
+            return refused(RefusalReason.UNKNOWN_ID, "not a submission id")
+        if parsed.owner == self._issuer.incarnation:
+            return await self._async_own(message)
+        link = await self._async_owner_link(parsed.owner)
+        if link is not None:
+            answer = await self._async_ask_owner(link, message, wait_s)
+            if answer is not None:
+                return answer
+            logs.warning("owner_silent", submission=submission_id, owner=parsed.owner)
+        return await self._async_recover(submission_id, parsed, member, wait_s)
+
+    async def _async_owner_link(self, owner: str) -> Link | None:
+        """Return a link to the owner, waiting a little when it is known but not linked."""
+        link = self._peers.find(owner)
+        process = self._view.state.processes.get(owner)
+        ended = process is not None and process.ended_offset != NO_OFFSET
+        if link is not None or ended:
+            return link
+        with trio.move_on_after(OWNER_LINK_GRACE_S):
+            while (link := self._peers.find(owner)) is None:
+                await self._view.async_changed()
+        return link
+
+    async def _async_ask_owner(
+        self, link: Link, message: Forward, wait_s: float
+    ) -> JobAnswer | None:
+        def make(request_id: int) -> Forward:
+            message.request_id = request_id
+            return message
+
+        reply = await self._peers.async_request(link, make, wait_s + FORWARD_MARGIN_S)
+        return JobAnswer.from_reply(reply) if isinstance(reply, ForwardReply) else None
+
+    async def _async_recover(
+        self, submission_id: str, parsed: SubmissionId, member: str, wait_s: float
+    ) -> JobAnswer:
+        if self._expired(parsed):
+            return _expired_answer()
+        deadline_s = clock.boot_s() + self._view.state.settings(ROOT_PATH).deadline_s
+        return await self._recovery.async_recover(submission_id, parsed, member, deadline_s, wait_s)
+
+    def _expired(self, parsed: SubmissionId) -> bool:
+        return clock.wall_s() > parsed.issued_s + self._settings.submission_ttl_s
+
+    async def _async_own(self, message: Forward) -> JobAnswer:
+        """Answer for a submission of this incarnation."""
+        if not self._issuer.issued(message.submission_id, message.member):
+            return refused(RefusalReason.UNKNOWN_ID, "not issued to this member")
+        submission = self._dispatcher.submissions.get(message.submission_id)
+        now_s = clock.boot_s()
+        if submission is None:
+            answer = self._admit(message, now_s)
+            if answer is not None:
+                return answer
+            submission = self._dispatcher.submissions[message.submission_id]
+        if message.action == ForwardAction.CANCEL:
+            self._dispatcher.cancel(submission, now_s)
+        with trio.move_on_after(message.wait_s):
+            await submission.done.wait()
+        return submission.progress()
+
+    def _admit(self, message: Forward, now_s: float) -> JobAnswer | None:
+        """Take on a new submission, or return why not."""
+        parsed = parse_submission_id(message.submission_id)
+        assert parsed is not None
+        if self._expired(parsed):
+            return _expired_answer()
+        if message.action != ForwardAction.PUT:
+            return refused(RefusalReason.UNKNOWN_ID, "this submission has not been put")
+        request = JobRequest(
+            message.member,
+            message.job,
+            tuple(task.payload for task in message.tasks),
+            message.deadline_in_s,
+        )
+        settings = self._view.state.settings(request.path)
+        self._accounting.offered(request.member, len(request.payloads))
+        answer = self._refuse(request, settings, now_s)
+        if answer is not None:
+            assert answer.reason is not None
+            self._accounting.refused(request.member, answer.reason)
+            logs.event(
+                "job_refused",
+                submission=message.submission_id,
+                member=request.member,
+                job=request.job,
+                reason=answer.reason,
+            )
+            return answer
+        submission = new_submission(message.submission_id, request, settings, now_s)
+        self._dispatcher.submit(submission, now_s)
+        return None
+
+    def _refuse(self, request: JobRequest, settings: JobSettings, now_s: float) -> JobAnswer | None:
+        """Return why a new job is turned away, if so; nothing of it has run."""
+        count = len(request.payloads)
+        retry_s = jitter(RETRY_AFTER_S)
+        if self.stopping:
+            return refused(RefusalReason.STOPPING, "this entry is stopping", retry_s, count)
+        view_age_s = now_s - self._view_confirmed_at(now_s)
+        if view_age_s > settings.view_max_age_s:
+            detail = f"the settings in force have not been confirmed for {view_age_s:.1f} s"
+            return refused(RefusalReason.STALE_VIEW, detail, retry_s, count)
+        if not self._dispatcher.has_target(settings.service):
+            detail = f"no target of service {settings.service!r} takes tasks"
+            return refused(RefusalReason.NO_TARGET, detail, retry_s, count)
+        waiting = self._dispatcher.waiting_tasks(request.member)
+        if waiting + count > self._accounting.share(settings.max_queued_tasks):
+            detail = f"{waiting} tasks of this member wait already"
+            return refused(RefusalReason.MEMBER_QUEUE, detail, retry_s, count)
+        limit_s = min(request.deadline_s or settings.deadline_s, settings.deadline_s)
+        backlog_s = self._dispatcher.backlog_s(request, settings)
+        if backlog_s > limit_s:
+            detail = f"tasks wait about {backlog_s:.1f} s, the deadline is {limit_s:.1f} s"
+            return refused(RefusalReason.OVERLOAD, detail, jitter(backlog_s - limit_s), count)
+        return None
+
+
+def live_entries(view: ConsortiumView) -> int:
+    """Return how many entries are announced and have not ended."""
+    return sum(
+        process.role == Role.ENTRY and process.ended_offset == NO_OFFSET
+        for process in view.state.processes.values()
+    )
+
+
+def _expired_answer() -> JobAnswer:
+    return failed(
+        RefusalReason.EXPIRED_ID,
+        Verdict.MAY_HAVE_RUN,
+        "the submission id is too old; whether it ran is not remembered",
+        0,
+        0,
+    )
--- /dev/null
+++ b/pistachiohill/entry/peers.py
@@ -0,0 +1,326 @@
+"""Links between entries: passing on views, states, submissions and counters."""
+
+import random
+from collections.abc import Awaitable, Callable
+from functools import singledispatchmethod
+
+import trio
+from attrs import define
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.trio.client import connect
+from websockets.trio.server import ServerConnection, serve
+
+from .. import clock, logs
+from ..consortium.const import NO_OFFSET
+from ..consortium.view import ConsortiumView
+from ..const import PROTOCOL_VERSION, VIEW_EXCHANGE_INTERVAL_S
+from ..protocol.codec import encode_frame
+from ..protocol.errors import HandshakeError
+from ..protocol.link import (
+    CLOSE_POLICY,
+    WEBSOCKET_OPTIONS,
+    Link,
+    async_receive_hello,
+    async_send_hello,
+    first_error,
+)
+from ..protocol.models import (
+    CountersReply,
+    CountersRequest,
+    Forward,
+    ForwardReply,
+    Hello,
+    HelloReply,
+    MemberCounters,
+    Message,
+    PeerView,
+    StateReply,
+    StateRequest,
+)
+from ..settings.errors import SettingsError
+from ..settings.models import EntrySettings
+from .const import PEER_SILENCE_S, RECONNECT_MAX_S, RECONNECT_MIN_S
+
+Reply = ForwardReply | CountersReply | StateReply
+
+
+@define(eq=False)
+class Peer:
+    """One open link to another entry.
+
+    `echo_s` is the peer's latest boot time heard of, `echoed_at_s` when it was heard here.
+    """
+
+    link: Link
+    echo_s: float = -1.0
+    echoed_at_s: float = 0.0
+    offset: int = NO_OFFSET
+    age_s: float = 1e9
+
+
+@define(eq=False)
+class PendingReply:
+    """A request that waits for its reply; `reply` stays None when the link ends first."""
+
+    link: Link
+    done: trio.Event
+    reply: Reply | None = None
+
+
+ForwardHandler = Callable[[Forward], Awaitable[ForwardReply]]
+
+
+class PeerDirectory:
+    """All links to other entries, whoever opened them."""
+
+    def __init__(self, incarnation: str, settings: EntrySettings, view: ConsortiumView) -> None:
+        """Start with no link."""
+        self.peers: list[Peer] = []
+        self._incarnation = incarnation
+        self._settings = settings
+        self._view = view
+        self._pending: dict[int, PendingReply] = {}
+        self._next_request = 0
+        self._dialled: set[tuple[str, int]] = set()
+        self._nursery: trio.Nursery | None = None
+        self._async_forwarded: ForwardHandler | None = None
+        self._counters: Callable[[], list[MemberCounters]] = list
+
+    def set_handlers(
+        self, forwarded: ForwardHandler, counters: Callable[[], list[MemberCounters]]
+    ) -> None:
+        """Name who answers forwarded submissions and counts."""
+        self._async_forwarded = forwarded
+        self._counters = counters
+
+    def find(self, incarnation: str) -> Link | None:
+        """Return an open link to an entry incarnation, the one heard from last."""
+        links = [peer.link for peer in self.peers if peer.link.peer_incarnation == incarnation]
+        links = [link for link in links if not link.closed]
+        return max(links, key=lambda link: link.heard_at_s, default=None)
+
+    def incarnations(self) -> set[str]:
+        """Return the incarnations of all linked entries."""
+        return {peer.link.peer_incarnation for peer in self.peers if not peer.link.closed}
+
+    def outage_confirmed_at(self, now_s: float) -> float | None:
+        """Return when every live entry was heard to know nothing newer, or None.
+
+        Used only where the settings let tasks start through an outage of the platform's log.
+        """
+        heard_s = now_s
+        linked: dict[str, float] = {}
+        for peer in self.peers:
+            if peer.offset > self._view.state.offset:
+                return None
+            name = peer.link.peer_incarnation
+            linked[name] = max(linked.get(name, 0.0), peer.echoed_at_s)
+        for process in self._view.state.processes.values():
+            if process.role != "entry" or process.ended_offset != NO_OFFSET:
+                continue
+            if process.incarnation == self._incarnation:
+                continue
+            if process.incarnation not in linked:
+                return None
+            heard_s = min(heard_s, linked[process.incarnation])
+        return heard_s
+
+    async def async_request(
+        self, link: Link, make: Callable[[int], Message], timeout_s: float
+    ) -> Reply | None:
+        """Send a request and return its reply; None when the link ended or stayed silent."""
+        self._next_request += 1
+        request_id = self._next_request
+        pending = self._pending[request_id] = PendingReply(link, trio.Event())
+        try:
+            link.send(make(request_id))
+            with trio.move_on_after(timeout_s):
+                await pending.done.wait()
+            return pending.reply
+        finally:
+            del self._pending[request_id]
+
+    async def async_serve(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accept links from other entries until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(
+                lambda task_status: serve(
+                    self._async_accept,
+                    self._settings.peer_port,
+                    host=self._settings.peer_host,
+                    task_status=task_status,
+                    **WEBSOCKET_OPTIONS,  # type: ignore[arg-type]
+                )
+            )
+            task_status.started()
+
+    async def async_run(self) -> None:
+        """Dial every known entry and pass views on for as long as the process runs."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._async_exchange)
+            while True:
+                for address in self._addresses():
+                    if address not in self._dialled:
+                        self._dialled.add(address)
+                        nursery.start_soon(self._async_keep_link, *address)
+                await self._view.async_changed()
+
+    def _addresses(self) -> set[tuple[str, int]]:
+        found = set()
+        for text in self._settings.peers:
+            host, _, port = text.rpartition(":")
+            found.add((host, int(port)))
+        for process in self._view.state.processes.values():
+            if process.role == "entry" and process.ended_offset == NO_OFFSET:
+                found.add((process.host, process.port))
+        found.discard((self._settings.peer_host, self._settings.peer_port))
+        return found
+
+    async def _async_exchange(self) -> None:
+        """Pass the view on to all peers at a steady interval, and drop silent links."""
+        while True:
+            await trio.sleep(VIEW_EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1))
+            now_s = clock.boot_s()
+            for peer in self.peers:
+                if now_s - peer.link.heard_at_s > PEER_SILENCE_S:
+                    logs.warning("peer_silent", peer=peer.link.peer_incarnation)
+                    peer.link.close()
+                self._send_view(peer, now_s)
+
+    def _send_view(self, peer: Peer, now_s: float) -> None:
+        age_s = max(0.0, peer.echoed_at_s - self._view.confirmed_at_s)
+        offset = self._view.state.offset
+        peer.link.send(PeerView(now_s, peer.echo_s, offset, min(age_s, 1e9)))
+
+    async def _async_keep_link(self, host: str, port: int) -> None:
+        pause_s = RECONNECT_MIN_S
+        while True:
+            if (host, port) not in self._addresses():
+                self._dialled.discard((host, port))
+                return
+            opened_s = clock.boot_s()
+            try:
+                await self._async_dial(host, port)
+            except (
+                HandshakeError,
+                OSError,
+                InvalidHandshake,
+                ConnectionClosed,
+                TimeoutError,
+                EOFError,
+            ) as err:
+                logs.debug("peer_unreachable", host=host, port=port, detail=repr(err))
+            if clock.boot_s() - opened_s > RECONNECT_MAX_S:
+                pause_s = RECONNECT_MIN_S
+            await trio.sleep(pause_s * random.uniform(0.7, 1.0))
+            pause_s = min(pause_s * 2, RECONNECT_MAX_S)
+
+    async def _async_dial(self, host: str, port: int) -> None:
+        try:
+            async with connect(f"ws://{host}:{port}/", **WEBSOCKET_OPTIONS) as connection:  # type: ignore[arg-type]
+                now_s = clock.boot_s()
+                secret = self._settings.secret
+                hello = Hello(PROTOCOL_VERSION, self._incarnation, "", secret, now_s)
+                reply = await async_send_hello(connection, hello)
+                now_s = clock.boot_s()
+                link = Link(connection, reply.incarnation, now_s)
+                await self._async_use(Peer(link, reply.stamp_s, now_s))
+        except BaseExceptionGroup as group:
+            raise first_error(group) from group
+
+    async def _async_accept(self, connection: ServerConnection) -> None:
+        now_s = clock.boot_s()
+        try:
+            hello = await async_receive_hello(connection, self._settings.secret, self._incarnation)
+        except HandshakeError as err:
+            logs.warning("hello_refused", detail=err)
+            await connection.aclose(CLOSE_POLICY, str(err)[:100])
+            return
+        reply = HelloReply(PROTOCOL_VERSION, self._incarnation, NO_OFFSET, now_s)
+        await connection.send(encode_frame([reply]))
+        link = Link(connection, hello.incarnation, now_s)
+        await self._async_use(Peer(link, hello.stamp_s, now_s))
+
+    async def _async_use(self, peer: Peer) -> None:
+        self.peers.append(peer)
+        logs.event("peer_linked", peer=peer.link.peer_incarnation)
+        self._send_view(peer, clock.boot_s())
+        self._view.notify()
+        try:
+            await peer.link.async_run(
+                lambda message, now_s: self._handle(message, peer, now_s), clock.boot_s
+            )
+        finally:
+            self.peers.remove(peer)
+            for pending in self._pending.values():
+                if pending.link is peer.link:
+                    pending.done.set()
+            logs.event("peer_unlinked", peer=peer.link.peer_incarnation)
+
+    @singledispatchmethod
+    def _handle(self, message: Message, peer: Peer, now_s: float) -> None:
+        logs.warning("message_unexpected", type=type(message).__name__)
+
+    @_handle.register
+    def _(self, message: PeerView, peer: Peer, now_s: float) -> None:
+        peer.echo_s = message.stamp_s
+        peer.echoed_at_s = now_s
+        peer.offset = message.offset
+        peer.age_s = message.age_s
+        if 0.0 <= message.echo_s <= now_s:
+            self._view.confirm(message.offset, message.echo_s - max(0.0, message.age_s))
+        root = self._view.state.settings("consortium")
+        if message.offset > self._view.state.offset and (
+            not self._view.loaded or self._view.age_s(now_s) > root.view_max_age_s / 2
+        ):
+            self._next_request += 1
+            peer.link.send(StateRequest(self._next_request))
+
+    @_handle.register
+    def _(self, message: StateRequest, peer: Peer, now_s: float) -> None:
+        if self._view.loaded:
+            peer.link.send(StateReply(message.request_id, self._view.state.snapshot()))
+
+    @_handle.register
+    def _(self, message: StateReply, peer: Peer, now_s: float) -> None:
+        try:
+            adopted = self._view.adopt(message.snapshot, clock.wall_s())
+        except SettingsError as err:
+            logs.warning("snapshot_refused", peer=peer.link.peer_incarnation, detail=err)
+            return
+        if adopted:
+            logs.event(
+                "state_adopted", peer=peer.link.peer_incarnation, offset=message.snapshot.offset
+            )
+
+    @_handle.register
+    def _(self, message: CountersRequest, peer: Peer, now_s: float) -> None:
+        peer.link.send(CountersReply(message.request_id, self._counters()))
+
+    @_handle.register
+    def _(self, message: Forward, peer: Peer, now_s: float) -> None:
+        assert self._nursery is not None
+        self._nursery.start_soon(self._async_answer_forward, message, peer.link)
+
+    async def _async_answer_forward(self, message: Forward, link: Link) -> None:
+        assert self._async_forwarded is not None
+        link.send(await self._async_forwarded(message))
+
+    @_handle.register
+    def _(self, message: ForwardReply, peer: Peer, now_s: float) -> None:
+        self._take_reply(message, peer)
+
+    @_handle.register
+    def _(self, message: CountersReply, peer: Peer, now_s: float) -> None:
+        self._take_reply(message, peer)
+
+    def _take_reply(self, message: ForwardReply | CountersReply, peer: Peer) -> None:
+        """Hand a reply to its request; late replies, or those of another link, are dropped."""
+        pending = self._pending.get(message.request_id)
+        if pending is None or pending.link is not peer.link:
+            return
+        pending.reply = message
+        pending.done.set()
--- /dev/null
+++ b/pistachiohill/errors.py
@@ -0,0 +1,59 @@
+"""Verdicts, refusal reasons and the tagged outcomes that carry them."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Verdict(StrEnum):
+    """Whether a request may have run; only NOT_RUN allows it to be placed again."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class RefusalReason(StrEnum):
+    """Why a task, a job or a request was refused or failed."""
+
+    BUSY = "busy"
+    CANCELLED = "cancelled"
+    DEADLINE = "deadline"
+    DOMAIN_OUT = "domain_out"
+    DUPLICATE_ID = "duplicate_id"
+    EXPIRED_ID = "expired_id"
+    FENCED = "fenced"
+    INVALID = "invalid"
+    LEAVING = "leaving"
+    LOST_AGENT = "lost_agent"
+    MEMBER_QUEUE = "member_queue"
+    NO_TARGET = "no_target"
+    OVERLOAD = "overload"
+    OWNER_LOST = "owner_lost"
+    SEALED = "sealed"
+    STALE_VIEW = "stale_view"
+    STOPPING = "stopping"
+    TARGET_FAILED = "target_failed"
+    TARGET_LOST = "target_lost"
+    TARGET_REFUSED = "target_refused"
+    TARGET_TIMEOUT = "target_timeout"
+    TOO_MANY_RESTARTS = "too_many_restarts"
+    UNKNOWN_ID = "unknown_id"
+    WRONG_INCARNATION = "wrong_incarnation"
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """A request that was turned away or failed.
+
+    `retry_after_s` is 0 where trying again makes no sense. A refusal with the verdict NOT_RUN is a
+    promise that nothing has run and nothing will.
+    """
+
+    reason: RefusalReason
+    verdict: Verdict
+    detail: str
+    retry_after_s: float = 0.0
+
+
+class PistachiohillError(Exception):
+    """Base of all exceptions raised by this library."""
--- /dev/null
+++ b/pistachiohill/http/server.py
@@ -0,0 +1,163 @@
+"""Serve routes over hypercorn."""
+
+import re
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from attrs import frozen
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from .. import logs
+from ..errors import RefusalReason, Verdict
+from .models import Handler, HttpError, Problem, Request, Response, parse_query, problem_response
+
+BODY_TIMEOUT_S = 15.0
+KEEP_ALIVE_TIMEOUT_S = 75.0
+MAX_HEADER_BYTES = 32 * 1024
+Scope = dict[str, Any]
+
+
+@frozen
+class Route:
+    """A method, a path pattern whose groups become `path_values`, and its handler."""
+
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+
+
+def route(method: str, path: str, handler: Handler) -> Route:
+    """Return a route; `{}` in the path stands for one segment."""
+    pattern = "/".join("([^/]+)" if part == "{}" else re.escape(part) for part in path.split("/"))
+    return Route(method, re.compile(pattern), handler)
+
+
+class HttpApp:
+    """An ASGI application made of routes."""
+
+    def __init__(self, routes: list[Route], max_body_bytes: int) -> None:
+        """Keep the routes; larger bodies are refused with 413."""
+        self._routes = routes
+        self._max_body_bytes = max_body_bytes
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Callable[[], Awaitable[Scope]],
+        send: Callable[[Scope], Awaitable[None]],
+    ) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            await _async_lifespan(scope, receive, send)
+            return
+        response = await self._async_answer(scope, receive)
+        headers = [(b"content-type", response.content_type.encode())]
+        headers.append((b"content-length", str(len(response.body)).encode()))
+        headers += [(name.encode(), value.encode()) for name, value in response.headers.items()]
+        await send({"type": "http.response.start", "status": response.status, "headers": headers})
+        await send({"type": "http.response.body", "body": response.body})
+
+    async def _async_answer(
+        self, scope: Scope, receive: Callable[[], Awaitable[Scope]]
+    ) -> Response:
+        try:
+            found = self._find(scope["method"], scope["path"])
+            body = await self._async_body(scope, receive)
+            request = Request(
+                method=scope["method"],
+                path=scope["path"],
+                query=parse_query(scope["query_string"]),
+                headers={n.decode("latin-1"): v.decode("latin-1") for n, v in scope["headers"]},
+                body=body,
+                path_values=found[1],
+            )
+            return await found[0].handler(request)
+        except HttpError as err:
+            return problem_response(err.problem)
+        except Exception as err:
+            logs.warning("handler_failed", path=scope["path"], error=repr(err))
+            detail = "internal error; see the log"
+            return problem_response(
+                Problem(500, RefusalReason.INVALID, Verdict.MAY_HAVE_RUN, detail)
+            )
+
+    def _find(self, method: str, path: str) -> tuple[Route, tuple[str, ...]]:
+        allowed = []
+        for candidate in self._routes:
+            match = candidate.pattern.fullmatch(path)
+            if match and candidate.method == method:
+                return candidate, match.groups()
+            if match:
+                allowed.append(candidate.method)
+        status = 405 if allowed else 404
+        detail = f"allowed: {', '.join(allowed)}" if allowed else "no such path"
+        raise HttpError(Problem(status, RefusalReason.INVALID, Verdict.NOT_RUN, detail, "path"))
+
+    async def _async_body(self, scope: Scope, receive: Callable[[], Awaitable[Scope]]) -> bytes:
+        chunks: list[bytes] = []
+        size_bytes = 0
+        with trio.move_on_after(BODY_TIMEOUT_S):
+            while True:
+                event = await receive()
+                if event["type"] == "http.disconnect":
+                    raise _body_problem(400, "the body was cut off")
+                chunk = event.get("body", b"")
+                size_bytes += len(chunk)
+                if size_bytes > self._max_body_bytes:
+                    raise _body_problem(413, f"more than {self._max_body_bytes} bytes")
+                chunks.append(chunk)
+                if not event.get("more_body", False):
+                    return b"".join(chunks)
+        raise _body_problem(408, f"not complete after {BODY_TIMEOUT_S:g} s")
+
+
+def _body_problem(status: int, detail: str) -> HttpError:
+    return HttpError(Problem(status, RefusalReason.INVALID, Verdict.NOT_RUN, detail, "body"))
+
+
+async def _async_lifespan(
+    scope: Scope,
+    receive: Callable[[], Awaitable[Scope]],
+    send: Callable[[Scope], Awaitable[None]],
+) -> None:
+    if scope["type"] != "lifespan":
+        return
+    while True:
+        event = await receive()
+        await send({"type": f"{event['type']}.complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
+
+
+async def async_serve_http(
+    app: HttpApp,
+    host: str,
+    port: int,
+    stopping: trio.Event,
+    grace_s: float,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until `stopping` is set, then let open requests finish for up to `grace_s`."""
+    config = Config()
+    config.bind = [f"{host}:{port}"]
+    config.graceful_timeout = grace_s
+    config.shutdown_timeout = grace_s
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+
+    async def async_started(*, task_status: trio.TaskStatus[list[str]]) -> None:
+        await serve(
+            app,  # type: ignore[arg-type]
+            config,
+            shutdown_trigger=stopping.wait,
+            task_status=task_status,
+        )
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(async_started)
+        task_status.started()
--- /dev/null
+++ b/pistachiohill/logs.py
@@ -0,0 +1,63 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+from absl import logging
+
+_QUOTED = set(' "=\n\t\r')
+
+
+def event(name: str, /, **fields: object) -> None:
+    """Log an event at level INFO, such as `event=task_started submission=... task=3`."""
+    logging.info("%s", _line(name, fields))
+
+
+def warning(name: str, /, **fields: object) -> None:
+    """Log an event at level WARNING."""
+    logging.warning("%s", _line(name, fields))
+
+
+def debug(name: str, /, **fields: object) -> None:
+    """Log an event at level DEBUG; the line is only built when the level is on."""
+    if logging.level_debug():
+        logging.debug("%s", _line(name, fields))
+
+
+def setup(process: str, verbosity: int = 0) -> None:
+    """Send log lines to standard error under a process name."""
+    logging.use_absl_handler()
+    logging.set_verbosity(verbosity)
+    logging.set_stderrthreshold("fatal" if verbosity < 0 else "debug")
+    handler = logging.get_absl_handler()
+    handler.use_absl_log_file = lambda *_: None  # type: ignore[method-assign]
+    handler.setFormatter(_formatter(process))
+
+
+def _formatter(process: str):  # type: ignore[no-untyped-def]
+    import logging as std_logging
+
+    class KeyValueFormatter(std_logging.Formatter):
+        """Put time, level and process before an event's own pairs."""
+
+        def format(self, record: std_logging.LogRecord) -> str:
+            """Return the line of a record."""
+            line = f"ts={record.created:.6f} level={record.levelname.lower()} process={process} "
+            line += record.getMessage()
+            if record.exc_info:
+                line += f" exception={_value(self.formatException(record.exc_info))}"
+            return line
+
+    return KeyValueFormatter()
+
+
+def _line(name: str, fields: dict[str, object]) -> str:
+    pairs = " ".join(f"{key}={_value(value)}" for key, value in fields.items())
+    return f"event={name} {pairs}" if pairs else f"event={name}"
+
+
+def _value(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if text and not _QUOTED.intersection(text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
--- /dev/null
+++ b/pistachiohill/metrics.py
@@ -0,0 +1,24 @@
+"""Shared parts of the daemons' Prometheus metrics."""
+
+from typing import Final
+
+MAX_LABEL_PAIRS: Final = 500
+OTHER_LABEL: Final = "other"
+DURATION_BUCKETS_S: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0)
+
+
+class JobLabels:
+    """Bounds the number of (member, job) label pairs; later ones share one label."""
+
+    def __init__(self) -> None:
+        """Start with no pair."""
+        self._pairs: set[tuple[str, str]] = set()
+
+    def pair(self, member: str, job: str) -> tuple[str, str]:
+        """Return the labels to use for a member's job."""
+        if (member, job) in self._pairs:
+            return member, job
+        if len(self._pairs) >= MAX_LABEL_PAIRS:
+            return OTHER_LABEL, OTHER_LABEL
+        self._pairs.add((member, job))
+        return member, job
--- /dev/null
+++ b/pistachiohill/platform_log/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's append-only log service."""
--- /dev/null
+++ b/pistachiohill/protocol/link.py
@@ -0,0 +1,167 @@
+"""Connections between the system's own processes.
+
+A link is one WebSocket that carries frames both ways. Messages queued in one step of the event loop
+leave in one frame.
+"""
+
+import hmac
+from collections.abc import Callable
+
+import trio
+from attrs import define
+from websockets.exceptions import ConnectionClosed
+from websockets.trio.connection import Connection
+
+from .. import logs
+from ..const import MAX_FRAME_BYTES, PROTOCOL_VERSION
+from .codec import decode_frame, encode_frame
+from .errors import DecodeError, HandshakeError
+from .models import Hello, HelloReply, Message
+
+HANDSHAKE_TIMEOUT_S = 3.0
+MAX_OUTBOX_MESSAGES = 100_000
+CLOSE_PROTOCOL_ERROR = 1002
+CLOSE_POLICY = 1008
+WEBSOCKET_OPTIONS = {
+    "compression": None,
+    "max_size": MAX_FRAME_BYTES,
+    "ping_interval": None,
+    "close_timeout": 0.5,
+    "open_timeout": HANDSHAKE_TIMEOUT_S,
+}
+
+
+@define
+class LinkCounters:
+    """Traffic of one link, or the sum of several."""
+
+    messages_sent: int = 0
+    frames_sent: int = 0
+    bytes_sent: int = 0
+    messages_received: int = 0
+    frames_received: int = 0
+    bytes_received: int = 0
+
+
+class Link:
+    """One connection to a peer, after the handshake."""
+
+    def __init__(self, connection: Connection, peer_incarnation: str, now_s: float) -> None:
+        """Wrap an open connection; `now_s` is the boot time of the handshake."""
+        self.peer_incarnation = peer_incarnation
+        self.counters = LinkCounters()
+        self.heard_at_s = now_s
+        self.closed = False
+        self._connection = connection
+        self._outbox: list[Message] = []
+        self._wake = trio.Event()
+        self._scope = trio.CancelScope()
+
+    def send(self, message: Message) -> None:
+        """Queue a message; it is dropped when the link has closed."""
+        if self.closed:
+            return
+        if len(self._outbox) >= MAX_OUTBOX_MESSAGES:
+            logs.warning("link_overrun", peer=self.peer_incarnation)
+            self.close()
+            return
+        self._outbox.append(message)
+        self._wake.set()
+
+    def close(self) -> None:
+        """End the link; `async_run` returns."""
+        self.closed = True
+        self._scope.cancel()
+
+    async def async_run(
+        self, handle: Callable[[Message, float], None], clock: Callable[[], float]
+    ) -> None:
+        """Send queued messages and hand received ones to `handle` until the link ends."""
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._async_write)
+                    await self._async_read(handle, clock)
+                    nursery.cancel_scope.cancel()
+        finally:
+            self.closed = True
+
+    async def _async_write(self) -> None:
+        try:
+            while True:
+                await self._wake.wait()
+                await trio.lowlevel.checkpoint()
+                messages, self._outbox, self._wake = self._outbox, [], trio.Event()
+                data = encode_frame(messages)
+                self.counters.messages_sent += len(messages)
+                self.counters.frames_sent += 1
+                self.counters.bytes_sent += len(data)
+                await self._connection.send(data)
+        except ConnectionClosed:
+            self.close()
+
+    async def _async_read(
+        self, handle: Callable[[Message, float], None], clock: Callable[[], float]
+    ) -> None:
+        try:
+            while True:
+                data = await self._connection.recv(decode=False)
+                self.heard_at_s = clock()
+                messages = decode_frame(data)
+                self.counters.messages_received += len(messages)
+                self.counters.frames_received += 1
+                self.counters.bytes_received += len(data)
+                for message in messages:
+                    handle(message, self.heard_at_s)
+        except ConnectionClosed:
+            return
+        except DecodeError as err:
+            logs.warning("frame_refused", peer=self.peer_incarnation, detail=err)
+            await self._connection.aclose(CLOSE_PROTOCOL_ERROR, "frame refused")
+
+
+async def async_send_hello(connection: Connection, hello: Hello) -> HelloReply:
+    """Open the handshake and return the peer's reply; raise HandshakeError when it is refused."""
+    with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
+        await connection.send(encode_frame([hello]))
+        reply = await _async_receive_one(connection)
+        if not isinstance(reply, HelloReply):
+            raise HandshakeError(f"expected HelloReply, got {type(reply).__name__}")
+        return reply
+    raise HandshakeError("no reply in time")
+
+
+async def async_receive_hello(connection: Connection, secret: str, incarnation: str) -> Hello:
+    """Return a peer's valid Hello; raise HandshakeError otherwise."""
+    with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
+        hello = await _async_receive_one(connection)
+        if not isinstance(hello, Hello):
+            raise HandshakeError(f"expected Hello, got {type(hello).__name__}")
+        if not hmac.compare_digest(hello.secret.encode(), secret.encode()):
+            raise HandshakeError("wrong secret")
+        if hello.version != PROTOCOL_VERSION:
+            raise HandshakeError(f"unknown protocol version {hello.version}")
+        if hello.expected_incarnation not in ("", incarnation):
+            raise HandshakeError("wrong incarnation")
+        return hello
+    raise HandshakeError("no Hello in time")
+
+
+async def _async_receive_one(connection: Connection) -> Message:
+    try:
+        messages = decode_frame(await connection.recv(decode=False))
+    except (ConnectionClosed, DecodeError) as err:
+        raise HandshakeError(str(err)) from err
+    if len(messages) != 1:
+        raise HandshakeError(f"expected one message, got {len(messages)}")
+    return messages[0]
+
+
+def first_error(group: BaseExceptionGroup) -> BaseException:
+    """Return the first error in a group that is not a cancellation, else the group itself."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            return first_error(error)
+        if not isinstance(error, trio.Cancelled):
+            return error
+    return group
--- /dev/null
+++ b/pistachiohill/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Which task runs next, and where: fair queueing, target selection, estimates, quarantine."""
--- /dev/null
+++ b/pistachiohill/scheduling/models.py
@@ -0,0 +1,48 @@
+"""What the scheduler knows of a target, as seen from one entry."""
+
+from attrs import define, field
+
+
+@define(eq=False)
+class TargetLoad:
+    """Capacity, load and learned speed of one target.
+
+    Fields:
+        slots: Tasks that the target runs side by side.
+        outstanding: Tasks that this entry has placed there and that are not settled.
+        others: Tasks of other entries there, as of the latest report.
+        factor: Run time relative to the mean of all targets.
+        ramp_from_s: Boot time since which a returning target is brought up again.
+        quarantined_until_s: Boot time until which it gets no task but probes.
+    """
+
+    name: str
+    domain: str
+    slots: int = 0
+    outstanding: int = 0
+    others: int = 0
+    factor: float = 1.0
+    ramp_from_s: float = -1e9
+    quarantined_until_s: float = -1e9
+
+    @property
+    def load(self) -> int:
+        """Return the tasks there, as far as they are known here."""
+        return self.outstanding + self.others
+
+    def allowed(self, now_s: float, ramp_s: float, depth: int) -> int:
+        """Return how many tasks may be there at once, growing from 1 while it ramps up."""
+        limit = self.slots + depth
+        elapsed_s = now_s - self.ramp_from_s
+        if elapsed_s >= ramp_s or ramp_s <= 0:
+            return limit
+        return max(1, int(self.slots * elapsed_s / ramp_s))
+
+
+@define
+class Placement:
+    """A task's placement wish: its job and the domains it may use, empty for all."""
+
+    job_path: str
+    run_s: float
+    domains_allowed: tuple[str, ...] = field(default=())
--- /dev/null
+++ b/pistachiohill/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: the tree that operators publish and the files that daemons read."""
--- /dev/null
+++ b/pistachiohill/settings/daemon.py
@@ -0,0 +1,54 @@
+"""Load and check the settings of a daemon: one TOML file plus command-line overrides."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import TypeVar
+
+from .checks import check_values, parse_toml
+from .errors import SettingsError, SettingsProblem
+from .fields import FieldSpec
+
+T = TypeVar("T")
+
+
+def load_daemon_settings(
+    settings_type: type[T],
+    specs: tuple[FieldSpec, ...],
+    file_path: str | None,
+    overrides: Mapping[str, object],
+) -> T:
+    """Return a daemon's settings; raise SettingsError with every problem of file and overrides.
+
+    Example: `load_daemon_settings(EntrySettings, ENTRY_FIELDS, "entry.toml", {"http_port": 80})`.
+    """
+    values, problems = _read_file(file_path)
+    values = {**values, **overrides}
+    problems += check_values(file_path or "(command line)", specs, values)
+    problems += _missing(file_path or "(command line)", specs, values)
+    if problems:
+        raise SettingsError(problems)
+    lists = {name: tuple(item) for name, item in values.items() if isinstance(item, list)}
+    return settings_type(**(values | lists))
+
+
+def _read_file(file_path: str | None) -> tuple[dict[str, object], list[SettingsProblem]]:
+    if file_path is None:
+        return {}, []
+    try:
+        text = Path(file_path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as err:
+        return {}, [SettingsProblem(file_path, "(file)", str(err))]
+    table = parse_toml(file_path, text)
+    if isinstance(table, SettingsProblem):
+        return {}, [table]
+    return dict(table), []
+
+
+def _missing(
+    path: str, specs: tuple[FieldSpec, ...], values: Mapping[str, object]
+) -> list[SettingsProblem]:
+    return [
+        SettingsProblem(path, spec.name, "required")
+        for spec in specs
+        if spec.type_name == "str" and spec.minimum >= 1 and not values.get(spec.name, "-")
+    ]
--- /dev/null
+++ b/script/run_tests.py
@@ -0,0 +1,57 @@
+"""Run the tests; known failures listed in KNOWN-RED.txt are printed and do not fail the run.
+
+An entry of KNOWN-RED.txt starts with `test: ` and a pytest node id. A listed test that passes fails
+the run, so that the list stays true.
+"""
+
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+class Outcomes:
+    """Collects which tests failed."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.failed: set[str] = set()
+        self.passed: set[str] = set()
+
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        """Note one phase of one test."""
+        if report.failed:
+            self.failed.add(report.nodeid)
+        elif report.when == "call" and report.passed:
+            self.passed.add(report.nodeid)
+
+
+def known_red() -> set[str]:
+    """Return the node ids listed in KNOWN-RED.txt."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.removeprefix("test: ").strip() for line in lines if line.startswith("test: ")}
+
+
+def main() -> int:
+    """Run pytest and return the exit code."""
+    outcomes = Outcomes()
+    code = pytest.main(sys.argv[1:], plugins=[outcomes])
+    known = known_red()
+    for node in sorted(known & outcomes.failed):
+        print(f"known red: {node}")
+    for node in sorted(known & outcomes.passed):
+        print(f"listed in KNOWN-RED.txt but passed: {node}")
+    if known & outcomes.passed:
+        return 1
+    if code == pytest.ExitCode.TESTS_FAILED and outcomes.failed <= known:
+        return 0
+    return int(code)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems: platform log, targets, cut connections."""
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,49 @@
+"""Run one stand-in process: `python -m standins log|target|relay --port=...`."""
+
+import functools
+
+import fire
+import trio
+
+HOST = "127.0.0.1"
+
+
+class StandIns:
+    """Small stand-ins for outside systems."""
+
+    def log(self, port: int, retention_s: float = 3600.0) -> None:
+        """Serve the platform's log on a port; records are kept for retention_s seconds."""
+        from . import platform_log
+
+        trio.run(platform_log.async_run, HOST, port, float(retention_s))
+
+    def target(
+        self,
+        port: int,
+        agent_url: str,
+        service: str = "clocking",
+        slots: int = 8,
+        slowness: float = 1.0,
+        run_s: float = 0.0,
+        delay_s: float = 0.0,
+    ) -> None:
+        """Serve a target on a port and announce it to the agent at agent_url.
+
+        run_s: seconds a task takes when its payload does not say.
+        slowness: factor on every run time.
+        delay_s: seconds added to each answer, as a network does.
+        """
+        from . import target
+
+        model = target.TargetModel(service, slots, float(slowness), float(run_s), float(delay_s))
+        trio.run(functools.partial(target.async_run, model, HOST, port, agent_url))
+
+    def relay(self, port: int, to_port: int, control_port: int) -> None:
+        """Relay TCP connections from one port to another."""
+        from . import relay
+
+        trio.run(relay.async_run, relay.RelayModel(HOST, to_port), HOST, port, control_port)
+
+
+if __name__ == "__main__":
+    fire.Fire(StandIns)
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,423 @@
+"""Start a small deployment in separate processes on loopback, and break it on purpose.
+
+Used by the demo, the failure tests and the experiments.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import tomllib
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import httpcore
+import trio
+from attrs import define, field, frozen
+
+from pistachiohill.client import Client
+from pistachiohill.entry.auth import hash_token
+
+HOST = "127.0.0.1"
+SECRET = "deployment-secret"
+OPERATOR_TOKEN = "operator-token"
+POLL_S = 0.03
+READY_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 10.0
+
+
+@frozen
+class TargetSpec:
+    """One target with the agent beside it; `relay` puts a relay between entries and agent."""
+
+    domain: str
+    slots: int = 8
+    slowness: float = 1.0
+    service: str = "clocking"
+    delay_s: float = 0.0
+    relay: bool = False
+
+
+@frozen
+class MemberSpec:
+    """A member with its overrides and the jobs it may submit."""
+
+    name: str
+    jobs: tuple[str, ...] = ("clocking",)
+    values_toml: str = ""
+    job_toml: str = 'service = "clocking"\n'
+
+    @property
+    def token(self) -> str:
+        """Return the member's token."""
+        return f"token-{self.name}"
+
+
+@frozen
+class DeploymentSpec:
+    """What to start."""
+
+    targets: tuple[TargetSpec, ...]
+    entries: int = 2
+    members: tuple[MemberSpec, ...] = (MemberSpec("brunner"),)
+    consortium_toml: str = ""
+    retention_s: float = 3600.0
+    entry_overrides: tuple[str, ...] = ()
+    agent_overrides: tuple[str, ...] = ()
+    relay_entries: bool = False
+
+
+@define(eq=False)
+class Process:
+    """One started process; `args` allow starting it anew at the same address."""
+
+    name: str
+    args: list[str]
+    log_path: Path
+    popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process, with its log appended to a file."""
+        with self.log_path.open("ab") as log_file:
+            self.popen = subprocess.Popen(self.args, stdout=log_file, stderr=log_file)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal unless the process has ended."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    async def async_kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGKILL)
+        await self.async_wait()
+
+    async def async_wait(self) -> int:
+        """Wait for the process's end and return its exit code."""
+        assert self.popen is not None
+        while (code := self.popen.poll()) is None:
+            await trio.sleep(POLL_S)
+        return code
+
+    def rss_bytes(self) -> int:
+        """Return the resident memory."""
+        assert self.popen is not None
+        text = Path(f"/proc/{self.popen.pid}/statm").read_text()
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def cpu_s(self) -> float:
+        """Return the processor time used so far."""
+        assert self.popen is not None
+        fields = Path(f"/proc/{self.popen.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def log_text(self) -> str:
+        """Return what the process has logged."""
+        return self.log_path.read_text(errors="replace")
+
+
+@define(eq=False)
+class EntryProcess(Process):
+    """An entry and the ports it listens on."""
+
+    url: str = ""
+    peer_port: int = 0
+    relay_control: str = ""
+
+
+@define(eq=False)
+class AgentProcess(Process):
+    """An agent, the target beside it, and the control URL of the relay before it."""
+
+    url: str = ""
+    peer_port: int = 0
+    domain: str = ""
+    target: Process = field(default=None)
+    target_url: str = ""
+    relay_control: str = ""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((HOST, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Deployment:
+    """A running deployment; use it as an asynchronous context manager."""
+
+    def __init__(self, spec: DeploymentSpec, directory: Path | None = None) -> None:
+        """Prepare a deployment; logs go to a directory of their own."""
+        self.spec = spec
+        self.directory = directory or Path(tempfile.mkdtemp(prefix="pistachiohill-"))
+        self.entries: list[EntryProcess] = []
+        self.agents: list[AgentProcess] = []
+        self.log: Process
+        self.log_url = ""
+        self._others: list[Process] = []
+        self._pool = httpcore.AsyncConnectionPool(max_connections=100)
+
+    async def __aenter__(self) -> "Deployment":
+        """Start all processes and wait until tasks can be submitted."""
+        try:
+            await self._async_start()
+        except BaseException:
+            self._kill_all()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        self._kill_all()
+        with trio.CancelScope(shield=True):
+            await self._pool.aclose()
+
+    def client(self, member: str, entries: Sequence[int] | None = None) -> Client:
+        """Return a client of a member, for all entries or some."""
+        urls = [item.url for item in self.entries]
+        if entries is not None:
+            urls = [urls[index] for index in entries]
+        token = next(item.token for item in self.spec.members if item.name == member)
+        return Client(urls, token)
+
+    async def async_json(
+        self, method: str, url: str, value: Any = None, token: str = "", timeout_s: float = 15.0
+    ) -> tuple[int, Any]:
+        """Return status and decoded value of an HTTP call."""
+        response = await self._pool.request(
+            method,
+            url,
+            headers={"authorization": f"Bearer {token}"} if token else {},
+            content=None if value is None else json.dumps(value).encode(),
+            extensions={"timeout": dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)},
+        )
+        return response.status, json.loads(response.content)
+
+    async def async_operator(
+        self, method: str, path: str, value: Any = None, entry: int = 0
+    ) -> tuple[int, Any]:
+        """Call the operators' interface of an entry."""
+        url = self.entries[entry].url + path
+        return await self.async_json(method, url, value, OPERATOR_TOKEN)
+
+    async def async_publish(
+        self, path: str, text: str, entry: int = 0, **fields: Any
+    ) -> tuple[int, Any]:
+        """Publish a node of the settings tree."""
+        value = {"path": path, "values_toml": text, **fields}
+        return await self.async_operator("POST", "/v1/operator/changes", value, entry)
+
+    async def async_domain(
+        self, domain: str, out: bool, entry: int = 0, **fields: Any
+    ) -> tuple[int, Any]:
+        """Take a failure domain out or bring it back."""
+        value = {"out": out, **fields}
+        return await self.async_operator("PUT", f"/v1/operator/domains/{domain}", value, entry)
+
+    async def async_log_faults(self, **faults: Any) -> Any:
+        """Change the faults of the platform's log."""
+        _, value = await self.async_json("POST", f"{self.log_url}/v1/faults", faults)
+        return value
+
+    async def async_counts(self) -> dict[str, int]:
+        """Return the starts by task id, as all living targets count them."""
+        total: dict[str, int] = {}
+        for agent in self.agents:
+            if agent.target.popen is None or agent.target.popen.poll() is not None:
+                continue
+            _, value = await self.async_json("GET", f"{agent.target_url}/counts")
+            for task_id, count in value["starts"].items():
+                total[task_id] = total.get(task_id, 0) + count
+        return total
+
+    async def async_status(self, entry: int = 0) -> Any:
+        """Return an entry's status."""
+        _, value = await self.async_operator("GET", "/v1/operator/status", entry=entry)
+        return value
+
+    async def async_until(self, what: str, check: Any, timeout_s: float = READY_TIMEOUT_S) -> Any:
+        """Poll an asynchronous check until it returns a true value, and return that."""
+        with trio.move_on_after(timeout_s):
+            while True:
+                try:
+                    if value := await check():
+                        return value
+                except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+                    pass
+                await trio.sleep(POLL_S)
+        raise TimeoutError(f"not within {timeout_s:g} s: {what}; logs in {self.directory}")
+
+    async def async_accepting(self, entry: int, agents: int) -> None:
+        """Wait until an entry has a number of accepting agents."""
+
+        async def async_check() -> bool:
+            status = await self.async_status(entry)
+            return sum(item["accepting"] for item in status["agents"]) == agents
+
+        await self.async_until(f"{agents} accepting agents at entry {entry}", async_check)
+
+    def spawn(self, name: str, *args: str, kind: str = "pistachiohill") -> Process:
+        """Start one more process."""
+        process = self._process(name, kind, *args)
+        self._others.append(process)
+        process.start()
+        return process
+
+    def new_entry(self, index: int) -> EntryProcess:
+        """Prepare an entry on ports of its own; it knows the other entries' addresses."""
+        http_port, peer_port, relay_port, control_port = free_ports(4)
+        peers = [f"{HOST}:{item.peer_port}" for item in self.entries]
+        args = [
+            "entry",
+            f"--name=entry{index}",
+            f"--domain=domain-{index}",
+            f"--http_port={http_port}",
+            f"--peer_port={peer_port}",
+            f"--log_url={self.log_url}",
+            f"--secret={SECRET}",
+            f"--operator_token_sha256={hash_token(OPERATOR_TOKEN)}",
+            f"--peers={json.dumps(peers)}",
+            *self.spec.entry_overrides,
+        ]
+        relay_control = ""
+        if self.spec.relay_entries:
+            relay_control = self._relay(f"relay-entry{index}", relay_port, peer_port, control_port)
+            args.append(f"--advertised_port={relay_port}")
+        process = self._process(f"entry{index}", "pistachiohill", *args)
+        return EntryProcess(
+            process.name,
+            process.args,
+            process.log_path,
+            url=f"http://{HOST}:{http_port}",
+            peer_port=peer_port,
+            relay_control=relay_control,
+        )
+
+    def new_agent(self, index: int, spec: TargetSpec) -> AgentProcess:
+        """Prepare an agent with its target."""
+        http_port, peer_port, target_port, relay_port, control_port = free_ports(5)
+        args = [
+            "agent",
+            f"--name=agent{index}",
+            f"--domain={spec.domain}",
+            f"--http_port={http_port}",
+            f"--peer_port={peer_port}",
+            f"--log_url={self.log_url}",
+            f"--secret={SECRET}",
+            *self.spec.agent_overrides,
+        ]
+        relay_control = ""
+        if spec.relay:
+            relay_control = self._relay(f"relay-agent{index}", relay_port, peer_port, control_port)
+            args.append(f"--advertised_port={relay_port}")
+        process = self._process(f"agent{index}", "pistachiohill", *args)
+        target = self._process(
+            f"target{index}",
+            "standins",
+            "target",
+            f"--port={target_port}",
+            f"--agent_url=http://{HOST}:{http_port}",
+            f"--service={spec.service}",
+            f"--slots={spec.slots}",
+            f"--slowness={spec.slowness}",
+            f"--delay_s={spec.delay_s}",
+        )
+        return AgentProcess(
+            process.name,
+            process.args,
+            process.log_path,
+            url=f"http://{HOST}:{http_port}",
+            peer_port=peer_port,
+            domain=spec.domain,
+            target=target,
+            target_url=f"http://{HOST}:{target_port}",
+            relay_control=relay_control,
+        )
+
+    def _relay(self, name: str, port: int, to_port: int, control_port: int) -> str:
+        args = (f"--port={port}", f"--to_port={to_port}", f"--control_port={control_port}")
+        self.spawn(name, "relay", *args, kind="standins")
+        return f"http://{HOST}:{control_port}"
+
+    def _process(self, name: str, kind: str, *args: str) -> Process:
+        command = [sys.executable, "-m", kind, *args]
+        return Process(name, command, self.directory / f"{name}.log")
+
+    async def _async_start(self) -> None:
+        (log_port,) = free_ports(1)
+        self.log_url = f"http://{HOST}:{log_port}"
+        self.log = self.spawn(
+            "log",
+            "log",
+            f"--port={log_port}",
+            f"--retention_s={self.spec.retention_s}",
+            kind="standins",
+        )
+        await self._async_live(f"{self.log_url}/live")
+        for index in range(self.spec.entries):
+            entry = self.new_entry(index)
+            self.entries.append(entry)
+            entry.start()
+        for index, spec in enumerate(self.spec.targets):
+            agent = self.new_agent(index, spec)
+            self.agents.append(agent)
+            agent.start()
+            agent.target.start()
+        for entry in self.entries:
+            await self._async_live(f"{entry.url}/ready")
+        await self._async_configure()
+        for index in range(len(self.entries)):
+            await self.async_accepting(index, len(self.agents))
+            await self._async_peers(index)
+
+    async def _async_configure(self) -> None:
+        nodes = [("consortium", self.spec.consortium_toml)]
+        for member in self.spec.members:
+            token_line = f'token_sha256 = "{hash_token(member.token)}"\n'
+            nodes.append((f"consortium/{member.name}", token_line + member.values_toml))
+            for job in member.jobs:
+                nodes.append((f"consortium/{member.name}/{job}", member.job_toml))
+        for path, text in nodes:
+            tomllib.loads(text)
+            status, value = await self.async_publish(path, text)
+            if status != 200:
+                raise RuntimeError(f"{path}: {value}")
+
+    async def _async_peers(self, index: int) -> None:
+        offset = (await self.async_status(0))["offset"]
+
+        async def async_check() -> bool:
+            status = await self.async_status(index)
+            names = {item["entry"] for item in status["peers"]}
+            return len(names) >= len(self.entries) - 1 and status["offset"] >= offset
+
+        await self.async_until(f"peers of entry {index}", async_check)
+
+    async def _async_live(self, url: str) -> None:
+        async def async_check() -> bool:
+            return (await self.async_json("GET", url))[0] == 200
+
+        await self.async_until(url, async_check)
+
+    def _kill_all(self) -> None:
+        processes: list[Process] = [*self.entries, *self.agents, *self._others]
+        processes += [agent.target for agent in self.agents]
+        for process in processes:
+            process.signal(signal.SIGKILL)
+        for process in processes:
+            if process.popen is not None:
+                process.popen.wait()
