Prove the promises in real processes over the stand-ins

Cause of the first red: with view_max_age_s = 1 and log reads that wait 1 s, a view confirmed as of the time its read was sent is always stale, so nothing started after an outage (test_outage_in_the_middle_of_a_job: 72 of 120 tasks, then the deadline). Ruled out: lost wake-ups (the dispatcher ticks every 0.25 s). Change: a read waits at most a quarter of the allowed age.

Second: a killed agent was noticed only at the job's deadline (32.3 s), because trio wraps a refused connection in an OSError. Change: the cause is looked at; two refusals settle the agent's tasks as may have run.

--- a/pistachiohill/consortium/tail.py
+++ b/pistachiohill/consortium/tail.py
@@ -11,8 +11,9 @@
 from ..protocol.codec import decode_record, encode_record
 from ..protocol.errors import DecodeError
 from ..protocol.models import SnapshotRecord
+from ..settings.const import ROOT_PATH
 from ..settings.errors import SettingsError
-from .const import SNAPSHOT_EVERY_RECORDS, SNAPSHOT_RETENTION_FRACTION
+from .const import POLL_AGE_FRACTION, SNAPSHOT_EVERY_RECORDS, SNAPSHOT_RETENTION_FRACTION
 from .state import LoggedRecord
 from .view import ConsortiumView
 
@@ -24,7 +25,7 @@
     while True:
         asked_at_s = clock.boot_s()
         cursor = max(cursor, view.state.offset + 1)
-        page = await client.async_read(cursor, POLL_WAIT_S if view.loaded else 0.0)
+        page = await client.async_read(cursor, poll_wait_s(view))
         if isinstance(page, ReadFailed):
             logs.warning("log_unreadable", detail=page.detail, offset=view.state.offset)
             await trio.sleep(retry_s * random.uniform(0.5, 1.0))
@@ -38,6 +39,18 @@
         await _async_keep_snapshot(client, view, page)
 
 
+def poll_wait_s(view: ConsortiumView) -> float:
+    """Return how long a read may wait for news.
+
+    A view is confirmed as of the time its read was sent, so a read must not take up the age that
+    the settings allow.
+    """
+    if not view.loaded:
+        return 0.0
+    max_age_s = view.state.settings(ROOT_PATH).view_max_age_s
+    return min(POLL_WAIT_S, max_age_s * POLL_AGE_FRACTION)
+
+
 def apply_page(view: ConsortiumView, page: LogPage, asked_at_s: float) -> None:
     """Apply a page and confirm the view where the page reaches the log's end.
 
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -15,7 +15,7 @@
 from ..consortium.view import ConsortiumView
 from ..const import PROTOCOL_VERSION
 from ..protocol.errors import HandshakeError
-from ..protocol.link import WEBSOCKET_OPTIONS, Link, async_send_hello, first_error
+from ..protocol.link import WEBSOCKET_OPTIONS, Link, async_send_hello, first_error, was_refused
 from ..protocol.models import (
     AgentState,
     Freshness,
@@ -198,9 +198,8 @@
                 if "wrong incarnation" in str(err):
                     self._lose(agent, events, "replaced")
                     return
-            except ConnectionRefusedError:
-                refused += 1
             except (OSError, InvalidHandshake, ConnectionClosed, TimeoutError, EOFError) as err:
+                refused = refused + 1 if was_refused(err) else 0
                 logs.event("agent_unreachable", agent=agent.incarnation, detail=repr(err))
             agent.link = None
             agent.accepting = False
--- a/pistachiohill/protocol/link.py
+++ b/pistachiohill/protocol/link.py
@@ -165,3 +165,12 @@
         if not isinstance(error, trio.Cancelled):
             return error
     return group
+
+
+def was_refused(error: BaseException | None) -> bool:
+    """Return whether a connection was refused, so that no process listens at the address."""
+    if error is None or isinstance(error, ConnectionRefusedError):
+        return error is not None
+    if isinstance(error, BaseExceptionGroup):
+        return all(map(was_refused, error.exceptions))
+    return was_refused(error.__cause__)
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -26,16 +26,19 @@
         slowness: float = 1.0,
         run_s: float = 0.0,
         delay_s: float = 0.0,
+        record: bool = False,
     ) -> None:
         """Serve a target on a port and announce it to the agent at agent_url.
 
         run_s: seconds a task takes when its payload does not say.
         slowness: factor on every run time.
         delay_s: seconds added to each answer, as a network does.
+        record: print each start.
         """
         from . import target
 
         model = target.TargetModel(service, slots, float(slowness), float(run_s), float(delay_s))
+        model.record = record
         trio.run(functools.partial(target.async_run, model, HOST, port, agent_url))
 
     def relay(self, port: int, to_port: int, control_port: int) -> None:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -70,6 +70,7 @@
     entry_overrides: tuple[str, ...] = ()
     agent_overrides: tuple[str, ...] = ()
     relay_entries: bool = False
+    record_starts: bool = True
 
 
 @define(eq=False)
@@ -141,6 +142,15 @@
     relay_control: str = ""
 
 
+@frozen
+class RecordedStart:
+    """One start that a target has printed; `at_s` is in seconds since the epoch."""
+
+    task_id: str
+    domain: str
+    at_s: float
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
@@ -233,6 +243,10 @@
         _, value = await self.async_json("POST", f"{self.log_url}/v1/faults", faults)
         return value
 
+    async def async_append_raw(self, data: bytes) -> None:
+        """Append a record to the platform's log as it is."""
+        await self._pool.request("POST", f"{self.log_url}/v1/records", content=data)
+
     async def async_counts(self) -> dict[str, int]:
         """Return the starts by task id, as all living targets count them."""
         total: dict[str, int] = {}
@@ -244,6 +258,16 @@
                 total[task_id] = total.get(task_id, 0) + count
         return total
 
+    def recorded_starts(self) -> list[RecordedStart]:
+        """Return every start that any target, living or killed, has printed."""
+        found = []
+        for agent in self.agents:
+            for line in agent.target.log_text().splitlines():
+                words = line.split()
+                if len(words) == 3 and words[0] == "start":
+                    found.append(RecordedStart(words[1], agent.domain, float(words[2])))
+        return found
+
     async def async_status(self, entry: int = 0) -> Any:
         """Return an entry's status."""
         _, value = await self.async_operator("GET", "/v1/operator/status", entry=entry)
@@ -335,6 +359,7 @@
             f"--slots={spec.slots}",
             f"--slowness={spec.slowness}",
             f"--delay_s={spec.delay_s}",
+            f"--record={self.spec.record_starts}",
         )
         return AgentProcess(
             process.name,
--- a/standins/platform_log.py
+++ b/standins/platform_log.py
@@ -114,7 +114,7 @@
         value: dict[str, Any] = json.loads(request.body)
         for name, setting in value.items():
             setattr(self._log.faults, name, setting)
-        return json_response({"end": self._log.end, "appends": self._log.appends})
+        return json_response({"first": self._log.first, "end": self._log.end})
 
     async def _async_expire(self, request: Request) -> Response:
         self._log.expire(time.time() + 1.0)
--- a/standins/target.py
+++ b/standins/target.py
@@ -3,7 +3,8 @@
 A task's payload may be JSON such as `{"run_s": 0.2}`; its run time is multiplied by the target's
 `slowness`. `POST /v1/mode` changes the mode: `ok`, `fail` (500 at once), `refuse` (503, not run),
 `hang` (starts and never answers). `GET /counts` gives the starts by task id, and
-`GET /waited/{n}` answers once `n` tasks have started.
+`GET /waited/{n}` answers once `n` tasks have started. With `record` each start is printed too, so
+that it is still counted after the target was killed.
 """
 
 import json
@@ -33,6 +34,7 @@
     delay_s: float = 0.0
     mode: str = "ok"
     leaving: bool = False
+    record: bool = False
     busy_s: float = 0.0
     starts: Counter[str] = field(factory=Counter)
     started_at: dict[str, float] = field(factory=dict)
@@ -77,6 +79,8 @@
             return Response(503, b"refused")
         model.starts[task_id] += 1
         model.started_at[task_id] = time.time()
+        if model.record:
+            print(f"start {task_id} {time.time():.6f}", flush=True)
         model.notify()
         if model.mode == "fail":
             return Response(500, b"failed")
--- /dev/null
+++ b/tests/failures/test_platform_log.py
@@ -0,0 +1,166 @@
+"""The platform's log: outages, slowness, lost answers, expired records, racing operators."""
+
+import trio
+
+from pistachiohill.client import JobComplete, JobFailed
+from pistachiohill.errors import Verdict
+from standins.deployment import Deployment, TargetSpec
+
+from .base import FailureTest, payloads, spec
+
+LEASE_TOML = "view_max_age_s = 1.0\n"
+THROUGH_TOML = "view_max_age_s = 1.0\nstart_through_outage = true\n"
+
+
+class PlatformLogTest(FailureTest):
+    async def test_outage_longer_than_every_lease_refuses_truthfully(self) -> None:
+        """By default nothing starts on a stale view; service resumes with the log."""
+        async with Deployment(spec(consortium_toml=LEASE_TOML)) as deployment:
+            await deployment.async_log_faults(down=True)
+            await self._async_stale(deployment)
+            client = deployment.client("brunner")
+            (submission_id,) = await client.async_ids()
+            result = await client.async_submit(submission_id, "clocking", [b"{}"], 5.0)
+            self.assertIsInstance(result, JobFailed)
+            self.assertEqual((Verdict.NOT_RUN, "stale_view"), (result.verdict, result.reason))
+            self.assertEqual([], deployment.recorded_starts())
+            await deployment.async_log_faults(down=False)
+            await self.async_new_job_completes(deployment)
+
+    async def test_work_goes_on_through_an_outage_where_settings_say_so(self) -> None:
+        async with Deployment(spec(consortium_toml=THROUGH_TOML)) as deployment:
+            await deployment.async_log_faults(down=True)
+            await self._async_stale(deployment)
+            await self.async_new_job_completes(deployment, [0])
+            await self.async_new_job_completes(deployment, [1])
+
+    async def test_outage_in_the_middle_of_a_job(self) -> None:
+        """Waiting tasks wait for the log; none starts on a stale view, none is lost."""
+        async with (
+            Deployment(spec(consortium_toml=LEASE_TOML)) as deployment,
+            trio.open_nursery() as nursery,
+        ):
+            job = await self.async_job(deployment, nursery, 120, 0.3)
+            await self.async_started(deployment, 24)
+            await deployment.async_log_faults(down=True)
+            await self._async_stale(deployment)
+            await deployment.async_log_faults(down=False)
+            result = await job.async_result()
+            self.assertIsInstance(result, JobComplete, result)
+            self.assert_true_answer(deployment, job, result)
+            self.assert_single_starts(deployment)
+
+    async def test_lost_answers_publish_a_change_once(self) -> None:
+        async with Deployment(spec()) as deployment:
+            await deployment.async_log_faults(lose_answers=1)
+            status, fate = await deployment.async_publish(
+                "consortium/brunner/clocking", 'service = "clocking"\n', change_id="change-1"
+            )
+            self.assertEqual((200, True), (status, fate["accepted"]))
+            status, again = await deployment.async_publish(
+                "consortium/brunner/clocking",
+                'service = "clocking"\n',
+                change_id="change-1",
+                entry=1,
+            )
+            self.assertEqual((200, fate["offset"]), (status, again["offset"]))
+
+    async def test_racing_operators_are_told_who_won(self) -> None:
+        """Two operators change one node and one domain from the same version at two entries."""
+        async with Deployment(spec()) as deployment:
+            outcomes: list[int] = []
+
+            async def async_publish(entry: int, text: str) -> None:
+                status, _ = await deployment.async_publish(
+                    "consortium/new", text, entry=entry, expected_version=0
+                )
+                outcomes.append(status)
+
+            async def async_domain(entry: int) -> None:
+                status, _ = await deployment.async_domain(
+                    "bern-a", out=entry == 0, entry=entry, expected_version=0
+                )
+                outcomes.append(status)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(async_publish, 0, "weight = 2.0\n")
+                nursery.start_soon(async_publish, 1, "weight = 3.0\n")
+            self.assertEqual([200, 409], sorted(outcomes))
+            outcomes.clear()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(async_domain, 0)
+                nursery.start_soon(async_domain, 1)
+            self.assertEqual([200, 409], sorted(outcomes))
+            await self._async_same_offset(deployment)
+            _, first = await deployment.async_operator("GET", "/v1/operator/settings", entry=0)
+            _, second = await deployment.async_operator("GET", "/v1/operator/settings", entry=1)
+            self.assertEqual(first, second)
+
+    async def test_new_instances_during_an_outage(self) -> None:
+        """A new entry serves its peers' state; a new agent gets no task before the log is back."""
+        async with Deployment(spec(consortium_toml=THROUGH_TOML)) as deployment:
+            before = (await deployment.async_status(0))["offset"]
+            await deployment.async_log_faults(down=True)
+            entry = deployment.new_entry(2)
+            entry.start()
+            deployment.entries.append(entry)
+            agent = deployment.new_agent(3, TargetSpec("bern-a"))
+            agent.start()
+            agent.target.start()
+            deployment.agents.append(agent)
+            await deployment.async_accepting(2, 3)
+            self.assertEqual(before, (await deployment.async_status(2))["offset"])
+            await self.async_new_job_completes(deployment, [0, 1, 2])
+            _, counts = await deployment.async_json("GET", f"{agent.target_url}/counts")
+            self.assertEqual({}, counts["starts"])
+            await deployment.async_log_faults(down=False)
+            await deployment.async_accepting(2, 4)
+            await self.async_new_job_completes(deployment, [2])
+
+    async def test_records_expired_before_a_process_starts(self) -> None:
+        """A restarted deployment finds the settings in a snapshot, not in expired records."""
+        async with Deployment(spec(entries=1, retention_s=4.0)) as deployment:
+            _, before = await deployment.async_operator("GET", "/v1/operator/settings")
+
+            async def async_expired() -> bool:
+                return (await deployment.async_log_faults())["first"] > before["offset"]
+
+            await deployment.async_until("all first records expired", async_expired)
+            await deployment.entries[0].async_kill()
+            deployment.entries[0].start()
+            await deployment.async_accepting(0, 3)
+            _, after = await deployment.async_operator("GET", "/v1/operator/settings")
+            self.assertEqual(before["nodes"], after["nodes"])
+            await self.async_new_job_completes(deployment)
+
+    async def test_invalid_record_does_not_stop_the_tail(self) -> None:
+        async with Deployment(spec()) as deployment:
+            for data in (b"garbage", b"\x81\x82\x18\x2a\x80", b""):
+                await deployment.async_append_raw(data)
+            status, _ = await deployment.async_publish("consortium", "weight = 2.0\n")
+            self.assertEqual(200, status)
+            await self.async_new_job_completes(deployment)
+
+    async def test_slow_log(self) -> None:
+        """Answers that take 0.4 s do not stop work on a lease of 1 s per read."""
+        async with Deployment(spec(consortium_toml="view_max_age_s = 4.0\n")) as deployment:
+            await deployment.async_log_faults(delay_s=0.4)
+            client = deployment.client("brunner")
+            for _ in range(3):
+                result = await client.async_run("clocking", payloads(24, 0.2), 20.0)
+                self.assertIsInstance(result, JobComplete, result)
+            await client.async_close()
+
+    async def _async_stale(self, deployment: Deployment) -> None:
+        async def async_check() -> bool:
+            ages = [(await deployment.async_status(entry))["view_age_s"] for entry in (0, 1)]
+            return min(ages) > 1.5
+
+        await deployment.async_until("stale views", async_check)
+
+    async def _async_same_offset(self, deployment: Deployment) -> None:
+        async def async_check() -> bool:
+            offsets = {(await deployment.async_status(entry))["offset"] for entry in (0, 1)}
+            return len(offsets) == 1
+
+        await deployment.async_until("one offset", async_check)
