--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -33,6 +33,13 @@
 
 FATAL_REASONS = frozenset({RefusalReason.SEALED, RefusalReason.EXPIRED_ID, RefusalReason.INVALID})
 AWAY_REASONS = frozenset({RefusalReason.LEAVING, RefusalReason.DOMAIN_OUT, RefusalReason.STOPPING})
+AVOID_REASONS = frozenset(
+    {
+        RefusalReason.WRONG_INCARNATION,
+        RefusalReason.TARGET_LOST,
+        RefusalReason.TARGET_REFUSED,
+    }
+)
 TICK_S = 0.25
 
 
@@ -260,6 +267,8 @@
         parsed = parse_submission_id(submission.submission_id)
         assert parsed is not None
         task = submission.waiting[0]
+        if task.refused_by and self._refused_by_all(task, service):
+            task.refused_by.clear()
         allowed = submission.settings.domains_allowed
         candidates: list[TargetLoad] = []
         for incarnation in rooms:
@@ -277,6 +286,9 @@
         chosen = choose(self._policy, candidates, placement)
         return None if chosen is None else self._directory.agents[chosen.name]
 
+    def _refused_by_all(self, task: Task, service: str) -> bool:
+        return task.refused_by.issuperset(agent.incarnation for agent in self._agents_of(service))
+
     def _assign(self, agent: Agent, submission: Submission, task: Task) -> None:
         task.attempt += 1
         task.agent = agent.incarnation
@@ -340,7 +352,7 @@
         self._accounting.task_refused(reason)
         if reason in AWAY_REASONS:
             agent.accepting = False
-        if reason in (RefusalReason.WRONG_INCARNATION, RefusalReason.TARGET_LOST):
+        if reason in AVOID_REASONS:
             task.refused_by.add(agent.incarnation)
         if submission.failure is not None or reason in FATAL_REASONS:
             self._keep(submission, task, report, now_s)
--- a/pistachiohill/submissions/identifiers.py
+++ b/pistachiohill/submissions/identifiers.py
@@ -13,7 +13,9 @@
 
 from attrs import frozen
 
-_FORMAT = re.compile(r"([0-9a-f]{16})\.(\d{1,15})\.(\d{1,15})\.(\d{1,15})\.([0-9a-f]{16})")
+_FORMAT = re.compile(
+    r"([0-9a-f]{16})\.(\d{1,15})\.(\d{1,15})\.(\d{1,15})\.([0-9a-f]{16})", re.ASCII
+)
 _INCARNATION_BYTES = 8
 _TAG_BYTES = 8
 _KEY_BYTES = 32
@@ -60,6 +62,8 @@
 
     def issued(self, text: str, member: str) -> bool:
         """Return whether this incarnation issued the identifier to the member."""
+        if parse_submission_id(text) is None:
+            return False
         head, _, tag = text.rpartition(".")
         return hmac.compare_digest(tag, self._tag(head, member))
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -285,6 +285,15 @@
                 await trio.sleep(POLL_S)
         raise TimeoutError(f"not within {timeout_s:g} s: {what}; logs in {self.directory}")
 
+    async def async_view_lapsed(self, max_age_s: float) -> None:
+        """Wait until every view taken before this call is older than an age."""
+        lapses_s = trio.current_time() + max_age_s
+
+        async def async_check() -> bool:
+            return trio.current_time() > lapses_s
+
+        await self.async_until("lapsed views", async_check)
+
     async def async_accepting(self, entry: int, agents: int) -> None:
         """Wait until an entry has a number of accepting agents."""
 
--- a/tests/failures/test_kills.py
+++ b/tests/failures/test_kills.py
@@ -19,7 +19,7 @@
             result = await job.async_result()
             self.assertIsInstance(result, JobComplete, result)
             self.assert_true_answer(deployment, job, result)
-            self.assert_single_starts(deployment)
+            self.assertEqual(24, len(deployment.recorded_starts()))
 
     async def test_entry_killed_with_tasks_waiting(self) -> None:
         """The job fails, and nothing of it starts afterwards."""
@@ -78,6 +78,20 @@
             await self.async_new_job_completes(deployment)
             self.assert_single_starts(deployment)
 
+    async def test_owner_and_the_only_agent_that_started_are_killed(self) -> None:
+        """No living agent knows the task, and still `not run` must not be said."""
+        async with Deployment(spec()) as deployment, trio.open_nursery() as nursery:
+            job = await self.async_job(deployment, nursery, 1, 1.0, [0, 1])
+            await self.async_started(deployment, 1)
+            (start,) = deployment.recorded_starts()
+            await deployment.entries[0].async_kill()
+            agent = next(item for item in deployment.agents if item.domain == start.domain)
+            await agent.async_kill()
+            result = await job.async_result()
+            self.assertIsInstance(result, JobFailed)
+            self.assertEqual(Verdict.MAY_HAVE_RUN, result.verdict)
+            self.assert_single_starts(deployment)
+
     async def test_entry_and_agent_killed_together(self) -> None:
         """A pair of faults: the verdict never says not run for what was started."""
         async with Deployment(spec()) as deployment, trio.open_nursery() as nursery:
--- /dev/null
+++ b/tests/protocol/test_codec.py
@@ -0,0 +1,82 @@
+"""The codec: whatever is encoded is read back, and no garbage passes or does harm."""
+
+import cbor2
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from pistachiohill.protocol.codec import decode_frame, encode_frame
+from pistachiohill.protocol.errors import DecodeError
+from pistachiohill.protocol.models import (
+    MESSAGE_TAGS,
+    CancelTasks,
+    Message,
+    TaskReport,
+    TaskReports,
+)
+
+from ..base import TestCase
+
+JUNK = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.binary(max_size=9)
+    | st.text(max_size=9),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(st.text(max_size=3), inner, max_size=3),
+    max_leaves=12,
+)
+TAGS = st.sampled_from(sorted(MESSAGE_TAGS.values()))
+
+
+class CodecTest(TestCase):
+    @seed(20261204)
+    @settings(max_examples=60, deadline=None, database=None)
+    @given(st.lists(st.one_of([st.from_type(kind) for kind in MESSAGE_TAGS]), max_size=3))
+    def test_read_back(self, messages: list[Message]) -> None:
+        if "nan" not in repr(messages):
+            self.assertEqual(messages, decode_frame(encode_frame(messages)))
+
+    @seed(20261204)
+    @settings(max_examples=1000, deadline=None, database=None)
+    @given(st.binary(max_size=200))
+    def test_garbage_is_refused(self, data: bytes) -> None:
+        self._decode(data)
+
+    @seed(20261204)
+    @settings(max_examples=1000, deadline=None, database=None)
+    @given(TAGS, JUNK)
+    def test_wrong_fields_are_refused(self, tag: int, fields: object) -> None:
+        self._decode(cbor2.dumps([[tag, fields]]))
+
+    @seed(20261204)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(st.integers(0, 60), st.integers(0, 255))
+    def test_truncated_and_flipped_frames(self, cut: int, value: int) -> None:
+        message = TaskReports("s", 1.0, 2, [TaskReport(0, 1, "settled", "ran", 200, b"x")])
+        data = bytearray(encode_frame([message]))
+        whole = len(data)
+        if cut < whole:
+            self.assertRaises(DecodeError, decode_frame, bytes(data[:cut]))
+            data[cut] = value
+            self._decode(bytes(data))
+
+    def test_deep_and_oversized_claims(self) -> None:
+        for data in (
+            b"\x81" * 100_000,
+            b"\x9b\xff\xff\xff\xff\xff\xff\xff\xff",
+            b"\x5b\x7f" + b"\xff" * 7,
+        ):
+            self.assertRaises(DecodeError, decode_frame, data)
+
+    def test_newer_fields_and_messages_are_passed_over(self) -> None:
+        tag = MESSAGE_TAGS[CancelTasks]
+        data = cbor2.dumps([[tag, ["s", "newer field"]], [9999, {"newer": "message"}]])
+        self.assertEqual([CancelTasks("s")], decode_frame(data))
+
+    def _decode(self, data: bytes) -> None:
+        try:
+            decode_frame(data)
+        except DecodeError:
+            return
--- /dev/null
+++ b/tests/specs.py
@@ -0,0 +1,42 @@
+"""Check a specification state by state with minicheck."""
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+from attrs import frozen
+from minicheck import Protocol, check_safety
+
+MAX_STATES = 1_000_000
+
+
+@frozen
+class Sweep:
+    """Result of a sweep: its size, whether it was whole, and the invariants found broken."""
+
+    states: int
+    exhaustive: bool
+    broken: frozenset[str]
+
+
+def sweep(
+    initial: Any,
+    steps: Callable[[Any, frozenset[Any]], Iterator[tuple[str, Any]]],
+    invariants: Mapping[str, Callable[[Any], bool]],
+    guards: frozenset[Any],
+    max_states: int = MAX_STATES,
+) -> Sweep:
+    """Explore all states under a set of guards."""
+    protocol = Protocol(
+        name="spec",
+        candidate=False,
+        fields=("world",),
+        initial=(initial,),
+        transitions=lambda state: [(label, (after,)) for label, after in steps(state[0], guards)],
+        invariants={
+            name: (lambda values, check=check: check(values["world"]))
+            for name, check in invariants.items()
+        },
+    )
+    result = check_safety(protocol, max_states=max_states)
+    broken = [name for name, found in result["properties"].items() if found["holds"] is False]
+    return Sweep(result["reachable_states"], result["exhaustive"], frozenset(broken))
--- /dev/null
+++ b/tests/submissions/test_identifiers.py
@@ -0,0 +1,30 @@
+"""Submission identifiers: bound to owner and member, and never taken for another's."""
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from pistachiohill.submissions.identifiers import IdIssuer, new_incarnation, parse_submission_id
+
+from ..base import TestCase
+
+
+class IdentifierTest(TestCase):
+    def test_issued_to_one_member_by_one_incarnation(self) -> None:
+        issuer = IdIssuer(new_incarnation())
+        text = issuer.issue("brunner", 3, 12.5)
+        parsed = parse_submission_id(text)
+        assert parsed is not None
+        self.assertEqual(
+            (issuer.incarnation, 3, 12.5), (parsed.owner, parsed.offset, parsed.issued_s)
+        )
+        self.assertTrue(issuer.issued(text, "brunner"))
+        self.assertFalse(issuer.issued(text, "brno"))
+        self.assertFalse(IdIssuer(issuer.incarnation).issued(text, "brunner"))
+        self.assertFalse(issuer.issued(text.replace(".3.", ".2."), "brunner"))
+
+    @seed(20261204)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(st.text(max_size=80))
+    def test_any_text_is_parsed_or_refused(self, text: str) -> None:
+        parse_submission_id(text)
+        self.assertFalse(IdIssuer(new_incarnation()).issued(text, "m"))
