--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -115,8 +115,8 @@
         (
             Edit(
                 "pistachiohill/entry/agents.py",
-                "            if silent_s >= 2 * limit_s:",
-                "            if silent_s >= 1e9 * limit_s:",
+                "            if now_s - asked_s >= self._silence_s:",
+                "            if now_s - asked_s >= math.inf:",
             ),
         ),
     ),
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -116,7 +116,6 @@
         entry.member = message.member
         entry.task_count = message.task_count
         listener = self._listen(message.submission_id, link)
-        listener.report_each = message.report_each
         refusal = self._refuse_batch(message, now_s)
         for task in message.tasks:
             ref = TaskRef(task.index, task.attempt)
--- a/pistachiohill/cli/main.py
+++ b/pistachiohill/cli/main.py
@@ -8,13 +8,15 @@
 import os
 import secrets
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import fire
 import trio
 
 from .. import logs
+from ..protocol.link import first_error
 from ..settings.const import ROOT_PATH
 from ..settings.daemon import load_daemon_settings
 from ..settings.errors import SettingsError
@@ -23,6 +25,8 @@
 from .const import DEFAULT_ENTRIES, ENV_ENTRIES, ENV_TOKEN, ExitCode
 from .operator import OperatorClient, exit_code
 
+T = TypeVar("T")
+
 
 def _entries(entries: str) -> list[str]:
     text = entries or os.environ.get(ENV_ENTRIES, DEFAULT_ENTRIES)
@@ -47,6 +51,18 @@
     sys.exit(ExitCode.INVALID)
 
 
+def _run_daemon(
+    async_run: Callable[[T], Awaitable[None]], settings: T, name: str, verbosity: int
+) -> None:
+    """Run a daemon; an address that cannot be bound is named in one line, with exit code 1."""
+    logs.setup(name, verbosity)
+    try:
+        trio.run(async_run, settings)
+    except* OSError as group:
+        logs.warning("start_failed", error=repr(first_error(group)))
+        os._exit(ExitCode.FAILED)
+
+
 class Config:
     """Settings tree: consortium, consortium/MEMBER and consortium/MEMBER/JOB."""
 
@@ -188,8 +204,7 @@
         except SettingsError as err:
             _exit_invalid(err)
             return
-        logs.setup(loaded.name, verbosity)
-        trio.run(async_run_entry, loaded)
+        _run_daemon(async_run_entry, loaded, loaded.name, verbosity)
 
     def agent(self, settings: str = "", verbosity: int = 0, **overrides: Any) -> None:
         """Run an agent process beside its target; options as for `entry`."""
@@ -200,8 +215,7 @@
         except SettingsError as err:
             _exit_invalid(err)
             return
-        logs.setup(loaded.name, verbosity)
-        trio.run(async_run_agent, loaded)
+        _run_daemon(async_run_agent, loaded, loaded.name, verbosity)
 
     def submit(
         self,
--- a/pistachiohill/entry/accounting.py
+++ b/pistachiohill/entry/accounting.py
@@ -63,6 +63,10 @@
         """Count a task that an agent turned away."""
         self._metrics.task_refusals.labels(reason).inc()
 
+    def wasted(self, kind: str) -> None:
+        """Count a placement or report that did not serve an answer."""
+        self._metrics.wasted.labels(kind).inc()
+
     def refused(self, member: str, reason: RefusalReason) -> None:
         """Count a refused submission."""
         refusals = self._account(member).refusals
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -1,5 +1,6 @@
 """The entry's knowledge of agents: one task for each agent keeps a link to it."""
 
+import math
 import random
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -15,7 +16,14 @@
 from ..consortium.view import ConsortiumView
 from ..const import PROTOCOL_VERSION
 from ..protocol.errors import HandshakeError
-from ..protocol.link import WEBSOCKET_OPTIONS, Link, async_send_hello, first_error, was_refused
+from ..protocol.link import (
+    WEBSOCKET_OPTIONS,
+    Link,
+    LinkCounters,
+    async_send_hello,
+    first_error,
+    was_refused,
+)
 from ..protocol.models import (
     AgentState,
     Freshness,
@@ -68,15 +76,6 @@
         self.echo_s = stamp_s
         self.echoed_at_s = now_s
 
-    def takes(self, service: str, issued_offset: int) -> bool:
-        """Return whether the agent may take tasks of a submission issued at an offset."""
-        return (
-            self.link is not None
-            and self.accepting
-            and self.service == service
-            and NO_OFFSET < self.announce_offset <= issued_offset
-        )
-
 
 class AgentEvents:
     """What the rest of the entry wants to hear of agents; the dispatcher implements it."""
@@ -118,6 +117,7 @@
         `view_confirmed_at` returns, for a boot time, the boot time as of which the view holds.
         """
         self.agents: dict[str, Agent] = {}
+        self.counters = LinkCounters()
         self._incarnation = incarnation
         self._secret = secret
         self._silence_s = silence_s
@@ -222,7 +222,7 @@
                 if reply.incarnation != agent.incarnation:
                     raise HandshakeError("wrong incarnation")
                 now_s = clock.boot_s()
-                link = Link(connection, agent.incarnation, now_s)
+                link = Link(connection, agent.incarnation, now_s, self.counters)
                 agent.announce_offset = max(agent.announce_offset, reply.announce_offset)
                 agent.heard(reply.stamp_s, now_s)
                 agent.link = link
@@ -241,18 +241,24 @@
             nursery.cancel_scope.cancel()
 
     async def _async_watch(self, agent: Agent, link: Link) -> None:
-        """Close a link that has gone silent, so that a new one is opened and asked."""
-        asked_s = 0.0
+        """Close a link that does not answer, so that a new one is opened and asked.
+
+        A link that was merely idle is asked first; only silence after a question counts.
+        """
+        asked_s = math.inf
         while True:
             await trio.sleep(self._silence_s / 4)
             now_s = clock.boot_s()
             limit_s = self._silence_s if agent.outstanding else IDLE_SILENCE_S
-            silent_s = now_s - link.heard_at_s
-            if silent_s >= 2 * limit_s:
-                logs.warning("link_silent", agent=agent.incarnation, silent_s=silent_s)
+            if link.heard_at_s >= asked_s:
+                asked_s = math.inf
+            if now_s - asked_s >= self._silence_s:
+                logs.warning(
+                    "link_silent", agent=agent.incarnation, silent_s=now_s - link.heard_at_s
+                )
                 link.close()
                 return
-            if silent_s >= limit_s and now_s - asked_s >= limit_s:
+            if now_s - link.heard_at_s >= limit_s and asked_s == math.inf:
                 asked_s = now_s
                 link.send(FreshnessRequest(now_s))
 
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -22,11 +22,12 @@
 )
 from ..scheduling.estimates import RunEstimates
 from ..scheduling.fair_queue import FairQueue, MemberQueue
-from ..scheduling.models import Placement, TargetLoad
-from ..scheduling.policy import PolicyObject, choose, make_policy
+from ..scheduling.models import TargetLoad
+from ..scheduling.plan import Slot, SlotPlan
+from ..scheduling.policy import ExpectedCompletion, PolicyObject, choose, make_policy
+from ..scheduling.quarantine import Quarantine, RuleObject, make_rule
 from ..settings.const import ROOT_PATH
 from ..settings.models import JobSettings
-from ..submissions.identifiers import parse_submission_id
 from ..submissions.models import JobAnswer, JobRequest, Submission, Task, failed
 from .accounting import Accounting
 from .agents import Agent, AgentDirectory, AgentEvents
@@ -40,7 +41,27 @@
         RefusalReason.TARGET_REFUSED,
     }
 )
+TARGET_REASONS = frozenset(
+    {
+        RefusalReason.TARGET_FAILED,
+        RefusalReason.TARGET_LOST,
+        RefusalReason.TARGET_REFUSED,
+        RefusalReason.TARGET_TIMEOUT,
+    }
+)
 TICK_S = 0.25
+MAX_PLANNED_TASKS = 2000
+MIN_TIMEOUT_S = 0.01
+
+
+@define(slots=True)
+class Placement:
+    """A task that is to be placed at an agent; `end_s` is the boot time of its expected end."""
+
+    agent: Agent
+    submission: Submission
+    task: Task
+    end_s: float
 
 
 @define
@@ -71,6 +92,9 @@
         self._queues: dict[str, ServiceQueue] = {}
         self._policy: PolicyObject = make_policy("expected_completion")
         self._policy_name = "expected_completion"
+        self._quarantine = Quarantine()
+        self._rule: RuleObject = make_rule("consecutive")
+        self._rule_name = "consecutive"
         self._work = trio.Event()
         self._seal_listeners: list[AgentEvents] = []
 
@@ -172,6 +196,7 @@
 
     def agent_lost(self, agent: Agent, now_s: float) -> None:
         """Settle all tasks at a dead incarnation: they may have run."""
+        self._quarantine.forget(agent.incarnation)
         for submission, task in list(agent.outstanding.values()):
             report = TaskReport(
                 task.index,
@@ -187,6 +212,7 @@
         for report in message.reports:
             found = agent.outstanding.get((message.submission_id, report.index))
             if found is None or found[1].attempt != report.attempt:
+                self._accounting.wasted("duplicate")
                 continue
             self._settle(agent, found[0], found[1], report, now_s)
         agent.load.others = max(0, message.occupied - len(agent.outstanding))
@@ -206,6 +232,10 @@
         if name != self._policy_name:
             self._policy_name = name
             self._policy = make_policy(name)
+        rule = self._view.state.settings(ROOT_PATH).quarantine
+        if rule != self._rule_name:
+            self._rule_name = rule
+            self._rule = make_rule(rule)
 
     def _agents_of(self, service: str) -> list[Agent]:
         return [
@@ -215,45 +245,98 @@
         ]
 
     def _place_service(self, service: str, queue: ServiceQueue, now_s: float) -> None:
-        root = self._view.state.settings(ROOT_PATH)
-        rooms = {
-            agent.incarnation: agent.load.allowed(now_s, root.ramp_s, 0) - agent.load.load
+        targets = [
+            agent.load
             for agent in self._agents_of(service)
             if now_s >= agent.load.quarantined_until_s
+            and not self._view.state.domain_is_out(agent.load.domain)
+        ]
+        if isinstance(self._policy, ExpectedCompletion):
+            placements = self._plan(queue, targets, now_s)
+        else:
+            placements = self._bind_at_once(queue, targets, now_s)
+        batches: dict[tuple[str, str], list[Task]] = {}
+        for placement in placements:
+            self._assign(placement)
+            key = (placement.agent.incarnation, placement.submission.submission_id)
+            batches.setdefault(key, []).append(placement.task)
+        queue.waiting_tasks -= len(placements)
+        for (incarnation, submission_id), tasks in batches.items():
+            agent = self._directory.agents[incarnation]
+            self._send(agent, self.submissions[submission_id], tasks, now_s)
+
+    def _plan(
+        self, queue: ServiceQueue, targets: list[TargetLoad], now_s: float
+    ) -> list[Placement]:
+        """Bind the tasks whose planned slot frees up within the horizon."""
+        root = self._view.state.settings(ROOT_PATH)
+        order = queue.fair.in_order()
+        first = order.first()
+        if first is None:
+            return []
+        mean_s = self.estimates.job_s(first.items[0].request.path)
+        plan = SlotPlan(targets, now_s, root.horizon_s, root.ramp_s, mean_s)
+        planned: dict[str, int] = {}
+        placements: list[Placement] = []
+        for _ in range(MAX_PLANNED_TASKS):
+            member = order.first()
+            if member is None or not plan.has_room():
+                break
+            submission = self._next_submission(member, planned)
+            if submission is None or self._at_quota(submission):
+                order.leave()
+                continue
+            run_s = self.estimates.job_s(submission.request.path)
+            slot = plan.take(run_s, self._usable(submission, targets))
+            if slot is None:
+                order.leave()
+            elif plan.bind(slot):
+                placements.append(self._bind(member, submission, slot))
+                order.served(run_s)
+            else:
+                held = planned.get(submission.submission_id, 0)
+                planned[submission.submission_id] = held + 1
+                order.planned(run_s)
+        return placements
+
+    def _bind_at_once(
+        self, queue: ServiceQueue, targets: list[TargetLoad], now_s: float
+    ) -> list[Placement]:
+        """Bind tasks by a simple policy as long as any target has room."""
+        ramp_s = self._view.state.settings(ROOT_PATH).ramp_s
+        rooms = {
+            target.name: target.allowed(now_s, ramp_s, target.queue_limit) - target.load
+            for target in targets
         }
-        rooms = {name: room for name, room in rooms.items() if room > 0}
         order = queue.fair.in_order()
-        batches: dict[tuple[str, str], list[Task]] = {}
-        while rooms and (member := order.first()) is not None:
-            submission = self._next_submission(member)
+        placements: list[Placement] = []
+        while (member := order.first()) is not None:
+            submission = self._next_submission(member, {})
             if submission is None or self._at_quota(submission):
-                order.block(member)
+                order.leave()
                 continue
-            agent = self._choose_agent(submission, rooms, service)
-            if agent is None:
-                order.block(member)
+            usable = self._usable(submission, targets)
+            target = choose(self._policy, [target for target in usable if rooms[target.name] > 0])
+            if target is None:
+                order.leave()
                 continue
-            task = submission.waiting.popleft()
-            queue.waiting_tasks -= 1
-            if not submission.waiting:
-                member.items.remove(submission)
-            rooms[agent.incarnation] -= 1
-            if rooms[agent.incarnation] == 0:
-                del rooms[agent.incarnation]
-            self._assign(agent, submission, task)
-            queue.fair.charge(member, self.estimates.job_s(submission.request.path))
-            batches.setdefault((agent.incarnation, submission.submission_id), []).append(task)
-        for (incarnation, submission_id), tasks in batches.items():
-            agent = self._directory.agents[incarnation]
-            more = queue.waiting_tasks > 0
-            self._send(agent, self.submissions[submission_id], tasks, more, now_s)
-
-    def _next_submission(self, member: MemberQueue[Submission]) -> Submission | None:
-        while member.items:
-            submission = member.items[0]
-            if submission.waiting and submission.answer is None:
-                return submission
+            rooms[target.name] -= 1
+            run_s = self.estimates.job_s(submission.request.path)
+            slot = Slot(target, now_s, now_s + run_s * target.factor)
+            placements.append(self._bind(member, submission, slot))
+            order.served(run_s)
+        return placements
+
+    def _next_submission(
+        self, member: MemberQueue[Submission], planned: dict[str, int]
+    ) -> Submission | None:
+        """Return the member's first submission with a task that is neither placed nor planned."""
+        while member.items and not member.items[0].waiting:
             member.items.popleft()
+        for submission in member.items:
+            held = planned.get(submission.submission_id, 0) if planned else 0
+            if len(submission.waiting) > held and submission.answer is None:
+                return submission
         return None
 
     def _at_quota(self, submission: Submission) -> bool:
@@ -261,56 +344,56 @@
         share = self._accounting.share(submission.settings.max_running_tasks)
         return running >= share
 
-    def _choose_agent(
-        self, submission: Submission, rooms: dict[str, int], service: str
-    ) -> Agent | None:
-        parsed = parse_submission_id(submission.submission_id)
-        assert parsed is not None
+    def _usable(self, submission: Submission, targets: list[TargetLoad]) -> list[TargetLoad]:
+        """Return the targets that may take a submission's next task."""
         task = submission.waiting[0]
-        if task.refused_by and self._refused_by_all(task, service):
+        if task.refused_by and self._refused_by_all(task, submission.settings.service):
             task.refused_by.clear()
         allowed = submission.settings.domains_allowed
-        candidates: list[TargetLoad] = []
-        for incarnation in rooms:
-            agent = self._directory.agents[incarnation]
-            if incarnation in task.refused_by or not agent.takes(service, parsed.offset):
-                continue
-            if allowed and agent.load.domain not in allowed:
-                continue
-            if self._view.state.domain_is_out(agent.load.domain):
-                continue
-            candidates.append(agent.load)
-        placement = Placement(
-            submission.request.path, self.estimates.job_s(submission.request.path), allowed
-        )
-        chosen = choose(self._policy, candidates, placement)
-        return None if chosen is None else self._directory.agents[chosen.name]
+        return [
+            target
+            for target in targets
+            if target.name not in task.refused_by
+            and (not allowed or target.domain in allowed)
+            and self._directory.agents[target.name].announce_offset <= submission.issued_offset
+        ]
 
     def _refused_by_all(self, task: Task, service: str) -> bool:
         return task.refused_by.issuperset(agent.incarnation for agent in self._agents_of(service))
 
-    def _assign(self, agent: Agent, submission: Submission, task: Task) -> None:
+    def _bind(
+        self, member: MemberQueue[Submission], submission: Submission, slot: Slot
+    ) -> Placement:
+        """Take the submission's next task out of its queue."""
+        task = submission.waiting.popleft()
+        if not submission.waiting:
+            member.items.remove(submission)
+        self._accounting.started(submission.request.member)
+        agent = self._directory.agents[slot.target.name]
+        return Placement(agent, submission, task, slot.end_s)
+
+    def _assign(self, placement: Placement) -> None:
+        agent, submission, task = placement.agent, placement.submission, placement.task
         task.attempt += 1
         task.agent = agent.incarnation
+        key = (submission.submission_id, task.index)
         submission.outstanding += 1
+        agent.outstanding[key] = (submission, task)
         agent.load.outstanding += 1
-        agent.outstanding[(submission.submission_id, task.index)] = (submission, task)
-        self._accounting.started(submission.request.member)
+        agent.load.ends[key] = placement.end_s
 
-    def _send(
-        self, agent: Agent, submission: Submission, tasks: list[Task], more: bool, now_s: float
-    ) -> None:
+    def _send(self, agent: Agent, submission: Submission, tasks: list[Task], now_s: float) -> None:
         assert agent.link is not None
         settings = submission.settings
+        left_s = max(0.0, submission.deadline_s - now_s)
         message = StartTasks(
             submission_id=submission.submission_id,
             member=submission.request.member,
             job=submission.request.job,
             task_count=len(submission.tasks),
-            deadline_in_s=max(0.0, submission.deadline_s - now_s),
-            task_timeout_s=min(settings.task_timeout_s, max(0.01, submission.deadline_s - now_s)),
+            deadline_in_s=left_s,
+            task_timeout_s=min(settings.task_timeout_s, max(MIN_TIMEOUT_S, left_s)),
             refusal_is_not_run=settings.refusal_is_not_run,
-            report_each=more,
             view=self._directory.stamp(agent, now_s),
             tasks=[TaskStart(task.index, task.attempt, task.payload) for task in tasks],
         )
@@ -330,21 +413,40 @@
         """Take a placement off an agent and settle the task or let it wait again."""
         if report.state not in (TaskState.SETTLED, TaskState.FENCED):
             return
-        del agent.outstanding[(submission.submission_id, task.index)]
+        key = (submission.submission_id, task.index)
+        del agent.outstanding[key]
+        del agent.load.ends[key]
         agent.load.outstanding -= 1
         submission.outstanding -= 1
         self._accounting.ended(submission.request.member, report.run_s)
+        self._judge(agent, submission, report, now_s)
         if submission.answer is not None:
+            self._accounting.wasted("refused" if report.verdict == Verdict.NOT_RUN else "late")
             return
         if report.verdict == Verdict.NOT_RUN:
+            self._accounting.wasted("refused")
             self._place_again(agent, submission, task, report, now_s)
             return
+        if submission.failure is not None and report.verdict == Verdict.RAN:
+            self._accounting.wasted("cancelled_after_start")
         if report.verdict == Verdict.RAN and not report.reason:
-            agent.load.factor = self.estimates.learn(
-                submission.request.path, agent.load.factor, report.run_s
-            )
+            self.estimates.learn(submission.request.path, agent.load.speed, report.run_s)
         self._keep(submission, task, report, now_s)
 
+    def _judge(
+        self, agent: Agent, submission: Submission, report: TaskReport, now_s: float
+    ) -> None:
+        """Hold a failure against the target, or a success for it."""
+        ok = report.verdict == Verdict.RAN and not report.reason
+        if not ok and report.reason not in TARGET_REASONS:
+            return
+        pool = [item.load for item in self._agents_of(agent.service)]
+        path = submission.request.path
+        if self._quarantine.observe(self._rule, agent.load, pool, path, ok, now_s):
+            until_s = agent.load.quarantined_until_s - now_s
+            logs.warning("target_quarantined", agent=agent.incarnation, for_s=until_s)
+        agent.load.probation_limit = self._quarantine.limit(agent.load)
+
     def _place_again(
         self, agent: Agent, submission: Submission, task: Task, report: TaskReport, now_s: float
     ) -> None:
--- a/pistachiohill/entry/metrics.py
+++ b/pistachiohill/entry/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from ..metrics import DURATION_BUCKETS_S, JobLabels
+from ..protocol.link import LinkCounters
 
 
 class EntryMetrics:
@@ -31,6 +32,24 @@
             ["reason"],
             registry=self.registry,
         )
+        self.wasted = Counter(
+            "pistachiohill_wasted_tasks",
+            "Placements and reports that did not serve an answer, by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.link_frames = Gauge(
+            "pistachiohill_link_frames",
+            "Frames sent to and received from agents and other entries.",
+            ["peer", "direction"],
+            registry=self.registry,
+        )
+        self.link_bytes = Gauge(
+            "pistachiohill_link_bytes",
+            "Bytes sent to and received from agents and other entries.",
+            ["peer", "direction"],
+            registry=self.registry,
+        )
         self.view_age_s = Gauge(
             "pistachiohill_view_age_seconds",
             "Age of the view of the platform's log.",
@@ -41,3 +60,10 @@
             "Log offset in force.",
             registry=self.registry,
         )
+
+    def set_traffic(self, peer: str, counters: LinkCounters) -> None:
+        """Show the traffic of all links to one kind of peer."""
+        self.link_frames.labels(peer, "sent").set(counters.frames_sent)
+        self.link_frames.labels(peer, "received").set(counters.frames_received)
+        self.link_bytes.labels(peer, "sent").set(counters.bytes_sent)
+        self.link_bytes.labels(peer, "received").set(counters.bytes_received)
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -20,6 +20,7 @@
     CLOSE_POLICY,
     WEBSOCKET_OPTIONS,
     Link,
+    LinkCounters,
     async_receive_hello,
     async_send_hello,
     first_error,
@@ -76,6 +77,7 @@
     def __init__(self, incarnation: str, settings: EntrySettings, view: ConsortiumView) -> None:
         """Start with no link."""
         self.peers: list[Peer] = []
+        self.counters = LinkCounters()
         self._incarnation = incarnation
         self._settings = settings
         self._view = view
@@ -226,7 +228,7 @@
                 hello = Hello(PROTOCOL_VERSION, self._incarnation, "", secret, now_s)
                 reply = await async_send_hello(connection, hello)
                 now_s = clock.boot_s()
-                link = Link(connection, reply.incarnation, now_s)
+                link = Link(connection, reply.incarnation, now_s, self.counters)
                 await self._async_use(Peer(link, reply.stamp_s, now_s))
         except BaseExceptionGroup as group:
             raise first_error(group) from group
@@ -241,7 +243,7 @@
             return
         reply = HelloReply(PROTOCOL_VERSION, self._incarnation, NO_OFFSET, now_s)
         await connection.send(encode_frame([reply]))
-        link = Link(connection, hello.incarnation, now_s)
+        link = Link(connection, hello.incarnation, now_s, self.counters)
         await self._async_use(Peer(link, hello.stamp_s, now_s))
 
     async def _async_use(self, peer: Peer) -> None:
--- a/pistachiohill/http/server.py
+++ b/pistachiohill/http/server.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import trio
-from attrs import frozen
+from attrs import evolve, frozen
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
@@ -59,29 +59,37 @@
         await send({"type": "http.response.start", "status": response.status, "headers": headers})
         await send({"type": "http.response.body", "body": response.body})
 
+    async def async_handle(self, request: Request) -> Response:
+        """Answer a request whose body has been read."""
+        try:
+            found, path_values = self._find(request.method, request.path)
+            return await found.handler(evolve(request, path_values=path_values))
+        except HttpError as err:
+            return problem_response(err.problem)
+        except Exception as err:
+            logs.warning("handler_failed", path=request.path, error=repr(err))
+            detail = "internal error; see the log"
+            return problem_response(
+                Problem(500, RefusalReason.INVALID, Verdict.MAY_HAVE_RUN, detail)
+            )
+
     async def _async_answer(
         self, scope: Scope, receive: Callable[[], Awaitable[Scope]]
     ) -> Response:
         try:
-            found = self._find(scope["method"], scope["path"])
-            body = await self._async_body(scope, receive)
-            request = Request(
+            self._find(scope["method"], scope["path"])
+            body = await self._async_body(receive)
+        except HttpError as err:
+            return problem_response(err.problem)
+        return await self.async_handle(
+            Request(
                 method=scope["method"],
                 path=scope["path"],
                 query=parse_query(scope["query_string"]),
                 headers={n.decode("latin-1"): v.decode("latin-1") for n, v in scope["headers"]},
                 body=body,
-                path_values=found[1],
-            )
-            return await found[0].handler(request)
-        except HttpError as err:
-            return problem_response(err.problem)
-        except Exception as err:
-            logs.warning("handler_failed", path=scope["path"], error=repr(err))
-            detail = "internal error; see the log"
-            return problem_response(
-                Problem(500, RefusalReason.INVALID, Verdict.MAY_HAVE_RUN, detail)
             )
+        )
 
     def _find(self, method: str, path: str) -> tuple[Route, tuple[str, ...]]:
         allowed = []
@@ -95,7 +103,7 @@
         detail = f"allowed: {', '.join(allowed)}" if allowed else "no such path"
         raise HttpError(Problem(status, RefusalReason.INVALID, Verdict.NOT_RUN, detail, "path"))
 
-    async def _async_body(self, scope: Scope, receive: Callable[[], Awaitable[Scope]]) -> bytes:
+    async def _async_body(self, receive: Callable[[], Awaitable[Scope]]) -> bytes:
         chunks: list[bytes] = []
         size_bytes = 0
         with trio.move_on_after(BODY_TIMEOUT_S):
--- a/pistachiohill/logs.py
+++ b/pistachiohill/logs.py
@@ -1,6 +1,8 @@
 """Structured logs: one line of key=value pairs for each event."""
 
-from absl import logging
+import logging as std_logging
+
+from absl import flags, logging
 
 _QUOTED = set(' "=\n\t\r')
 
@@ -23,29 +25,32 @@
 
 def setup(process: str, verbosity: int = 0) -> None:
     """Send log lines to standard error under a process name."""
+    flags.FLAGS([process])
+    std_logging.getLogger("websockets").setLevel(std_logging.WARNING)
     logging.use_absl_handler()
     logging.set_verbosity(verbosity)
     logging.set_stderrthreshold("fatal" if verbosity < 0 else "debug")
     handler = logging.get_absl_handler()
     handler.use_absl_log_file = lambda *_: None  # type: ignore[method-assign]
-    handler.setFormatter(_formatter(process))
-
+    handler.setFormatter(KeyValueFormatter(process))
 
-def _formatter(process: str):  # type: ignore[no-untyped-def]
-    import logging as std_logging
 
-    class KeyValueFormatter(std_logging.Formatter):
-        """Put time, level and process before an event's own pairs."""
+class KeyValueFormatter(std_logging.Formatter):
+    """Puts time, level and process before an event's own pairs."""
 
-        def format(self, record: std_logging.LogRecord) -> str:
-            """Return the line of a record."""
-            line = f"ts={record.created:.6f} level={record.levelname.lower()} process={process} "
-            line += record.getMessage()
-            if record.exc_info:
-                line += f" exception={_value(self.formatException(record.exc_info))}"
-            return line
+    def __init__(self, process: str) -> None:
+        """Keep the process's name."""
+        super().__init__()
+        self._process = process
 
-    return KeyValueFormatter()
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the line of a record."""
+        level = record.levelname.lower()
+        line = f"ts={record.created:.6f} level={level} process={self._process} "
+        line += record.getMessage()
+        if record.exc_info:
+            line += f" exception={_value(self.formatException(record.exc_info))}"
+        return line
 
 
 def _line(name: str, fields: dict[str, object]) -> str:
--- a/pistachiohill/protocol/link.py
+++ b/pistachiohill/protocol/link.py
@@ -46,10 +46,19 @@
 class Link:
     """One connection to a peer, after the handshake."""
 
-    def __init__(self, connection: Connection, peer_incarnation: str, now_s: float) -> None:
-        """Wrap an open connection; `now_s` is the boot time of the handshake."""
+    def __init__(
+        self,
+        connection: Connection,
+        peer_incarnation: str,
+        now_s: float,
+        counters: LinkCounters | None = None,
+    ) -> None:
+        """Wrap an open connection; `now_s` is the boot time of the handshake.
+
+        Traffic is added to `counters`, which several links may share.
+        """
         self.peer_incarnation = peer_incarnation
-        self.counters = LinkCounters()
+        self.counters = counters or LinkCounters()
         self.heard_at_s = now_s
         self.closed = False
         self._connection = connection
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -1066,7 +1066,6 @@
         deadline_in_s: Seconds left until the deadline when the message was sent.
         task_timeout_s: Seconds after which a running task is given up.
         refusal_is_not_run: Whether HTTP 503 from the target means that nothing ran.
-        report_each: Whether to report each task at once rather than in groups.
         view: Freshness of the sender's view.
         tasks: Tasks to start.
     """
@@ -1078,7 +1077,6 @@
     deadline_in_s: float
     task_timeout_s: float
     refusal_is_not_run: bool
-    report_each: bool
     view: ViewStamp
     tasks: list[TaskStart]
 
@@ -1092,7 +1090,6 @@
             self.deadline_in_s,
             self.task_timeout_s,
             self.refusal_is_not_run,
-            self.report_each,
             self.view.to_wire(),
             [item.to_wire() for item in self.tasks],
         ]
@@ -1100,7 +1097,7 @@
     @classmethod
     def from_wire(cls, source: object) -> "StartTasks":
         """Read the fields by position; raise DecodeError on bad input."""
-        items = wire.read_fields(source, 10, "StartTasks")
+        items = wire.read_fields(source, 9, "StartTasks")
         return cls(
             submission_id=wire.read_str(items[0]),
             member=wire.read_str(items[1]),
@@ -1109,9 +1106,8 @@
             deadline_in_s=wire.read_float(items[4]),
             task_timeout_s=wire.read_float(items[5]),
             refusal_is_not_run=wire.read_bool(items[6]),
-            report_each=wire.read_bool(items[7]),
-            view=ViewStamp.from_wire(items[8]),
-            tasks=[TaskStart.from_wire(item) for item in wire.read_list(items[9])],
+            view=ViewStamp.from_wire(items[7]),
+            tasks=[TaskStart.from_wire(item) for item in wire.read_list(items[8])],
         )
 
 
--- a/pistachiohill/scheduling/fair_queue.py
+++ b/pistachiohill/scheduling/fair_queue.py
@@ -71,34 +71,41 @@
 
     def in_order(self) -> "FairOrder[T]":
         """Return the members with items in the order of service for one round."""
-        return FairOrder([queue for queue in self._members.values() if queue.items])
+        return FairOrder(self, [queue for queue in self._members.values() if queue.items])
 
-    def charge(self, queue: MemberQueue[T], cost: float) -> None:
+    def served(self, queue: MemberQueue[T], cost: float) -> None:
         """Note that a member was served work of some cost, such as seconds of run time."""
         self._virtual_time = max(self._virtual_time, queue.virtual_time)
         queue.virtual_time += cost / queue.weight
 
 
 class FairOrder(Generic[T]):
-    """A heap of members for one round of service."""
+    """The members of one round of service, in the order in which they are due.
 
-    def __init__(self, queues: list[MemberQueue[T]]) -> None:
+    Work that is only planned in this round counts in the round's order but not beyond it.
+    """
+
+    def __init__(self, fair: FairQueue[T], queues: list[MemberQueue[T]]) -> None:
         """Order the queues by virtual time."""
+        self._fair = fair
         self._heap = [(queue.virtual_time, queue.member, queue) for queue in queues]
         heapq.heapify(self._heap)
 
     def first(self) -> MemberQueue[T] | None:
         """Return the member to serve next, or None when the round is over."""
-        while self._heap:
-            virtual_time, _, queue = self._heap[0]
-            if queue.items and virtual_time == queue.virtual_time:
-                return queue
-            heapq.heappop(self._heap)
-            if queue.items:
-                heapq.heappush(self._heap, (queue.virtual_time, queue.member, queue))
-        return None
-
-    def block(self, queue: MemberQueue[T]) -> None:
-        """Leave a member out for the rest of the round."""
-        self._heap = [item for item in self._heap if item[2] is not queue]
-        heapq.heapify(self._heap)
+        return self._heap[0][2] if self._heap else None
+
+    def served(self, cost: float) -> None:
+        """Note that the first member was served work of some cost."""
+        queue = self._heap[0][2]
+        self._fair.served(queue, cost)
+        self.planned(cost)
+
+    def planned(self, cost: float) -> None:
+        """Note that work of some cost was planned for the first member."""
+        virtual_time, member, queue = self._heap[0]
+        heapq.heapreplace(self._heap, (virtual_time + cost / queue.weight, member, queue))
+
+    def leave(self) -> None:
+        """Leave the first member out for the rest of the round."""
+        heapq.heappop(self._heap)
--- a/pistachiohill/scheduling/models.py
+++ b/pistachiohill/scheduling/models.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field
 
+from .estimates import Mean
+
 
 @define(eq=False)
 class TargetLoad:
@@ -11,9 +13,12 @@
         slots: Tasks that the target runs side by side.
         outstanding: Tasks that this entry has placed there and that are not settled.
         others: Tasks of other entries there, as of the latest report.
-        factor: Run time relative to the mean of all targets.
+        speed: Learned run time relative to the mean of all targets.
         ramp_from_s: Boot time since which a returning target is brought up again.
-        quarantined_until_s: Boot time until which it gets no task but probes.
+        quarantined_until_s: Boot time until which it gets no task.
+        ends: Expected end of each task that this entry has placed there, by task key.
+        probation_limit: Tasks that it may have until one succeeds, None when it is trusted.
+        queue_limit: Tasks that the target's agent queues beyond the slots.
     """
 
     name: str
@@ -21,9 +26,17 @@
     slots: int = 0
     outstanding: int = 0
     others: int = 0
-    factor: float = 1.0
+    speed: Mean = field(factory=lambda: Mean(1.0))
     ramp_from_s: float = -1e9
     quarantined_until_s: float = -1e9
+    ends: dict[tuple[str, int], float] = field(factory=dict)
+    probation_limit: int | None = None
+    queue_limit: int = 8
+
+    @property
+    def factor(self) -> float:
+        """Return the run time relative to the mean of all targets."""
+        return self.speed.value
 
     @property
     def load(self) -> int:
@@ -32,17 +45,10 @@
 
     def allowed(self, now_s: float, ramp_s: float, depth: int) -> int:
         """Return how many tasks may be there at once, growing from 1 while it ramps up."""
+        if self.probation_limit is not None:
+            return self.probation_limit
         limit = self.slots + depth
         elapsed_s = now_s - self.ramp_from_s
         if elapsed_s >= ramp_s or ramp_s <= 0:
             return limit
         return max(1, int(self.slots * elapsed_s / ramp_s))
-
-
-@define
-class Placement:
-    """A task's placement wish: its job and the domains it may use, empty for all."""
-
-    job_path: str
-    run_s: float
-    domains_allowed: tuple[str, ...] = field(default=())
--- /dev/null
+++ b/pistachiohill/scheduling/plan.py
@@ -0,0 +1,103 @@
+"""Plan which slot each waiting task will take, and bind only those that start soon.
+
+The plan gives every task, in fair order, the slot in which it is expected to finish first, a slot
+that is still busy included. A task whose slot frees up within the horizon is bound to its target
+now, so the target goes on without a round trip and messages carry several tasks; any other task
+stays at the entry and is planned anew at the next event.
+"""
+
+from collections.abc import Iterable, Sequence
+from heapq import heapify, heapreplace
+
+from attrs import define, frozen
+
+from .models import TargetLoad
+
+MAX_TARGETS_PER_TASK = 32
+OVERDUE_FRACTION = 0.2
+OTHERS_FRACTION = 0.5
+
+
+@frozen
+class Slot:
+    """Where a task is expected to run; times are boot times."""
+
+    target: TargetLoad
+    start_s: float
+    end_s: float
+
+
+@define
+class TargetPlan:
+    """Expected times at which a target's slots become free, as a heap."""
+
+    target: TargetLoad
+    free_s: list[float]
+    room: int
+
+
+class SlotPlan:
+    """The slots of all usable targets for one round of placement."""
+
+    def __init__(
+        self,
+        targets: Iterable[TargetLoad],
+        now_s: float,
+        horizon_s: float,
+        ramp_s: float,
+        mean_run_s: float,
+    ) -> None:
+        """Read the targets' loads; `mean_run_s` stands for the tasks of other entries."""
+        self._limit_s = now_s + horizon_s
+        self._now_s = now_s
+        plans = (self._plan(target, ramp_s, mean_run_s) for target in targets)
+        self._plans = [plan for plan in plans if plan is not None]
+
+    def has_room(self) -> bool:
+        """Return whether any slot frees up within the horizon."""
+        return any(plan.room > 0 and plan.free_s[0] <= self._limit_s for plan in self._plans)
+
+    def take(self, run_s: float, usable: Sequence[TargetLoad] | None) -> Slot | None:
+        """Give the next task its slot; `run_s` is its run time at a target of factor 1.
+
+        `usable` limits the choice of targets. None is returned when there is no target.
+        """
+        best: TargetPlan | None = None
+        best_end_s = 0.0
+        for plan in self._plans:
+            if usable is not None and plan.target not in usable:
+                continue
+            end_s = plan.free_s[0] + run_s * plan.target.factor
+            if best is None or end_s < best_end_s:
+                best, best_end_s = plan, end_s
+        if best is None:
+            return None
+        slot = Slot(best.target, best.free_s[0], best_end_s)
+        heapreplace(best.free_s, best_end_s)
+        return slot
+
+    def bind(self, slot: Slot) -> bool:
+        """Return whether a slot's task is to be bound now, and count it against the room."""
+        plan = next(plan for plan in self._plans if plan.target is slot.target)
+        if slot.start_s > self._limit_s or plan.room <= 0:
+            return False
+        plan.room -= 1
+        return True
+
+    def _plan(self, target: TargetLoad, ramp_s: float, mean_run_s: float) -> TargetPlan | None:
+        slots = target.allowed(self._now_s, ramp_s, 0)
+        if slots <= 0:
+            return None
+        run_s = mean_run_s * target.factor
+        overdue_s = self._now_s + OVERDUE_FRACTION * run_s
+        ends = [max(end_s, overdue_s) for end_s in target.ends.values()]
+        ends += [self._now_s + OTHERS_FRACTION * run_s] * target.others
+        ends.sort()
+        free = ends[-slots:] if len(ends) >= slots else ends + [self._now_s] * (slots - len(ends))
+        heapify(free)
+        return TargetPlan(target, free, _queue_room(target, slots) - len(ends))
+
+
+def _queue_room(target: TargetLoad, slots: int) -> int:
+    """Return how many tasks a target may have, its agent's queue included."""
+    return slots if target.probation_limit is not None else slots + target.queue_limit
--- a/pistachiohill/scheduling/policy.py
+++ b/pistachiohill/scheduling/policy.py
@@ -1,6 +1,7 @@
-"""Choose a target for a task.
+"""Policies that choose a target for a task.
 
-Each policy is a class; `choose` dispatches on it. Every candidate has room, so a policy only ranks.
+The default plans slots (see `plan`). The others are simple baselines: they bind a task at once to a
+target that has room in its slots or its agent's queue. `choose` dispatches on the policy's class.
 """
 
 import random
@@ -10,14 +11,12 @@
 from attrs import define
 
 from ..settings.const import Policy
-from .models import Placement, TargetLoad
-
-MAX_CANDIDATES = 32
+from .models import TargetLoad
 
 
 @define
 class ExpectedCompletion:
-    """The target that is expected to finish the task first, by learned speed and load."""
+    """Plan slots by learned run times; stands for the planner and chooses nothing itself."""
 
 
 @define
@@ -51,46 +50,19 @@
     return classes[Policy(name)]()
 
 
-def expected_s(target: TargetLoad, placement: Placement) -> float:
-    """Return the expected time until the task ends at a target, waiting included."""
-    run_s = placement.run_s * target.factor
-    ahead = target.load + 1 - target.slots
-    if ahead <= 0:
-        return run_s
-    return run_s * (1 + ahead / max(1, target.slots))
-
-
 @singledispatch
-def choose(
-    policy: PolicyObject, candidates: Sequence[TargetLoad], placement: Placement
-) -> TargetLoad | None:
-    """Return the target for a task, or None to let the task wait."""
+def choose(policy: PolicyObject, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
+    """Return one of the candidates, each of which has room, or None when there is none."""
     raise NotImplementedError(type(policy).__name__)
 
 
 @choose.register
-def _(
-    policy: ExpectedCompletion, candidates: Sequence[TargetLoad], placement: Placement
-) -> TargetLoad | None:
-    if not candidates:
-        return None
-    few = candidates
-    if len(candidates) > MAX_CANDIDATES:
-        few = random.sample(candidates, MAX_CANDIDATES)
-    return min(few, key=lambda target: (expected_s(target, placement), target.load))
-
-
-@choose.register
-def _(
-    policy: LeastOutstanding, candidates: Sequence[TargetLoad], placement: Placement
-) -> TargetLoad | None:
+def _(policy: LeastOutstanding, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
     return min(candidates, key=lambda target: target.load, default=None)
 
 
 @choose.register
-def _(
-    policy: RoundRobin, candidates: Sequence[TargetLoad], placement: Placement
-) -> TargetLoad | None:
+def _(policy: RoundRobin, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
     if not candidates:
         return None
     policy.turn += 1
@@ -98,7 +70,5 @@
 
 
 @choose.register
-def _(
-    policy: RandomChoice, candidates: Sequence[TargetLoad], placement: Placement
-) -> TargetLoad | None:
+def _(policy: RandomChoice, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
     return random.choice(candidates) if candidates else None
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -33,6 +33,7 @@
         policy: How a task's target is chosen: expected_completion, least_outstanding,
             round_robin or random.
         quarantine: How failing targets are set aside: windows, consecutive, ratio or off.
+        horizon_s: How long before its slot frees up a task is bound to a target.
         ramp_s: Time over which a returning target is brought to its full share.
     """
 
@@ -54,6 +55,7 @@
     start_through_outage: bool = False
     policy: str = "expected_completion"
     quarantine: str = "consecutive"
+    horizon_s: float = 0.15
     ramp_s: float = 2.0
 
 
@@ -202,6 +204,14 @@
         16.0,
         ("consortium",),
     ),
+    FieldSpec(
+        "horizon_s",
+        "float",
+        "How long before its slot frees up a task is bound to a target.",
+        0.0,
+        10.0,
+        ("consortium",),
+    ),
     FieldSpec(
         "ramp_s",
         "float",
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -9,6 +9,7 @@
 from ..errors import RefusalReason, Verdict
 from ..protocol.models import ForwardReply, TaskReport
 from ..settings.models import JobSettings
+from .identifiers import parse_submission_id
 
 
 @frozen
@@ -106,6 +107,7 @@
     tasks: list[Task]
     submitted_at_s: float
     deadline_s: float
+    issued_offset: int
     waiting: deque[Task]
     unsettled: int
     outstanding: int = 0
@@ -140,6 +142,8 @@
 ) -> Submission:
     """Return the record of a job accepted at a boot time."""
     tasks = [Task(index, payload) for index, payload in enumerate(request.payloads)]
+    parsed = parse_submission_id(submission_id)
+    assert parsed is not None
     limit_s = min(request.deadline_s or settings.deadline_s, settings.deadline_s)
     return Submission(
         submission_id=submission_id,
@@ -148,6 +152,7 @@
         tasks=tasks,
         submitted_at_s=now_s,
         deadline_s=now_s + limit_s,
+        issued_offset=parsed.offset,
         waiting=deque(tasks),
         unsettled=len(tasks),
     )
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -27,6 +27,9 @@
 SECRET = "deployment-secret"
 OPERATOR_TOKEN = "operator-token"
 POLL_S = 0.03
+FIRST_PORT = 12000
+PORT_COUNT = 18000
+PORT_STRIDE = 397
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 10.0
 
@@ -151,15 +154,34 @@
     at_s: float
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+class PortAllocator:
+    """Hands out ports below the range from which the system takes ports for connections."""
+
+    def __init__(self) -> None:
+        """Start at a place that differs between test processes."""
+        self._next = FIRST_PORT + (os.getpid() * PORT_STRIDE) % PORT_COUNT
+
+    def take(self, count: int) -> list[int]:
+        """Return ports that nothing listens on."""
+        found: list[int] = []
+        while len(found) < count:
+            self._next = FIRST_PORT + (self._next + 1 - FIRST_PORT) % PORT_COUNT
+            if _is_free(self._next):
+                found.append(self._next)
+        return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+        return True
+
+
+free_ports = PortAllocator().take
 
 
 class Deployment:
@@ -217,6 +239,10 @@
         )
         return response.status, json.loads(response.content)
 
+    async def async_text(self, url: str) -> str:
+        """Return the text of an HTTP answer."""
+        return (await self._pool.request("GET", url)).content.decode()
+
     async def async_operator(
         self, method: str, path: str, value: Any = None, entry: int = 0
     ) -> tuple[int, Any]:
--- a/standins/target.py
+++ b/standins/target.py
@@ -17,7 +17,9 @@
 from attrs import define, field
 
 from pistachiohill.http.models import Request, Response, json_response
-from pistachiohill.http.server import HttpApp, async_serve_http, route
+from pistachiohill.http.server import HttpApp, route
+
+from .http import async_serve
 
 MAX_TASK_BYTES = 2 * 1024 * 1024
 ANNOUNCE_INTERVAL_S = 1.0
@@ -159,9 +161,5 @@
 async def async_run(model: TargetModel, host: str, port: int, agent_url: str) -> None:
     """Serve and announce until cancelled."""
     async with trio.open_nursery() as nursery:
-        await nursery.start(
-            lambda task_status: async_serve_http(
-                TargetServer(model).app(), host, port, trio.Event(), 0.1, task_status=task_status
-            )
-        )
+        await nursery.start(async_serve, TargetServer(model).app(), host, port)
         nursery.start_soon(async_announce, model, f"http://{host}:{port}", agent_url)
--- a/tests/failures/test_bad_peers.py
+++ b/tests/failures/test_bad_peers.py
@@ -63,11 +63,11 @@
             stamp = ViewStamp(10**6, -1.0, 0.0, False, 1e9)
             start = StartTasks(
                 f"{'0' * 16}.999.99999999999999.1.{'0' * 16}",
-                "m", "j", 1, 9.0, 9.0, False, True, stamp, [TaskStart(0, 1, b"{}")],
+                "m", "j", 1, 9.0, 9.0, False, stamp, [TaskStart(0, 1, b"{}")],
             )  # fmt: skip
             old = StartTasks(
                 f"{'0' * 16}.0.1.1.{'0' * 16}",
-                "m", "j", 1, 9.0, 9.0, False, True, stamp, [TaskStart(0, 1, b"{}")],
+                "m", "j", 1, 9.0, 9.0, False, stamp, [TaskStart(0, 1, b"{}")],
             )  # fmt: skip
             good = encode_frame([Hello(1, "x", agent, SECRET, 0.0)])
             first_frames = [
--- a/tests/scheduling/test_fair_queue.py
+++ b/tests/scheduling/test_fair_queue.py
@@ -54,12 +54,13 @@
                 continue
             order = queue.in_order()
             for _ in range(int(str(value))):
-                member = order.first()
+                while (member := order.first()) is not None and not member.items:
+                    order.leave()
                 expected = naive.take()
                 self.assertEqual(expected is None, member is None)
                 if member is not None:
                     self.assertEqual(expected, member.items.popleft())
-                    queue.charge(member, 1.0)
+                    order.served(1.0)
 
     def test_service_is_in_proportion_to_weights(self) -> None:
         queue: FairQueue[int] = FairQueue()
@@ -73,5 +74,5 @@
             assert member is not None
             member.items.popleft()
             served[member.member] += 1
-            queue.charge(member, 1.0)
+            order.served(1.0)
         self.assertEqual({"a": 200, "b": 400, "c": 100}, served)
