Give each service one home entry, so that its tasks wait in one queue

Ruled out: splitting slots between entries (a single job would get half of them); telling occupancy more often (over the message budget). Change: submission ids for a job are owned by the home entry of its service, by rendezvous hashing over the linked entries; a mere preference, so safety is as before.

--- a/experiments/load.py
+++ b/experiments/load.py
@@ -35,7 +35,7 @@
         await trio.sleep_until(started_s + arrival.at_s)
         complete, reason = False, ""
         try:
-            (submission_id,) = await client.async_ids()
+            (submission_id,) = await client.async_ids(1, job)
             result = await client.async_submit(submission_id, job, arrival.payloads(), deadline_s)
             complete = isinstance(result, JobComplete)
             reason = getattr(result, "reason", "")
--- a/experiments/report.py
+++ b/experiments/report.py
@@ -22,6 +22,7 @@
     "response_p99_s",
     "messages_per_task",
     "failed_tasks_pct",
+    "failed_jobs_pct",
     "work_of_possible_pct",
     "entry_cpu_us_per_task",
     "agent_cpu_us_per_task",
--- a/pistachiohill/client.py
+++ b/pistachiohill/client.py
@@ -77,12 +77,14 @@
         """Close all connections."""
         await self._pool.aclose()
 
-    async def async_ids(self, count: int = 1) -> list[str]:
-        """Return submission identifiers, from whichever entry answers."""
+    async def async_ids(self, count: int = 1, job: str = "") -> list[str]:
+        """Return submission identifiers, from whichever entry answers.
+
+        With a job's name they are owned by the entry at which all tasks of its service queue.
+        """
+        value: dict[str, Any] = {"count": count, "job": job} if job else {"count": count}
         for _ in range(2 * len(self._urls)):
-            answer = await self._async_call(
-                "POST", self._next_url(), "/v1/submission-ids", {"count": count}
-            )
+            answer = await self._async_call("POST", self._next_url(), "/v1/submission-ids", value)
             if answer is not None and answer.status == 201:
                 return [str(item) for item in answer.value["ids"]]
             _raise_if_malformed(answer)
@@ -96,7 +98,7 @@
         """
         ends_s = trio.current_time() + deadline_s
         while True:
-            (submission_id,) = await self.async_ids()
+            (submission_id,) = await self.async_ids(1, job)
             result = await self.async_submit(submission_id, job, payloads, deadline_s)
             if isinstance(result, JobComplete) or result.verdict != Verdict.NOT_RUN:
                 return result
--- a/pistachiohill/daemon/root.py
+++ b/pistachiohill/daemon/root.py
@@ -73,7 +73,9 @@
             recovery,
             accounting,
         )
-        peers.set_handlers(submissions.async_answer_forward, accounting.counters)
+        peers.set_handlers(
+            submissions.async_answer_forward, accounting.counters, submissions.issue_ids_for_peer
+        )
         fairness = FairnessReporter(view, accounting, peers)
         callers = CallerApi(settings, view, submissions, fairness)
         operators = OperatorApi(
--- a/pistachiohill/entry/caller_api.py
+++ b/pistachiohill/entry/caller_api.py
@@ -76,7 +76,11 @@
             raise HttpError(
                 Problem(503, RefusalReason.STOPPING, Verdict.NOT_RUN, detail, retry_after_s=1.0)
             )
-        ids = self._submissions.issue_ids(member, count)
+        service = ""
+        if "job" in value:
+            _, settings = self._job(member, value["job"])
+            service = settings.service
+        ids = await self._submissions.async_ids(member, count, service)
         return json_response({"ids": ids, "usable_s": self._settings.submission_ttl_s}, 201)
 
     async def _async_put(self, request: Request) -> Response:
@@ -115,7 +119,7 @@
         job_request = JobRequest(member, job, (request.body,), timeout_s)
         attempts = settings.max_request_attempts if idempotent else 1
         for attempt in range(1, attempts + 1):
-            (submission_id,) = self._submissions.issue_ids(member, 1)
+            (submission_id,) = await self._submissions.async_ids(member, 1, settings.service)
             answer = await self._submissions.async_put(submission_id, job_request, timeout_s + 1.0)
             if answer.state == JobState.COMPLETE:
                 headers = {HEADER_VERDICT: str(answer.verdict)}
--- a/pistachiohill/entry/owner.py
+++ b/pistachiohill/entry/owner.py
@@ -10,10 +10,10 @@
 from ..const import ForwardAction, Role
 from ..errors import RefusalReason, Verdict
 from ..protocol.link import Link
-from ..protocol.models import Forward, ForwardedTask, ForwardReply
+from ..protocol.models import Forward, ForwardedTask, ForwardReply, IdsReply, IdsRequest
 from ..settings.const import ROOT_PATH
 from ..settings.models import EntrySettings, JobSettings
-from ..submissions.identifiers import IdIssuer, SubmissionId, parse_submission_id
+from ..submissions.identifiers import IdIssuer, SubmissionId, home_entry, parse_submission_id
 from ..submissions.models import JobAnswer, JobRequest, failed, new_submission, refused
 from .accounting import Accounting
 from .const import OWNER_LINK_GRACE_S, RETRY_AFTER_S
@@ -22,6 +22,7 @@
 from .recovery import Recovery
 
 FORWARD_MARGIN_S = 2.0
+IDS_TIMEOUT_S = 0.5
 
 
 class SubmissionService:
@@ -65,6 +66,24 @@
         now_s = clock.wall_s()
         return [self._issuer.issue(member, offset, now_s) for _ in range(count)]
 
+    def issue_ids_for_peer(self, member: str, count: int) -> list[str]:
+        """Return identifiers for a caller of another entry; none when this entry is stopping."""
+        return self.issue_ids(member, count) if self.ready else []
+
+    async def async_ids(self, member: str, count: int, service: str) -> list[str]:
+        """Return identifiers owned by the home entry of a service, else by this one."""
+        own = self._issuer.incarnation
+        home = home_entry(service, {own, *self._peers.incarnations()})
+        link = self._peers.find(home)
+        if not service or home == own or link is None:
+            return self.issue_ids(member, count)
+        reply = await self._peers.async_request(
+            link, lambda request_id: IdsRequest(request_id, member, count), IDS_TIMEOUT_S
+        )
+        if isinstance(reply, IdsReply) and len(reply.ids) == count:
+            return reply.ids
+        return self.issue_ids(member, count)
+
     async def async_put(self, submission_id: str, request: JobRequest, wait_s: float) -> JobAnswer:
         """Run a job once, however often and wherever it is put."""
         action = self._forward(ForwardAction.PUT, submission_id, request.member, wait_s, request)
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -32,6 +32,8 @@
     ForwardReply,
     Hello,
     HelloReply,
+    IdsReply,
+    IdsRequest,
     MemberCounters,
     Message,
     PeerView,
@@ -42,7 +44,7 @@
 from ..settings.models import EntrySettings
 from .const import PEER_SILENCE_S, RECONNECT_MAX_S, RECONNECT_MIN_S
 
-Reply = ForwardReply | CountersReply | StateReply
+Reply = ForwardReply | CountersReply | IdsReply
 
 
 @define(eq=False)
@@ -87,11 +89,16 @@
         self._nursery: trio.Nursery | None = None
         self._async_forwarded: ForwardHandler | None = None
         self._counters: Callable[[], list[MemberCounters]] = list
+        self._issue_ids: Callable[[str, int], list[str]] = lambda _member, _count: []
 
     def set_handlers(
-        self, forwarded: ForwardHandler, counters: Callable[[], list[MemberCounters]]
+        self,
+        forwarded: ForwardHandler,
+        counters: Callable[[], list[MemberCounters]],
+        issue_ids: Callable[[str, int], list[str]],
     ) -> None:
-        """Name who answers forwarded submissions and counts."""
+        """Name who answers forwarded submissions, counts and issues identifiers."""
+        self._issue_ids = issue_ids
         self._async_forwarded = forwarded
         self._counters = counters
 
@@ -302,6 +309,15 @@
     def _(self, message: CountersRequest, peer: Peer, now_s: float) -> None:
         peer.link.send(CountersReply(message.request_id, self._counters()))
 
+    @_handle.register
+    def _(self, message: IdsRequest, peer: Peer, now_s: float) -> None:
+        ids = self._issue_ids(message.member, message.count)
+        peer.link.send(IdsReply(message.request_id, ids))
+
+    @_handle.register
+    def _(self, message: IdsReply, peer: Peer, now_s: float) -> None:
+        self._take_reply(message, peer)
+
     @_handle.register
     def _(self, message: Forward, peer: Peer, now_s: float) -> None:
         assert self._nursery is not None
@@ -319,7 +335,7 @@
     def _(self, message: CountersReply, peer: Peer, now_s: float) -> None:
         self._take_reply(message, peer)
 
-    def _take_reply(self, message: ForwardReply | CountersReply, peer: Peer) -> None:
+    def _take_reply(self, message: Reply, peer: Peer) -> None:
         """Hand a reply to its request; late replies, or those of another link, are dropped."""
         pending = self._pending.get(message.request_id)
         if pending is None or pending.link is not peer.link:
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -623,6 +623,61 @@
         )
 
 
+@define(slots=True)
+class IdsReply:
+    """Identifiers owned by the sender.
+
+    Fields:
+        request_id: Number of the request.
+        ids: The identifiers; empty when the sender is stopping.
+    """
+
+    request_id: int
+    ids: list[str]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.request_id, self.ids]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "IdsReply":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "IdsReply")
+        return cls(
+            request_id=wire.read_int(items[0]),
+            ids=[wire.read_str(item) for item in wire.read_list(items[1])],
+        )
+
+
+@define(slots=True)
+class IdsRequest:
+    """Asks the home entry of a service for submission identifiers.
+
+    Fields:
+        request_id: Number that the reply carries.
+        member: Authenticated member.
+        count: Number of identifiers.
+    """
+
+    request_id: int
+    member: str
+    count: int
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.request_id, self.member, self.count]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "IdsRequest":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 3, "IdsRequest")
+        return cls(
+            request_id=wire.read_int(items[0]),
+            member=wire.read_str(items[1]),
+            count=wire.read_int(items[2]),
+        )
+
+
 @define(slots=True)
 class CountersReply:
     """An entry's counters.
@@ -1256,6 +1311,8 @@
     | StateReply
     | CountersRequest
     | CountersReply
+    | IdsRequest
+    | IdsReply
     | AnnounceRecord
     | WithdrawRecord
     | PublishRecord
@@ -1283,6 +1340,8 @@
     16: StateReply,
     17: CountersRequest,
     18: CountersReply,
+    19: IdsRequest,
+    20: IdsReply,
     40: AnnounceRecord,
     41: WithdrawRecord,
     42: PublishRecord,
@@ -1310,6 +1369,8 @@
     StateReply: 16,
     CountersRequest: 17,
     CountersReply: 18,
+    IdsRequest: 19,
+    IdsReply: 20,
     AnnounceRecord: 40,
     WithdrawRecord: 41,
     PublishRecord: 42,
--- a/pistachiohill/submissions/identifiers.py
+++ b/pistachiohill/submissions/identifiers.py
@@ -10,6 +10,7 @@
 import hmac
 import re
 import secrets
+from collections.abc import Iterable
 
 from attrs import frozen
 
@@ -45,6 +46,15 @@
     return SubmissionId(match[1], int(match[2]), int(match[3]) / 1000, int(match[4]), match[5])
 
 
+def home_entry(service: str, entries: Iterable[str]) -> str:
+    """Return the entry incarnation that should own a service's submissions.
+
+    All of a service's tasks then wait in one queue. The choice is by rendezvous hashing over the
+    entries known here; it is only a preference, so entries that disagree do no harm.
+    """
+    return max(entries, key=lambda entry: hashlib.blake2b(f"{service}/{entry}".encode()).digest())
+
+
 class IdIssuer:
     """Issues the identifiers of one owner incarnation and recognises them again."""
 
