--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -55,7 +55,7 @@
     start_through_outage: bool = False
     policy: str = "expected_completion"
     quarantine: str = "consecutive"
-    horizon_s: float = 0.15
+    horizon_s: float = 0.2
     ramp_s: float = 2.0
 
 
@@ -359,7 +359,7 @@
     secret: str = ""
     retention_s: float = 180.0
     queue_tasks: int = 8
-    report_interval_s: float = 0.05
+    report_interval_s: float = 0.12
     grace_s: float = 30.0
     advertised_port: int = 0
     target_ttl_s: float = 6.0
