--- a/experiments/measure.py
+++ b/experiments/measure.py
@@ -105,9 +105,9 @@
         await deployment.async_publish("consortium", text)
         warm_up = [Stream("brunner", 3.0, 40, RUN_S, 0.0, WARM_UP_S)]
         await async_run_load(deployment, arrivals(warm_up, SEED + 1), JOB, DEADLINE_S)
-        before = await _async_counters(deployment)
+        before = await async_counters(deployment)
         window = await _async_run(deployment, scenario, jobs)
-        after = await _async_counters(deployment)
+        after = await async_counters(deployment)
         rows.append(_row(scenario, policy, window, ideal_s, before, after))
         _print_row(rows[-1])
     return rows
@@ -131,10 +131,10 @@
     async def async_work() -> None:
         settle_s = scenario.seconds / 6
         await trio.sleep(settle_s)
-        before = await _async_counters(deployment)
+        before = await async_counters(deployment)
         began_s = trio.current_time()
         await trio.sleep(scenario.seconds - settle_s)
-        after = await _async_counters(deployment)
+        after = await async_counters(deployment)
         elapsed_s = trio.current_time() - began_s
         work[0] = (after.busy_s - before.busy_s) / _possible_s(scenario, settle_s, elapsed_s)
 
@@ -185,7 +185,8 @@
     await client.async_close()
 
 
-async def _async_counters(deployment: Deployment) -> Counters:
+async def async_counters(deployment: Deployment) -> Counters:
+    """Return the totals of all entries and agents."""
     found = Counters()
     for entry in deployment.entries:
         text = await deployment.async_text(f"{entry.url}/metrics")
--- a/pistachiohill/daemon/root.py
+++ b/pistachiohill/daemon/root.py
@@ -34,7 +34,7 @@
     from ..entry.fairness import FairnessReporter
     from ..entry.metrics import EntryMetrics
     from ..entry.operator_api import OperatorApi
-    from ..entry.owner import SubmissionService, live_entries
+    from ..entry.owner import SubmissionService
     from ..entry.peers import PeerDirectory
     from ..entry.recovery import Recovery
     from ..http.server import HttpApp, async_serve_http
@@ -54,7 +54,7 @@
             return max(view.confirmed_at_s, outage_s or view.confirmed_at_s)
         return view.confirmed_at_s
 
-    accounting = Accounting(metrics, lambda: live_entries(view))
+    accounting = Accounting(metrics)
     directory = AgentDirectory(
         incarnation, settings.secret, settings.silence_s, view, view_confirmed_at
     )
--- a/pistachiohill/entry/accounting.py
+++ b/pistachiohill/entry/accounting.py
@@ -1,7 +1,5 @@
 """Counts for each member: what it offered, what it got, what was refused and by which rule."""
 
-from collections.abc import Callable
-
 from attrs import define, field
 
 from ..const import JobState
@@ -25,18 +23,13 @@
 
 
 class Accounting:
-    """Accounts of all members, and this entry's share of consortium-wide limits."""
+    """Accounts of all members."""
 
-    def __init__(self, metrics: EntryMetrics, live_entries: Callable[[], int]) -> None:
-        """Start empty; `live_entries` returns how many entries share the limits."""
+    def __init__(self, metrics: EntryMetrics) -> None:
+        """Start empty."""
         self._metrics = metrics
-        self._live_entries = live_entries
         self._accounts: dict[str, MemberAccount] = {}
 
-    def share(self, limit: int) -> int:
-        """Return this entry's part of a limit over all entries, at least 1."""
-        return max(1, limit // max(1, self._live_entries()))
-
     def running(self, member: str) -> int:
         """Return the member's tasks placed and not settled."""
         account = self._accounts.get(member)
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -341,8 +341,7 @@
 
     def _at_quota(self, submission: Submission) -> bool:
         running = self._accounting.running(submission.request.member)
-        share = self._accounting.share(submission.settings.max_running_tasks)
-        return running >= share
+        return running >= submission.settings.max_running_tasks
 
     def _usable(self, submission: Submission, targets: list[TargetLoad]) -> list[TargetLoad]:
         """Return the targets that may take a submission's next task."""
@@ -431,6 +430,7 @@
             self._accounting.wasted("cancelled_after_start")
         if report.verdict == Verdict.RAN and not report.reason:
             self.estimates.learn(submission.request.path, agent.load.speed, report.run_s)
+            agent.load.learned_at_s = now_s
         self._keep(submission, task, report, now_s)
 
     def _judge(
--- a/pistachiohill/entry/owner.py
+++ b/pistachiohill/entry/owner.py
@@ -7,7 +7,7 @@
 from .. import clock, logs
 from ..consortium.const import NO_OFFSET
 from ..consortium.view import ConsortiumView
-from ..const import ForwardAction, Role
+from ..const import ForwardAction
 from ..errors import RefusalReason, Verdict
 from ..protocol.link import Link
 from ..protocol.models import Forward, ForwardedTask, ForwardReply, IdsReply, IdsRequest
@@ -236,7 +236,7 @@
             detail = f"no target of service {settings.service!r} takes tasks"
             return refused(RefusalReason.NO_TARGET, detail, retry_s, count)
         waiting = self._dispatcher.waiting_tasks(request.member)
-        if waiting + count > self._accounting.share(settings.max_queued_tasks):
+        if waiting + count > settings.max_queued_tasks:
             detail = f"{waiting} tasks of this member wait already"
             return refused(RefusalReason.MEMBER_QUEUE, detail, retry_s, count)
         limit_s = min(request.deadline_s or settings.deadline_s, settings.deadline_s)
@@ -247,14 +247,6 @@
         return None
 
 
-def live_entries(view: ConsortiumView) -> int:
-    """Return how many entries are announced and have not ended."""
-    return sum(
-        process.role == Role.ENTRY and process.ended_offset == NO_OFFSET
-        for process in view.state.processes.values()
-    )
-
-
 def _expired_answer() -> JobAnswer:
     return failed(
         RefusalReason.EXPIRED_ID,
--- a/pistachiohill/scheduling/models.py
+++ b/pistachiohill/scheduling/models.py
@@ -16,6 +16,7 @@
         speed: Learned run time relative to the mean of all targets.
         ramp_from_s: Boot time since which a returning target is brought up again.
         quarantined_until_s: Boot time until which it gets no task.
+        learned_at_s: Boot time of the latest run that the factor was learned from.
         ends: Expected end of each task that this entry has placed there, by task key.
         probation_limit: Tasks that it may have until one succeeds, None when it is trusted.
         queue_limit: Tasks that the target's agent queues beyond the slots.
@@ -29,6 +30,7 @@
     speed: Mean = field(factory=lambda: Mean(1.0))
     ramp_from_s: float = -1e9
     quarantined_until_s: float = -1e9
+    learned_at_s: float = 0.0
     ends: dict[tuple[str, int], float] = field(factory=dict)
     probation_limit: int | None = None
     queue_limit: int = 8
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -6,6 +6,7 @@
 stays at the entry and is planned anew at the next event.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 from heapq import heapify, heapreplace
 
@@ -16,6 +17,7 @@
 MAX_TARGETS_PER_TASK = 32
 OVERDUE_FRACTION = 0.2
 OTHERS_FRACTION = 0.5
+FADE_S = 30.0
 
 
 @frozen
@@ -32,6 +34,7 @@
     """Expected times at which a target's slots become free, as a heap."""
 
     target: TargetLoad
+    factor: float
     free_s: list[float]
     room: int
 
@@ -67,7 +70,7 @@
         for plan in self._plans:
             if usable is not None and plan.target not in usable:
                 continue
-            end_s = plan.free_s[0] + run_s * plan.target.factor
+            end_s = plan.free_s[0] + run_s * plan.factor
             if best is None or end_s < best_end_s:
                 best, best_end_s = plan, end_s
         if best is None:
@@ -88,14 +91,32 @@
         slots = target.allowed(self._now_s, ramp_s, 0)
         if slots <= 0:
             return None
-        run_s = mean_run_s * target.factor
+        factor = current_factor(target, mean_run_s, self._now_s)
+        run_s = mean_run_s * factor
         overdue_s = self._now_s + OVERDUE_FRACTION * run_s
         ends = [max(end_s, overdue_s) for end_s in target.ends.values()]
         ends += [self._now_s + OTHERS_FRACTION * run_s] * target.others
         ends.sort()
         free = ends[-slots:] if len(ends) >= slots else ends + [self._now_s] * (slots - len(ends))
         heapify(free)
-        return TargetPlan(target, free, _queue_room(target, slots) - len(ends))
+        return TargetPlan(target, factor, free, _queue_room(target, slots) - len(ends))
+
+
+def current_factor(target: TargetLoad, mean_run_s: float, now_s: float) -> float:
+    """Return a target's run time factor as it looks now.
+
+    Tasks that are overdue raise it before they end, so that a straggler is noticed while it is
+    slow. A high factor that nothing has confirmed for a time fades, so that a target which has
+    recovered is tried again.
+    """
+    factor = target.factor
+    if factor > 1.0:
+        idle_s = max(0.0, now_s - target.learned_at_s)
+        factor = 1.0 + (factor - 1.0) * math.exp(-idle_s / FADE_S)
+    if not target.ends or mean_run_s <= 0.0:
+        return factor
+    overdue_s = sum(max(0.0, now_s - end_s) for end_s in target.ends.values()) / len(target.ends)
+    return factor + overdue_s / mean_run_s
 
 
 def _queue_room(target: TargetLoad, slots: int) -> int:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -41,6 +41,22 @@
         model.record = record
         trio.run(functools.partial(target.async_run, model, HOST, port, agent_url))
 
+    def agents(
+        self,
+        port: int,
+        count: int,
+        log_url: str,
+        secret: str,
+        service: str = "clocking",
+        slots: int = 8,
+        run_s: float = 0.05,
+    ) -> None:
+        """Run many agents in one process, on consecutive ports; each task takes run_s seconds."""
+        from . import agents
+
+        ports = range(port, port + count)
+        trio.run(agents.async_run, HOST, ports, log_url, secret, service, slots, float(run_s))
+
     def relay(self, port: int, to_port: int, control_port: int) -> None:
         """Relay TCP connections from one port to another."""
         from . import relay
--- /dev/null
+++ b/standins/agents.py
@@ -0,0 +1,57 @@
+"""Many agents in one process, with targets that only wait; for measuring an entry at size."""
+
+import trio
+
+from pistachiohill.agent.admission import TargetState
+from pistachiohill.agent.metrics import AgentMetrics
+from pistachiohill.agent.runner import TaskRunner
+from pistachiohill.agent.service import AgentService
+from pistachiohill.agent.target_client import TargetAnswer, TargetCall, TargetClient
+from pistachiohill.errors import Verdict
+from pistachiohill.platform_log.client import LogClient
+from pistachiohill.platform_log.models import Appended
+from pistachiohill.protocol.codec import encode_record
+from pistachiohill.settings.models import AgentSettings
+
+FOREVER_S = 1e12
+
+
+class WaitingTarget(TargetClient):
+    """Answers every task after a fixed time."""
+
+    def __init__(self, run_s: float) -> None:
+        """Keep the time that each task takes."""
+        super().__init__()
+        self._run_s = run_s
+
+    async def async_call(self, url: str, call: TargetCall) -> TargetAnswer:
+        """Wait and succeed."""
+        await trio.sleep(self._run_s)
+        return TargetAnswer(Verdict.RAN, None, 200, b"done")
+
+
+async def async_run(
+    host: str, ports: range, log_url: str, secret: str, service: str, slots: int, run_s: float
+) -> None:
+    """Run one agent on each port until cancelled."""
+    log = LogClient(log_url)
+    metrics = AgentMetrics()
+    async with trio.open_nursery() as nursery:
+        for port in ports:
+            settings = AgentSettings(
+                name=f"agent{port}",
+                domain="domain",
+                peer_host=host,
+                peer_port=port,
+                log_url=log_url,
+                secret=secret,
+            )
+            runner = TaskRunner(settings, nursery, WaitingTarget(run_s), metrics)
+            runner.target = TargetState(service, "http://none", slots, False, FOREVER_S)
+            agent = AgentService(settings, runner, metrics)
+            await nursery.start(agent.async_serve_links)
+            outcome = await log.async_append(encode_record(agent.announcement()))
+            assert isinstance(outcome, Appended), outcome
+            agent.announced(outcome.offset)
+            nursery.start_soon(agent.async_heartbeat)
+            nursery.start_soon(runner.async_expire)
