--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -1,10 +1,8 @@
-"""Place the waiting tasks of this entry's submissions at agents, and settle what they report."""
+"""Send this entry's tasks to agents, and settle what they report."""
 
-import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import trio
-from attrs import define, field
 
 from .. import clock, logs
 from ..consortium.view import ConsortiumView
@@ -20,17 +18,12 @@
     TaskReports,
     TaskStart,
 )
-from ..scheduling.estimates import RunEstimates
-from ..scheduling.fair_queue import FairQueue, MemberQueue
-from ..scheduling.models import TargetLoad
-from ..scheduling.plan import Slot, SlotPlan
-from ..scheduling.policy import ExpectedCompletion, PolicyObject, choose, make_policy
 from ..scheduling.quarantine import Quarantine, RuleObject, make_rule
 from ..settings.const import ROOT_PATH
-from ..settings.models import JobSettings
-from ..submissions.models import JobAnswer, JobRequest, Submission, Task, failed
+from ..submissions.models import JobAnswer, Submission, Task, failed
 from .accounting import Accounting
 from .agents import Agent, AgentDirectory, AgentEvents
+from .waiting import Placement, WaitingTasks
 
 FATAL_REASONS = frozenset({RefusalReason.SEALED, RefusalReason.EXPIRED_ID, RefusalReason.INVALID})
 AWAY_REASONS = frozenset({RefusalReason.LEAVING, RefusalReason.DOMAIN_OUT, RefusalReason.STOPPING})
@@ -50,28 +43,9 @@
     }
 )
 TICK_S = 0.25
-MAX_PLANNED_TASKS = 2000
 MIN_TIMEOUT_S = 0.01
 
 
-@define(slots=True)
-class Placement:
-    """A task that is to be placed at an agent; `end_s` is the boot time of its expected end."""
-
-    agent: Agent
-    submission: Submission
-    task: Task
-    end_s: float
-
-
-@define
-class ServiceQueue:
-    """The waiting submissions of one service and the number of their waiting tasks."""
-
-    fair: FairQueue[Submission] = field(factory=FairQueue)
-    waiting_tasks: int = 0
-
-
 class Dispatcher(AgentEvents):
     """Owns the submissions of this entry incarnation."""
 
@@ -85,13 +59,10 @@
         """Start with no submission."""
         self._view_confirmed_at = view_confirmed_at
         self.submissions: dict[str, Submission] = {}
-        self.estimates = RunEstimates()
+        self.waiting = WaitingTasks(view, directory, accounting)
         self._view = view
         self._directory = directory
         self._accounting = accounting
-        self._queues: dict[str, ServiceQueue] = {}
-        self._policy: PolicyObject = make_policy("expected_completion")
-        self._policy_name = "expected_completion"
         self._quarantine = Quarantine()
         self._rule: RuleObject = make_rule("consecutive")
         self._rule_name = "consecutive"
@@ -115,7 +86,7 @@
     def submit(self, submission: Submission, now_s: float) -> None:
         """Take on a submission and place what can be placed at once."""
         self.submissions[submission.submission_id] = submission
-        self._enqueue(submission)
+        self.waiting.add(submission)
         logs.event(
             "job_accepted",
             submission=submission.submission_id,
@@ -135,48 +106,24 @@
         for submission in list(self.submissions.values()):
             await submission.done.wait()
 
-    def waiting_tasks(self, member: str) -> int:
-        """Return how many tasks of a member wait here."""
-        return sum(
-            len(item.waiting)
-            for queue in self._queues.values()
-            for item in queue.fair.items_of(member)
-        )
-
-    def backlog_s(self, request: JobRequest, settings: JobSettings) -> float:
-        """Return the expected time until a new job's first task would start.
-
-        Only the tasks that fair queueing serves first count: the member's own, and as many of the
-        other members' as their weights allow in the meantime.
-        """
-        slots = sum(agent.load.slots for agent in self._agents_of(settings.service))
-        queue = self._queues.get(settings.service)
-        if not slots or queue is None:
-            return 0.0
-        own_s = self._waiting_run_s(queue.fair.items_of(request.member))
-        rest_s = self._waiting_run_s(queue.fair.all_items()) - own_s
-        weights = queue.fair.total_weight(request.member, settings.weight)
-        others_s = min(rest_s, own_s * (weights - settings.weight) / settings.weight)
-        return (own_s + others_s) / slots
-
-    def _waiting_run_s(self, submissions: Iterable[Submission]) -> float:
-        return sum(
-            len(item.waiting) * self.estimates.job_s(item.request.path) for item in submissions
-        )
-
-    def has_target(self, service: str) -> bool:
-        """Return whether any agent of a service accepts tasks."""
-        return any(True for _ in self._agents_of(service))
-
     def place(self, now_s: float) -> None:
         """Place waiting tasks in fair order as far as there is room."""
-        self._refresh_policy()
-        max_age_s = self._view.state.settings(ROOT_PATH).view_max_age_s
-        if now_s - self._view_confirmed_at(now_s) > max_age_s:
+        root = self._view.state.settings(ROOT_PATH)
+        self._refresh_rule(root.quarantine)
+        if now_s - self._view_confirmed_at(now_s) > root.view_max_age_s:
             return
-        for service, queue in self._queues.items():
-            if queue.waiting_tasks > 0:
-                self._place_service(service, queue, now_s)
+        batches: dict[tuple[str, str], list[Placement]] = {}
+        for placement in self.waiting.place(now_s):
+            self._assign(placement)
+            key = (placement.agent.incarnation, placement.submission.submission_id)
+            batches.setdefault(key, []).append(placement)
+        for batch in batches.values():
+            self._send(batch, now_s)
+
+    def _refresh_rule(self, name: str) -> None:
+        if name != self._rule_name:
+            self._rule_name = name
+            self._rule = make_rule(name)
 
     # Events from agents
 
@@ -225,152 +172,6 @@
         for listener in self._seal_listeners:
             listener.seal_replied(agent, message, now_s)
 
-    # Placing
-
-    def _refresh_policy(self) -> None:
-        name = self._view.state.settings(ROOT_PATH).policy
-        if name != self._policy_name:
-            self._policy_name = name
-            self._policy = make_policy(name)
-        rule = self._view.state.settings(ROOT_PATH).quarantine
-        if rule != self._rule_name:
-            self._rule_name = rule
-            self._rule = make_rule(rule)
-
-    def _agents_of(self, service: str) -> list[Agent]:
-        return [
-            agent
-            for agent in self._directory.agents.values()
-            if agent.link is not None and agent.accepting and agent.service == service
-        ]
-
-    def _place_service(self, service: str, queue: ServiceQueue, now_s: float) -> None:
-        targets = [
-            agent.load
-            for agent in self._agents_of(service)
-            if now_s >= agent.load.quarantined_until_s
-            and not self._view.state.domain_is_out(agent.load.domain)
-        ]
-        if isinstance(self._policy, ExpectedCompletion):
-            placements = self._plan(queue, targets, now_s)
-        else:
-            placements = self._bind_at_once(queue, targets, now_s)
-        batches: dict[tuple[str, str], list[Task]] = {}
-        for placement in placements:
-            self._assign(placement)
-            key = (placement.agent.incarnation, placement.submission.submission_id)
-            batches.setdefault(key, []).append(placement.task)
-        queue.waiting_tasks -= len(placements)
-        for (incarnation, submission_id), tasks in batches.items():
-            agent = self._directory.agents[incarnation]
-            self._send(agent, self.submissions[submission_id], tasks, now_s)
-
-    def _plan(
-        self, queue: ServiceQueue, targets: list[TargetLoad], now_s: float
-    ) -> list[Placement]:
-        """Bind the tasks whose planned slot frees up within the horizon."""
-        root = self._view.state.settings(ROOT_PATH)
-        order = queue.fair.in_order()
-        first = order.first()
-        if first is None:
-            return []
-        mean_s = self.estimates.job_s(first.items[0].request.path)
-        plan = SlotPlan(targets, now_s, root.horizon_s, root.ramp_s, mean_s)
-        planned: dict[str, int] = {}
-        placements: list[Placement] = []
-        for _ in range(MAX_PLANNED_TASKS):
-            member = order.first()
-            if member is None or not plan.has_room():
-                break
-            submission = self._next_submission(member, planned)
-            if submission is None or self._at_quota(submission):
-                order.leave()
-                continue
-            run_s = self.estimates.job_s(submission.request.path)
-            slot = plan.take(run_s, self._usable(submission, targets))
-            if slot is None:
-                order.leave()
-            elif plan.bind(slot):
-                placements.append(self._bind(member, submission, slot))
-                order.served(run_s)
-            else:
-                held = planned.get(submission.submission_id, 0)
-                planned[submission.submission_id] = held + 1
-                order.planned(run_s)
-        return placements
-
-    def _bind_at_once(
-        self, queue: ServiceQueue, targets: list[TargetLoad], now_s: float
-    ) -> list[Placement]:
-        """Bind tasks by a simple policy as long as any target has room."""
-        ramp_s = self._view.state.settings(ROOT_PATH).ramp_s
-        rooms = {
-            target.name: target.allowed(now_s, ramp_s, target.queue_limit) - target.load
-            for target in targets
-        }
-        order = queue.fair.in_order()
-        placements: list[Placement] = []
-        while (member := order.first()) is not None:
-            submission = self._next_submission(member, {})
-            if submission is None or self._at_quota(submission):
-                order.leave()
-                continue
-            usable = self._usable(submission, targets)
-            target = choose(self._policy, [target for target in usable if rooms[target.name] > 0])
-            if target is None:
-                order.leave()
-                continue
-            rooms[target.name] -= 1
-            run_s = self.estimates.job_s(submission.request.path)
-            slot = Slot(target, now_s, now_s + run_s * target.factor)
-            placements.append(self._bind(member, submission, slot))
-            order.served(run_s)
-        return placements
-
-    def _next_submission(
-        self, member: MemberQueue[Submission], planned: dict[str, int]
-    ) -> Submission | None:
-        """Return the member's first submission with a task that is neither placed nor planned."""
-        while member.items and not member.items[0].waiting:
-            member.items.popleft()
-        for submission in member.items:
-            held = planned.get(submission.submission_id, 0) if planned else 0
-            if len(submission.waiting) > held and submission.answer is None:
-                return submission
-        return None
-
-    def _at_quota(self, submission: Submission) -> bool:
-        running = self._accounting.running(submission.request.member)
-        return running >= submission.settings.max_running_tasks
-
-    def _usable(self, submission: Submission, targets: list[TargetLoad]) -> list[TargetLoad]:
-        """Return the targets that may take a submission's next task."""
-        task = submission.waiting[0]
-        if task.refused_by and self._refused_by_all(task, submission.settings.service):
-            task.refused_by.clear()
-        allowed = submission.settings.domains_allowed
-        return [
-            target
-            for target in targets
-            if target.name not in task.refused_by
-            and (not allowed or target.domain in allowed)
-            and self._directory.agents[target.name].announce_offset <= submission.issued_offset
-        ]
-
-    def _refused_by_all(self, task: Task, service: str) -> bool:
-        return task.refused_by.issuperset(agent.incarnation for agent in self._agents_of(service))
-
-    def _bind(
-        self, member: MemberQueue[Submission], submission: Submission, slot: Slot
-    ) -> Placement:
-        """Take the submission's next task out of its queue."""
-        task = submission.waiting.popleft()
-        if not submission.waiting:
-            member.items.remove(submission)
-        self._accounting.started(submission.request.member)
-        agent = self._directory.agents[slot.target.name]
-        return Placement(agent, submission, task, slot.end_s)
-
     def _assign(self, placement: Placement) -> None:
         agent, submission, task = placement.agent, placement.submission, placement.task
         task.attempt += 1
@@ -381,7 +182,10 @@
         agent.load.outstanding += 1
         agent.load.ends[key] = placement.end_s
 
-    def _send(self, agent: Agent, submission: Submission, tasks: list[Task], now_s: float) -> None:
+    def _send(self, batch: list[Placement], now_s: float) -> None:
+        """Send the placements of one submission at one agent in one message."""
+        agent, submission = batch[0].agent, batch[0].submission
+        tasks = [placement.task for placement in batch]
         assert agent.link is not None
         settings = submission.settings
         left_s = max(0.0, submission.deadline_s - now_s)
@@ -429,7 +233,7 @@
         if submission.failure is not None and report.verdict == Verdict.RAN:
             self._accounting.wasted("cancelled_after_start")
         if report.verdict == Verdict.RAN and not report.reason:
-            self.estimates.learn(submission.request.path, agent.load.speed, report.run_s)
+            self.waiting.estimates.learn(submission.request.path, agent.load.speed, report.run_s)
             agent.load.learned_at_s = now_s
         self._keep(submission, task, report, now_s)
 
@@ -440,7 +244,7 @@
         ok = report.verdict == Verdict.RAN and not report.reason
         if not ok and report.reason not in TARGET_REASONS:
             return
-        pool = [item.load for item in self._agents_of(agent.service)]
+        pool = [item.load for item in self.waiting.agents_of(agent.service)]
         path = submission.request.path
         if self._quarantine.observe(self._rule, agent.load, pool, path, ok, now_s):
             until_s = agent.load.quarantined_until_s - now_s
@@ -464,8 +268,7 @@
             self._keep(submission, task, report, now_s)
             return
         task.agent = ""
-        submission.waiting.appendleft(task)
-        self._enqueue(submission, count=1, front=True)
+        self.waiting.add_back(submission, task)
         self._work.set()
 
     def _keep(self, submission: Submission, task: Task, report: TaskReport, now_s: float) -> None:
@@ -487,7 +290,7 @@
         """Stop a submission: drop what waits, cancel what is queued at agents, then answer."""
         submission.failure = reason
         submission.failure_detail = detail
-        self._drop_waiting(submission)
+        self.waiting.drop(submission)
         for agent in self._directory.agents.values():
             if agent.link is None or not agent.outstanding:
                 continue
@@ -535,26 +338,6 @@
             elapsed_s=now_s - submission.submitted_at_s,
         )
 
-    def _enqueue(
-        self, submission: Submission, count: int | None = None, *, front: bool = False
-    ) -> None:
-        service = submission.settings.service
-        queue = self._queues.setdefault(service, ServiceQueue())
-        queue.waiting_tasks += len(submission.waiting) if count is None else count
-        if count is not None and len(submission.waiting) > count:
-            return
-        member = submission.request.member
-        queue.fair.push(member, submission.settings.weight, submission, front=front)
-
-    def _drop_waiting(self, submission: Submission) -> None:
-        queue = self._queues.get(submission.settings.service)
-        if queue is None or not submission.waiting:
-            return
-        queue.waiting_tasks -= len(submission.waiting)
-        submission.unsettled -= len(submission.waiting)
-        submission.waiting.clear()
-        queue.fair.remove(submission.request.member, submission)
-
     def _expire(self, now_s: float) -> None:
         for submission in list(self.submissions.values()):
             if submission.answer is None and now_s >= submission.deadline_s:
@@ -571,8 +354,3 @@
         for submission_id in old:
             del self.submissions[submission_id]
         return len(old)
-
-
-def jitter(value_s: float) -> float:
-    """Return a time spread by a tenth, so that callers do not come back together."""
-    return value_s * random.uniform(0.9, 1.1)
--- a/pistachiohill/entry/owner.py
+++ b/pistachiohill/entry/owner.py
@@ -1,5 +1,6 @@
 """Take, forward or recover submissions: the same call at any entry gives the same answer."""
 
+import random
 from collections.abc import Callable
 
 import trio
@@ -17,7 +18,7 @@
 from ..submissions.models import JobAnswer, JobRequest, failed, new_submission, refused
 from .accounting import Accounting
 from .const import OWNER_LINK_GRACE_S, RETRY_AFTER_S
-from .dispatcher import Dispatcher, jitter
+from .dispatcher import Dispatcher
 from .peers import PeerDirectory
 from .recovery import Recovery
 
@@ -225,25 +226,25 @@
     def _refuse(self, request: JobRequest, settings: JobSettings, now_s: float) -> JobAnswer | None:
         """Return why a new job is turned away, if so; nothing of it has run."""
         count = len(request.payloads)
-        retry_s = jitter(RETRY_AFTER_S)
+        retry_s = _jitter(RETRY_AFTER_S)
         if self.stopping:
             return refused(RefusalReason.STOPPING, "this entry is stopping", retry_s, count)
         view_age_s = now_s - self._view_confirmed_at(now_s)
         if view_age_s > settings.view_max_age_s:
             detail = f"the settings in force have not been confirmed for {view_age_s:.1f} s"
             return refused(RefusalReason.STALE_VIEW, detail, retry_s, count)
-        if not self._dispatcher.has_target(settings.service):
+        if not self._dispatcher.waiting.has_target(settings.service):
             detail = f"no target of service {settings.service!r} takes tasks"
             return refused(RefusalReason.NO_TARGET, detail, retry_s, count)
-        waiting = self._dispatcher.waiting_tasks(request.member)
+        waiting = self._dispatcher.waiting.count(request.member)
         if waiting + count > settings.max_queued_tasks:
             detail = f"{waiting} tasks of this member wait already"
             return refused(RefusalReason.MEMBER_QUEUE, detail, retry_s, count)
         limit_s = min(request.deadline_s or settings.deadline_s, settings.deadline_s)
-        backlog_s = self._dispatcher.backlog_s(request, settings)
+        backlog_s = self._dispatcher.waiting.backlog_s(request, settings)
         if backlog_s > limit_s:
             detail = f"tasks wait about {backlog_s:.1f} s, the deadline is {limit_s:.1f} s"
-            return refused(RefusalReason.OVERLOAD, detail, jitter(backlog_s - limit_s), count)
+            return refused(RefusalReason.OVERLOAD, detail, _jitter(backlog_s - limit_s), count)
         return None
 
 
@@ -255,3 +256,8 @@
         0,
         0,
     )
+
+
+def _jitter(value_s: float) -> float:
+    """Return a time spread by a tenth, so that callers do not come back together."""
+    return value_s * random.uniform(0.9, 1.1)
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -20,15 +20,6 @@
 FADE_S = 30.0
 
 
-@frozen
-class Slot:
-    """Where a task is expected to run; times are boot times."""
-
-    target: TargetLoad
-    start_s: float
-    end_s: float
-
-
 @define
 class TargetPlan:
     """Expected times at which a target's slots become free, as a heap."""
@@ -38,6 +29,19 @@
     free_s: list[float]
     room: int
 
+    def end_s(self, run_s: float) -> float:
+        """Return when a task would end in the slot that frees up first."""
+        return self.free_s[0] + run_s * self.factor
+
+
+@frozen
+class Slot:
+    """Where a task is expected to run; times are boot times."""
+
+    plan: TargetPlan
+    start_s: float
+    end_s: float
+
 
 class SlotPlan:
     """The slots of all usable targets for one round of placement."""
@@ -55,38 +59,56 @@
         self._now_s = now_s
         plans = (self._plan(target, ramp_s, mean_run_s) for target in targets)
         self._plans = [plan for plan in plans if plan is not None]
+        usable = (plan for plan in self._plans if plan.free_s[0] <= self._limit_s)
+        self._room = sum(max(0, plan.room) for plan in usable)
+        self._ends: list[tuple[float, int]] = []
+        self._ends_run_s = 0.0
 
     def has_room(self) -> bool:
-        """Return whether any slot frees up within the horizon."""
-        return any(plan.room > 0 and plan.free_s[0] <= self._limit_s for plan in self._plans)
+        """Return whether any target may still be given a task."""
+        return self._room > 0
 
     def take(self, run_s: float, usable: Sequence[TargetLoad] | None) -> Slot | None:
         """Give the next task its slot; `run_s` is its run time at a target of factor 1.
 
         `usable` limits the choice of targets. None is returned when there is no target.
         """
-        best: TargetPlan | None = None
-        best_end_s = 0.0
-        for plan in self._plans:
-            if usable is not None and plan.target not in usable:
-                continue
-            end_s = plan.free_s[0] + run_s * plan.factor
-            if best is None or end_s < best_end_s:
-                best, best_end_s = plan, end_s
-        if best is None:
+        if usable is not None:
+            self._ends = []
+            return self._take_among([p for p in self._plans if p.target in usable], run_s)
+        if not self._plans:
             return None
-        slot = Slot(best.target, best.free_s[0], best_end_s)
-        heapreplace(best.free_s, best_end_s)
+        if not self._ends or run_s != self._ends_run_s:
+            self._order_by_end(run_s)
+        _, number = self._ends[0]
+        plan = self._plans[number]
+        slot = self._occupy(plan, run_s)
+        heapreplace(self._ends, (plan.end_s(run_s), number))
         return slot
 
     def bind(self, slot: Slot) -> bool:
         """Return whether a slot's task is to be bound now, and count it against the room."""
-        plan = next(plan for plan in self._plans if plan.target is slot.target)
-        if slot.start_s > self._limit_s or plan.room <= 0:
+        if slot.start_s > self._limit_s or slot.plan.room <= 0:
             return False
-        plan.room -= 1
+        slot.plan.room -= 1
+        self._room -= 1
         return True
 
+    def _order_by_end(self, run_s: float) -> None:
+        """Order all targets by when a task of a run time would end there."""
+        self._ends_run_s = run_s
+        self._ends = [(plan.end_s(run_s), number) for number, plan in enumerate(self._plans)]
+        heapify(self._ends)
+
+    def _take_among(self, plans: list[TargetPlan], run_s: float) -> Slot | None:
+        best = min(plans, key=lambda plan: plan.end_s(run_s), default=None)
+        return None if best is None else self._occupy(best, run_s)
+
+    def _occupy(self, plan: TargetPlan, run_s: float) -> Slot:
+        slot = Slot(plan, plan.free_s[0], plan.end_s(run_s))
+        heapreplace(plan.free_s, slot.end_s)
+        return slot
+
     def _plan(self, target: TargetLoad, ramp_s: float, mean_run_s: float) -> TargetPlan | None:
         slots = target.allowed(self._now_s, ramp_s, 0)
         if slots <= 0:
