--- a/pistachiohill/cli/submit.py
+++ b/pistachiohill/cli/submit.py
@@ -36,13 +36,19 @@
     entries: list[str], token: str, job: str, payloads: list[bytes], deadline_s: float
 ) -> JobResult:
     client = Client(entries, token)
+    outcome: JobResult | ClientError
     async with trio.open_nursery() as nursery:
         if sys.stderr.isatty():
             nursery.start_soon(_async_show_progress, len(payloads))
-        result = await client.async_run(job, payloads, deadline_s)
+        try:
+            outcome = await client.async_run(job, payloads, deadline_s)
+        except ClientError as err:
+            outcome = err
         nursery.cancel_scope.cancel()
     await client.async_close()
-    return result
+    if isinstance(outcome, ClientError):
+        raise outcome
+    return outcome
 
 
 async def _async_show_progress(tasks: int) -> None:
--- a/pistachiohill/scheduling/quarantine.py
+++ b/pistachiohill/scheduling/quarantine.py
@@ -13,7 +13,7 @@
 from ..settings.const import QuarantineRule
 from .models import TargetLoad
 
-FIRST_QUARANTINE_S = 1.0
+FIRST_QUARANTINE_S = 4.0
 MAX_QUARANTINE_S = 60.0
 MAX_QUARANTINED_FRACTION = 0.5
 CONSECUTIVE_FAILURES = 3
