--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -5,16 +5,18 @@
 
 import trio
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-from websockets.trio.server import ServerConnection, serve
+from websockets.trio.server import ServerConnection
 
 from .. import clock, logs
 from ..const import PROTOCOL_VERSION, Role
 from ..errors import RefusalReason
 from ..http.models import Request, Response, invalid, json_response, read_object
 from ..http.server import HttpApp, Route, async_serve_http, route
-from ..protocol.codec import encode_frame
-from ..protocol.errors import HandshakeError
-from ..protocol.link import CLOSE_POLICY, WEBSOCKET_OPTIONS, Link, async_receive_hello
+from ..protocol.link import (
+    Link,
+    async_accept,
+    async_listen,
+)
 from ..protocol.models import (
     AnnounceRecord,
     CancelTasks,
@@ -56,9 +58,12 @@
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Accept links from entries until cancelled."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._async_listen)
-            task_status.started()
+        await async_listen(
+            self._async_link,
+            self._settings.peer_host,
+            self._settings.peer_port,
+            task_status=task_status,
+        )
 
     async def async_serve_http(
         self, stopping: trio.Event, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -101,31 +106,13 @@
                 continue
             self._runner.tell_entries(now_s)
 
-    async def _async_listen(
-        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        async with trio.open_nursery() as nursery:
-            await nursery.start(
-                lambda task_status: serve(
-                    self._async_link,
-                    self._settings.peer_port,
-                    host=self._settings.peer_host,
-                    task_status=task_status,
-                    **WEBSOCKET_OPTIONS,  # type: ignore[arg-type]
-                )
-            )
-            task_status.started()
-
     async def _async_link(self, connection: ServerConnection) -> None:
         now_s = clock.boot_s()
-        try:
-            hello = await async_receive_hello(connection, self._settings.secret, self.incarnation)
-        except HandshakeError as err:
-            logs.warning("hello_refused", detail=err)
-            await connection.aclose(CLOSE_POLICY, str(err)[:100])
+        offset = self._runner.announce_offset
+        reply = HelloReply(PROTOCOL_VERSION, self.incarnation, offset, now_s)
+        hello = await async_accept(connection, self._settings.secret, reply)
+        if hello is None:
             return
-        reply = HelloReply(PROTOCOL_VERSION, self.incarnation, self._runner.announce_offset, now_s)
-        await connection.send(encode_frame([reply]))
         link = Link(connection, hello.incarnation, now_s)
         self._runner.links.add(link)
         link.send(self._runner.state(now_s))
--- a/pistachiohill/cli/main.py
+++ b/pistachiohill/cli/main.py
@@ -134,49 +134,37 @@
 
 
 class Domain:
-    """Failure domains: take out and bring back."""
+    """Failure domains: take out and bring back.
 
-    def out(
-        self,
-        domain: str,
-        expected_version: int = -1,
-        change_id: str = "",
-        author: str = "",
-        entries: str = "",
-        token: str = "",
-    ) -> None:
+    Both commands take --expected_version, --change_id, --author, --entries and --token, as
+    `config publish` does.
+    """
+
+    def out(self, domain: str, **options: Any) -> None:
         """Take a failure domain out: queued tasks move elsewhere, running ones finish."""
-        self._put(domain, True, expected_version, change_id, author, entries, token)
+        _put_domain(domain, True, **options)
 
-    def back(
-        self,
-        domain: str,
-        expected_version: int = -1,
-        change_id: str = "",
-        author: str = "",
-        entries: str = "",
-        token: str = "",
-    ) -> None:
+    def back(self, domain: str, **options: Any) -> None:
         """Bring a failure domain back; its targets ramp up over ramp_s seconds."""
-        self._put(domain, False, expected_version, change_id, author, entries, token)
+        _put_domain(domain, False, **options)
 
-    def _put(
-        self,
-        domain: str,
-        out: bool,
-        expected_version: int,
-        change_id: str,
-        author: str,
-        entries: str,
-        token: str,
-    ) -> None:
-        value = {
-            "out": out,
-            "expected_version": expected_version,
-            "change_id": str(change_id) or secrets.token_hex(8),
-            "author": str(author),
-        }
-        _finish(_operator(entries, token), "PUT", f"/v1/operator/domains/{domain}", value)
+
+def _put_domain(
+    domain: str,
+    out: bool,
+    expected_version: int = -1,
+    change_id: str = "",
+    author: str = "",
+    entries: str = "",
+    token: str = "",
+) -> None:
+    value = {
+        "out": out,
+        "expected_version": expected_version,
+        "change_id": str(change_id) or secrets.token_hex(8),
+        "author": str(author),
+    }
+    _finish(_operator(entries, token), "PUT", f"/v1/operator/domains/{domain}", value)
 
 
 class PistachioHill:
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -6,7 +6,6 @@
 
 import trio
 from attrs import define, field
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
 from websockets.trio.client import connect
 
 from .. import clock, logs
@@ -16,6 +15,7 @@
 from ..const import PROTOCOL_VERSION
 from ..protocol.errors import HandshakeError
 from ..protocol.link import (
+    CONNECT_ERRORS,
     WEBSOCKET_OPTIONS,
     Link,
     LinkCounters,
@@ -202,7 +202,7 @@
                 if "wrong incarnation" in str(err):
                     self._lose(agent, events, "replaced")
                     return
-            except (OSError, InvalidHandshake, ConnectionClosed, TimeoutError, EOFError) as err:
+            except CONNECT_ERRORS as err:
                 refused = refused + 1 if was_refused(err) else 0
                 logs.event("agent_unreachable", agent=agent.incarnation, detail=repr(err))
             agent.link = None
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -6,22 +6,21 @@
 
 import trio
 from attrs import define
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
 from websockets.trio.client import connect
-from websockets.trio.server import ServerConnection, serve
+from websockets.trio.server import ServerConnection
 
 from .. import clock, logs
 from ..consortium.const import NO_OFFSET
 from ..consortium.view import ConsortiumView
 from ..const import PROTOCOL_VERSION, VIEW_EXCHANGE_INTERVAL_S
-from ..protocol.codec import encode_frame
 from ..protocol.errors import HandshakeError
 from ..protocol.link import (
-    CLOSE_POLICY,
+    CONNECT_ERRORS,
     WEBSOCKET_OPTIONS,
     Link,
     LinkCounters,
-    async_receive_hello,
+    async_accept,
+    async_listen,
     async_send_hello,
     first_error,
 )
@@ -155,16 +154,12 @@
         """Accept links from other entries until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await nursery.start(
-                lambda task_status: serve(
-                    self._async_accept,
-                    self._settings.peer_port,
-                    host=self._settings.peer_host,
-                    task_status=task_status,
-                    **WEBSOCKET_OPTIONS,  # type: ignore[arg-type]
-                )
+            await async_listen(
+                self._async_accept,
+                self._settings.peer_host,
+                self._settings.peer_port,
+                task_status=task_status,
             )
-            task_status.started()
 
     async def async_run(self) -> None:
         """Dial every known entry and pass views on for as long as the process runs."""
@@ -213,14 +208,7 @@
             opened_s = clock.boot_s()
             try:
                 await self._async_dial(host, port)
-            except (
-                HandshakeError,
-                OSError,
-                InvalidHandshake,
-                ConnectionClosed,
-                TimeoutError,
-                EOFError,
-            ) as err:
+            except (HandshakeError, *CONNECT_ERRORS) as err:
                 logs.debug("peer_unreachable", host=host, port=port, detail=repr(err))
             if clock.boot_s() - opened_s > RECONNECT_MAX_S:
                 pause_s = RECONNECT_MIN_S
@@ -242,14 +230,10 @@
 
     async def _async_accept(self, connection: ServerConnection) -> None:
         now_s = clock.boot_s()
-        try:
-            hello = await async_receive_hello(connection, self._settings.secret, self._incarnation)
-        except HandshakeError as err:
-            logs.warning("hello_refused", detail=err)
-            await connection.aclose(CLOSE_POLICY, str(err)[:100])
-            return
         reply = HelloReply(PROTOCOL_VERSION, self._incarnation, NO_OFFSET, now_s)
-        await connection.send(encode_frame([reply]))
+        hello = await async_accept(connection, self._settings.secret, reply)
+        if hello is None:
+            return
         link = Link(connection, hello.incarnation, now_s, self.counters)
         await self._async_use(Peer(link, hello.stamp_s, now_s))
 
--- a/pistachiohill/protocol/link.py
+++ b/pistachiohill/protocol/link.py
@@ -5,12 +5,13 @@
 """
 
 import hmac
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 from attrs import define
-from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
 from websockets.trio.connection import Connection
+from websockets.trio.server import ServerConnection, serve
 
 from .. import logs
 from ..const import MAX_FRAME_BYTES, PROTOCOL_VERSION
@@ -22,6 +23,8 @@
 MAX_OUTBOX_MESSAGES = 100_000
 CLOSE_PROTOCOL_ERROR = 1002
 CLOSE_POLICY = 1008
+MAX_CLOSE_REASON_CHARS = 100
+CONNECT_ERRORS = (OSError, InvalidHandshake, ConnectionClosed, TimeoutError, EOFError)
 WEBSOCKET_OPTIONS = {
     "compression": None,
     "max_size": MAX_FRAME_BYTES,
@@ -140,6 +143,36 @@
     raise HandshakeError("no reply in time")
 
 
+async def async_listen(
+    handler: Callable[[ServerConnection], Awaitable[None]],
+    host: str,
+    port: int,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accept connections from other processes until cancelled."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            lambda task_status: serve(
+                handler, port, host=host, task_status=task_status, **WEBSOCKET_OPTIONS  # type: ignore[arg-type]
+            )
+        )
+        task_status.started()
+
+
+async def async_accept(
+    connection: ServerConnection, secret: str, reply: HelloReply
+) -> Hello | None:
+    """Answer a peer's Hello; close the connection and return None when it is refused."""
+    try:
+        hello = await async_receive_hello(connection, secret, reply.incarnation)
+    except HandshakeError as err:
+        logs.warning("hello_refused", detail=err)
+        await connection.aclose(CLOSE_POLICY, str(err)[:MAX_CLOSE_REASON_CHARS])
+        return None
+    await connection.send(encode_frame([reply]))
+    return hello
+
+
 async def async_receive_hello(connection: Connection, secret: str, incarnation: str) -> Hello:
     """Return a peer's valid Hello; raise HandshakeError otherwise."""
     with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
