--- /dev/null
+++ b/tests/entry/test_statuses.py
@@ -0,0 +1,34 @@
+"""Every failed answer has a status that agrees with its verdict."""
+
+from pistachiohill.const import JobState
+from pistachiohill.entry.caller_api import answer_response, failed_status
+from pistachiohill.errors import RefusalReason, Verdict
+from pistachiohill.submissions.models import JobAnswer, failed, refused
+
+from ..base import TestCase
+
+
+class StatusTest(TestCase):
+    def test_verdicts_and_statuses_agree(self) -> None:
+        for reason in RefusalReason:
+            ran = failed(reason, Verdict.RAN, "", 1, 1)
+            unknown = failed(reason, Verdict.MAY_HAVE_RUN, "", 1, 0)
+            not_run = refused(reason, "")
+            if reason != RefusalReason.EXPIRED_ID:
+                self.assertEqual((502, 504), (failed_status(ran), failed_status(unknown)))
+            self.assertIn(failed_status(not_run), (404, 409, 410, 429, 503, 504))
+
+    def test_retry_after_is_given_only_where_it_makes_sense(self) -> None:
+        again = answer_response("s", refused(RefusalReason.OVERLOAD, "", 2.2))
+        self.assertEqual("3", again.headers["retry-after"])
+        never = answer_response("s", failed(RefusalReason.TARGET_FAILED, Verdict.RAN, "", 1, 1))
+        self.assertNotIn("retry-after", never.headers)
+
+    def test_answers_travel_between_entries_unchanged(self) -> None:
+        answers = [
+            JobAnswer(JobState.COMPLETE, Verdict.RAN, 2, 2, (b"a", b"")),
+            JobAnswer(JobState.RUNNING, Verdict.MAY_HAVE_RUN, 5, 3),
+            refused(RefusalReason.OVERLOAD, "later", 1.5, 7),
+        ]
+        for answer in answers:
+            self.assertEqual(answer, JobAnswer.from_reply(answer.to_reply(1)))
--- a/tests/failures/test_platform_log.py
+++ b/tests/failures/test_platform_log.py
@@ -117,6 +117,24 @@
             await deployment.async_accepting(2, 4)
             await self.async_new_job_completes(deployment, [2])
 
+    async def test_domain_out_while_the_log_is_down(self) -> None:
+        """The operator is told that nothing was published, and nothing starts on a stale view."""
+        async with Deployment(spec(consortium_toml=LEASE_TOML)) as deployment:
+            await deployment.async_log_faults(down=True)
+            await self._async_stale(deployment)
+            status, problem = await deployment.async_domain("bern-a", out=True, change_id="out-1")
+            self.assertEqual((503, "not_run"), (status, problem["verdict"]))
+            client = deployment.client("brunner")
+            (submission_id,) = await client.async_ids()
+            result = await client.async_submit(submission_id, "clocking", [b"{}"] * 24, 5.0)
+            self.assertEqual(Verdict.NOT_RUN, getattr(result, "verdict", None))
+            self.assertEqual([], deployment.recorded_starts())
+            await deployment.async_log_faults(down=False)
+            status, fate = await deployment.async_domain("bern-a", out=True, change_id="out-1")
+            self.assertEqual((200, True), (status, fate["accepted"]))
+            await self.async_new_job_completes(deployment)
+            self.assertNotIn("bern-a", {start.domain for start in deployment.recorded_starts()})
+
     async def test_records_expired_before_a_process_starts(self) -> None:
         """A restarted deployment finds the settings in a snapshot, not in expired records."""
         async with Deployment(spec(entries=1, retention_s=4.0)) as deployment:
