--- a/pistachiohill/cli/submit.py
+++ b/pistachiohill/cli/submit.py
@@ -9,8 +9,6 @@
 from ..errors import Verdict
 from .const import ExitCode
 
-PROGRESS_INTERVAL_S = 0.5
-
 
 def run_submit(
     entries: list[str], token: str, job: str, payloads: list[bytes], deadline_s: float
@@ -36,27 +34,15 @@
     entries: list[str], token: str, job: str, payloads: list[bytes], deadline_s: float
 ) -> JobResult:
     client = Client(entries, token)
-    outcome: JobResult | ClientError
-    async with trio.open_nursery() as nursery:
-        if sys.stderr.isatty():
-            nursery.start_soon(_async_show_progress, len(payloads))
-        try:
-            outcome = await client.async_run(job, payloads, deadline_s)
-        except ClientError as err:
-            outcome = err
-        nursery.cancel_scope.cancel()
-    await client.async_close()
-    if isinstance(outcome, ClientError):
-        raise outcome
-    return outcome
+    progress = _show_progress if sys.stderr.isatty() else None
+    try:
+        return await client.async_run(job, payloads, deadline_s, progress)
+    finally:
+        await client.async_close()
 
 
-async def _async_show_progress(tasks: int) -> None:
-    started_s = trio.current_time()
-    while True:
-        elapsed_s = trio.current_time() - started_s
-        print(f"\rwaiting for {tasks} tasks, {elapsed_s:.1f} s", end="", file=sys.stderr)
-        await trio.sleep(PROGRESS_INTERVAL_S)
+def _show_progress(settled: int, total: int) -> None:
+    print(f"\r{settled} of {total} tasks settled", end="", file=sys.stderr, flush=True)
 
 
 def _result_value(result: JobResult) -> dict[str, object]:
--- a/pistachiohill/client.py
+++ b/pistachiohill/client.py
@@ -10,7 +10,7 @@
 
 import base64
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -22,6 +22,7 @@
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_MARGIN_S = 6.0
 PUT_WAIT_S = 20.0
+PROGRESS_WAIT_S = 0.5
 MAX_RETRY_PAUSE_S = 2.0
 RESUBMIT_PAUSE_S = 0.1
 
@@ -49,6 +50,7 @@
 
 
 JobResult = JobComplete | JobFailed
+Progress = Callable[[int, int], None]
 
 
 class ClientError(PistachiohillError):
@@ -91,7 +93,13 @@
             await trio.sleep(RESUBMIT_PAUSE_S)
         raise ClientError("no entry issued a submission id")
 
-    async def async_run(self, job: str, payloads: Sequence[bytes], deadline_s: float) -> JobResult:
+    async def async_run(
+        self,
+        job: str,
+        payloads: Sequence[bytes],
+        deadline_s: float,
+        progress: Progress | None = None,
+    ) -> JobResult:
         """Run a job and return its result, resubmitting under the same id when an answer is lost.
 
         A refusal under which nothing has run is tried again under a new id until the deadline.
@@ -99,7 +107,9 @@
         ends_s = trio.current_time() + deadline_s
         while True:
             (submission_id,) = await self.async_ids(1, job)
-            result = await self.async_submit(submission_id, job, payloads, deadline_s)
+            result = await self.async_submit(
+                submission_id, job, payloads, deadline_s, progress=progress
+            )
             if isinstance(result, JobComplete) or result.verdict != Verdict.NOT_RUN:
                 return result
             pause_s = min(max(result.retry_after_s, RESUBMIT_PAUSE_S), MAX_RETRY_PAUSE_S)
@@ -114,27 +124,43 @@
         payloads: Sequence[bytes],
         deadline_s: float,
         first_entry: int | None = None,
+        progress: Progress | None = None,
     ) -> JobResult:
-        """Submit under a given id until an entry gives the final answer."""
+        """Submit under a given id until an entry gives the final answer.
+
+        Once the job is known to be running it is only asked for; when an answer is lost it is put
+        again, at the next entry. `progress` is called with the settled and the total tasks.
+        """
+        wait_s = min(PUT_WAIT_S if progress is None else PROGRESS_WAIT_S, deadline_s)
         body = {
             "job": job,
             "deadline_s": deadline_s,
-            "wait_s": min(PUT_WAIT_S, deadline_s),
+            "wait_s": wait_s,
             "tasks": [{"payload_base64": base64.b64encode(item).decode()} for item in payloads],
         }
         if first_entry is not None:
             self._turn = first_entry
+        path = f"/v1/submissions/{submission_id}"
         ends_s = trio.current_time() + deadline_s + ANSWER_MARGIN_S
         resubmissions = 0
+        running = False
         while trio.current_time() < ends_s:
-            path = f"/v1/submissions/{submission_id}"
-            answer = await self._async_call("PUT", self._next_url(), path, body)
-            if answer is not None and answer.status != 202:
-                _raise_if_malformed(answer)
-                return _read_result(submission_id, answer, resubmissions)
-            resubmissions += 1
+            if running:
+                query = f"{path}?wait_s={wait_s}"
+                answer = await self._async_call("GET", self._next_url(), query, None, wait_s)
+            else:
+                answer = await self._async_call("PUT", self._next_url(), path, body, wait_s)
             if answer is None:
+                running = False
+                resubmissions += 1
                 await trio.sleep(RESUBMIT_PAUSE_S)
+            elif answer.status == 202:
+                running = True
+                if progress is not None:
+                    progress(int(answer.value["settled"]), int(answer.value["tasks"]))
+            else:
+                _raise_if_malformed(answer)
+                return _read_result(submission_id, answer, resubmissions)
         raise ClientError(f"no entry answered submission {submission_id}")
 
     async def async_cancel(self, submission_id: str) -> JobResult:
@@ -159,11 +185,16 @@
         return url
 
     async def _async_call(
-        self, method: str, url: str, path: str, value: dict[str, Any] | None
+        self,
+        method: str,
+        url: str,
+        path: str,
+        value: dict[str, Any] | None,
+        wait_s: float = 0.0,
     ) -> _Answer | None:
         """Return an answer, or None when it was lost on the way."""
         content = None if value is None else json.dumps(value).encode()
-        read_s = (value or {}).get("wait_s", 0.0) + ANSWER_MARGIN_S
+        read_s = wait_s + ANSWER_MARGIN_S
         timeouts = {"connect": CONNECT_TIMEOUT_S, "read": read_s, "write": read_s, "pool": read_s}
         try:
             response = await self._pool.request(
--- a/pistachiohill/entry/caller_api.py
+++ b/pistachiohill/entry/caller_api.py
@@ -2,7 +2,6 @@
 
 import base64
 import binascii
-import math
 from typing import Any
 
 from .. import logs
@@ -28,6 +27,7 @@
 from .owner import SubmissionService
 
 HEADER_VERDICT = "verdict"
+MAX_SECONDS = 3600
 NOT_RUN_STATUS: dict[RefusalReason, int] = {
     RefusalReason.CANCELLED: 409,
     RefusalReason.UNKNOWN_ID: 404,
@@ -89,7 +89,10 @@
         job, settings = self._job(member, value.get("job"))
         wait_s = self._wait_s(value.get("wait_s", self._settings.max_wait_s))
         job_request = JobRequest(
-            member, job, _read_tasks(value, settings), _read_deadline(value.get("deadline_s", 0.0))
+            member,
+            job,
+            _read_tasks(value, settings),
+            _read_number("deadline_s", value.get("deadline_s", 0.0)),
         )
         answer = await self._submissions.async_put(request.path_values[0], job_request, wait_s)
         return answer_response(request.path_values[0], answer)
@@ -115,7 +118,7 @@
             raise invalid("body", f"more than {settings.max_payload_bytes} bytes", 413)
         idempotent = _read_flag(request, "idempotent", settings.idempotent)
         timeout_s = _read_query_number(request, "timeout_s", settings.deadline_s)
-        timeout_s = min(_read_deadline(timeout_s) or settings.deadline_s, settings.deadline_s)
+        timeout_s = min(timeout_s or settings.deadline_s, settings.deadline_s)
         job_request = JobRequest(member, job, (request.body,), timeout_s)
         attempts = settings.max_request_attempts if idempotent else 1
         for attempt in range(1, attempts + 1):
@@ -148,9 +151,7 @@
         return job, self._view.state.settings(path)
 
     def _wait_s(self, value: object) -> float:
-        if type(value) not in (int, float) or not 0 <= float(str(value)) <= 3600:
-            raise invalid("wait_s", "expected a number of seconds from 0 to 3600")
-        return min(float(str(value)), self._settings.max_wait_s)
+        return min(_read_number("wait_s", value), self._settings.max_wait_s)
 
 
 def answer_response(submission_id: str, answer: JobAnswer) -> Response:
@@ -220,22 +221,21 @@
         raise invalid(f"tasks[{index}].payload_base64", str(err)) from err
 
 
-def _read_deadline(value: object) -> float:
-    if type(value) not in (int, float) or not math.isfinite(float(str(value))):
-        raise invalid("deadline_s", "expected a number of seconds")
-    if not 0 <= float(str(value)) <= 3600:
-        raise invalid("deadline_s", "expected 0 to 3600 seconds")
-    return float(str(value))
+def _read_number(name: str, value: object) -> float:
+    """Return a number of seconds; NaN and infinities are out of range like any other."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise invalid(name, "expected a number of seconds")
+    if not 0 <= value <= MAX_SECONDS:
+        raise invalid(name, f"expected 0 to {MAX_SECONDS} seconds")
+    return float(value)
 
 
 def _read_query_number(request: Request, name: str, default: float) -> float:
     try:
         value = float(request.query.get(name, default))
     except ValueError as err:
-        raise invalid(name, "expected a number") from err
-    if not math.isfinite(value) or value < 0:
-        raise invalid(name, "expected a number of at least 0")
-    return value
+        raise invalid(name, "expected a number of seconds") from err
+    return _read_number(name, value)
 
 
 def _read_flag(request: Request, name: str, default: bool) -> bool:
--- a/tests/failures/test_answers.py
+++ b/tests/failures/test_answers.py
@@ -43,6 +43,20 @@
             self.assertEqual(Verdict.MAY_HAVE_RUN, getattr(again, "verdict", None))
             self.assert_single_starts(deployment)
 
+    async def test_progress_of_a_running_job(self) -> None:
+        """The job is put once and asked for; the counts rise to the end."""
+        async with Deployment(spec()) as deployment:
+            seen: list[tuple[int, int]] = []
+            client = deployment.client("brunner")
+            result = await client.async_run(
+                "clocking", payloads(72, 0.5), 30.0, lambda *counts: seen.append(counts)
+            )
+            self.assertIsInstance(result, JobComplete, result)
+            self.assertEqual(0, getattr(result, "resubmissions", None))
+            self.assertEqual(sorted(seen), seen)
+            self.assertEqual({72}, {total for _, total in seen})
+            self.assert_single_starts(deployment)
+
     async def test_waiting_polling_and_resubmission_agree(self) -> None:
         async with Deployment(spec()) as deployment:
             client = deployment.client("brunner")
