Drop dead code and derivable state; build a change's fields once

A constant and a wait that nothing used go; the quarantine rule, which has no state, is made from the settings where a failure is judged instead of being kept and refreshed on every placing; the command line's two publishing commands share the fields of a change. Left: the outstanding count of a target's load equals the length of its expected ends and could be derived.

--- a/pistachiohill/cli/main.py
+++ b/pistachiohill/cli/main.py
@@ -63,6 +63,15 @@
         os._exit(ExitCode.FAILED)
 
 
+def _change(expected_version: int, change_id: str, author: str) -> dict[str, Any]:
+    """Return the fields that every change carries; a change without an id gets a random one."""
+    return {
+        "expected_version": expected_version,
+        "change_id": str(change_id) or secrets.token_hex(8),
+        "author": str(author),
+    }
+
+
 class Config:
     """Settings tree: consortium, consortium/MEMBER and consortium/MEMBER/JOB."""
 
@@ -102,9 +111,7 @@
         value = {
             "path": path,
             "values_toml": text,
-            "expected_version": expected_version,
-            "change_id": str(change_id) or secrets.token_hex(8),
-            "author": str(author),
+            **_change(expected_version, change_id, author),
         }
         _finish(_operator(entries, token), "POST", "/v1/operator/changes", value)
 
@@ -158,12 +165,7 @@
     entries: str = "",
     token: str = "",
 ) -> None:
-    value = {
-        "out": out,
-        "expected_version": expected_version,
-        "change_id": str(change_id) or secrets.token_hex(8),
-        "author": str(author),
-    }
+    value = {"out": out, **_change(expected_version, change_id, author)}
     _finish(_operator(entries, token), "PUT", f"/v1/operator/domains/{domain}", value)
 
 
--- a/pistachiohill/consortium/view.py
+++ b/pistachiohill/consortium/view.py
@@ -64,8 +64,3 @@
         """Wait until a log offset has been applied."""
         while self.state.offset < offset:
             await self.async_changed()
-
-    async def async_wait_loaded(self) -> None:
-        """Wait until there is a state to serve from."""
-        while not self.loaded:
-            await self.async_changed()
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -18,7 +18,7 @@
     TaskReports,
     TaskStart,
 )
-from ..scheduling.quarantine import Quarantine, RuleObject, make_rule
+from ..scheduling.quarantine import Quarantine, make_rule
 from ..settings.const import ROOT_PATH
 from ..submissions.models import JobAnswer, Submission, Task, failed
 from .accounting import Accounting
@@ -66,8 +66,6 @@
         self._directory = directory
         self._accounting = accounting
         self._quarantine = Quarantine()
-        self._rule: RuleObject = make_rule("consecutive")
-        self._rule_name = "consecutive"
         self._work = trio.Event()
         self._seal_listeners: list[AgentEvents] = []
 
@@ -112,7 +110,6 @@
     def place(self, now_s: float) -> None:
         """Place waiting tasks in fair order as far as there is room."""
         root = self._view.state.settings(ROOT_PATH)
-        self._refresh_rule(root.quarantine)
         if now_s - self._view_confirmed_at(now_s) > root.view_max_age_s:
             return
         batches: dict[tuple[str, str], list[Placement]] = {}
@@ -123,11 +120,6 @@
         for batch in batches.values():
             self._send(batch, now_s)
 
-    def _refresh_rule(self, name: str) -> None:
-        if name != self._rule_name:
-            self._rule_name = name
-            self._rule = make_rule(name)
-
     # Events from agents
 
     def agent_attached(self, agent: Agent, now_s: float) -> None:
@@ -251,8 +243,9 @@
         if ok:
             self._quarantine.succeeded(agent.load, path, now_s)
         else:
+            rule = make_rule(self._view.state.settings(ROOT_PATH).quarantine)
             pool = [item.load for item in self.waiting.agents_of(agent.service)]
-            if self._quarantine.failed(self._rule, agent.load, pool, path, now_s):
+            if self._quarantine.failed(rule, agent.load, pool, path, now_s):
                 until_s = agent.load.quarantined_until_s - now_s
                 logs.warning("target_quarantined", agent=agent.incarnation, for_s=until_s)
         agent.load.probation_limit = self._quarantine.limit(agent.load)
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -110,7 +110,7 @@
 
     def has_target(self, service: str) -> bool:
         """Return whether any agent of a service accepts tasks."""
-        return any(True for _ in self.agents_of(service))
+        return bool(self.agents_of(service))
 
     def place(self, now_s: float) -> list[Placement]:
         """Take out the tasks that are to be placed now, in fair order as far as there is room."""
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -14,7 +14,6 @@
 
 from .models import TargetLoad
 
-MAX_TARGETS_PER_TASK = 32
 OVERDUE_FRACTION = 0.2
 OTHERS_FRACTION = 0.5
 FADE_S = 30.0
