--- a/pistachiohill/agent/admission.py
+++ b/pistachiohill/agent/admission.py
@@ -1,34 +1,12 @@
 """Decide whether an agent may take or start tasks of a submission."""
 
-import math
-
-from attrs import define
-
 from ..errors import RefusalReason
 from ..submissions.identifiers import parse_submission_id
 from .const import MAX_CLOCK_SKEW_S
+from .models import TargetState
 from .view import AgentView
 
 
-@define
-class TargetState:
-    """What the target last announced of itself.
-
-    `expires_at_s` is the boot time until which the announcement holds; a target that stops
-    announcing itself gets no more work.
-    """
-
-    service: str = ""
-    url: str = ""
-    slots: int = 0
-    leaving: bool = False
-    expires_at_s: float = -math.inf
-
-    def is_present(self, now_s: float) -> bool:
-        """Return whether the target takes new work."""
-        return not self.leaving and self.slots > 0 and now_s <= self.expires_at_s
-
-
 def refuse_submission(
     submission_id: str, announce_offset: int, retention_s: float, now_wall_s: float
 ) -> RefusalReason | None:
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -1,15 +1,17 @@
 """Admit, start and report tasks: the agent's side of every submission."""
 
-from collections import deque
+from bisect import insort
+from collections.abc import Callable
 
 import trio
 from attrs import define
 
 from .. import clock, logs
 from ..const import TaskState
-from ..errors import RefusalReason, Verdict
+from ..errors import RefusalReason
 from ..protocol.link import Link
 from ..protocol.models import (
+    AgentLoad,
     AgentState,
     CancelTasks,
     FreshnessRequest,
@@ -20,24 +22,38 @@
     TaskRef,
     TaskReport,
     TaskReports,
+    TaskStart,
+    ViewStamp,
 )
+from ..scheduling.models import Demand
 from ..settings.models import AgentSettings
-from .admission import TargetState, refuse_start, refuse_submission
-from .const import EXPIRY_INTERVAL_S
+from .admission import refuse_start, refuse_submission
+from .const import ENTRY_LEASE_S, EXPIRY_INTERVAL_S, LEASE_CHECK_S
+from .leases import EntryLeases
 from .metrics import AgentMetrics
+from .models import TargetCall, TargetState, TaskTarget
+from .room import HeldTask, Room
 from .start_table import StartTable, SubmissionStarts
-from .target_client import TargetAnswer, TargetCall, TargetClient
 from .view import AgentView
 
 
-@define(slots=True)
+@define(eq=False, slots=True)
 class QueuedTask:
-    """A task that waits for a slot; `deadline_s` is a boot time."""
+    """A task that waits for room or runs; `deadline_s` is a boot time."""
 
     entry: SubmissionStarts
     ref: TaskRef
     deadline_s: float
     call: TargetCall
+    held: HeldTask
+    best_effort: bool
+    order: int
+    stop_reason: RefusalReason | None = None
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return the task's place in the queue."""
+        return self.held.priority, self.order
 
 
 @define(slots=True)
@@ -58,50 +74,78 @@
         self,
         settings: AgentSettings,
         nursery: trio.Nursery,
-        client: TargetClient,
+        target: TaskTarget,
         metrics: AgentMetrics,
     ) -> None:
         """Start idle; tasks run in `nursery`."""
         self.view = AgentView()
         self.target = TargetState()
         self.table = StartTable(settings.retention_s)
+        self.leases = EntryLeases(ENTRY_LEASE_S)
         self.links: set[Link] = set()
         self.announce_offset = -1
         self.stopping = False
-        self.running = 0
         self._settings = settings
         self._nursery = nursery
-        self._client = client
+        self._client = target
         self._metrics = metrics
-        self._queue: deque[QueuedTask] = deque()
+        self._room = Room()
+        self._queue: list[QueuedTask] = []
+        self._running: set[QueuedTask] = set()
         self._listeners: dict[str, Listener] = {}
         self._refresh_pending = False
         self._idle = trio.Event()
+        self._order = 0
+        self._load_changed = trio.Event()
 
     @property
     def occupied(self) -> int:
         """Return the number of tasks queued or running."""
-        return self.running + len(self._queue)
+        return self._room.all.tasks
+
+    @property
+    def free_cpu_m(self) -> int:
+        """Return the processor room that no task takes, negative while tasks are queued."""
+        return self.target.cpu_m - self._room.all.cpu_m
 
-    def state(self, now_s: float) -> AgentState:
-        """Return what entries are told of this agent."""
+    def is_accepting(self, now_s: float) -> bool:
+        """Return whether entries may place tasks here."""
         refusal = refuse_start(self.view, self.target, self.stopping, now_s)
+        known = self.announce_offset >= 0 or not self._settings.announce_first
+        return refusal is None and known and self._client.ready
+
+    @property
+    def load_changed(self) -> trio.Event:
+        """Return an event that is set when tasks come or go."""
+        return self._load_changed
+
+    def load_for(self, link: Link, now_s: float) -> AgentLoad:
+        """Return what the entry at a link is told of the others' load and of waits."""
+        queue = (task.held for task in self._queue)
+        return self._room.load_for(link.peer_incarnation, queue, self.target.cpu_m, now_s)
+
+    def state_for(self, link: Link, now_s: float) -> AgentState:
+        """Return what the entry at a link is told of this agent."""
         return AgentState(
             stamp_s=now_s,
             announce_offset=self.announce_offset,
             service=self.target.service,
-            slots=self.target.slots,
-            accepting=refusal is None and self.announce_offset >= 0,
-            occupied=self.occupied,
+            cpu_m=self.target.cpu_m,
+            mem_mb=self.target.mem_mb,
+            accepting=self.is_accepting(now_s),
+            load=self.load_for(link, now_s),
             applied_offset=self.view.offset,
             view_age_s=min(self.view.age_s(now_s), 1e9),
         )
 
     def tell_entries(self, now_s: float) -> None:
         """Send the agent's state to all entries."""
-        state = self.state(now_s)
         for link in self.links:
-            link.send(state)
+            self.tell(link, now_s)
+
+    def tell(self, link: Link, now_s: float) -> None:
+        """Send the agent's state to one entry."""
+        link.send(self.state_for(link, now_s))
 
     def detach(self, link: Link) -> None:
         """Forget a link that has ended."""
@@ -109,17 +153,21 @@
         for listener in self._listeners.values():
             listener.links.discard(link)
 
+    def merge_stamp(self, link: Link, stamp: ViewStamp, now_s: float) -> None:
+        """Merge what an entry says of the view, and extend its lease by the echo in it."""
+        self.view.merge(stamp, now_s)
+        self.leases.extend(link.peer_incarnation, stamp.echo_s, now_s)
+
     def start_tasks(self, link: Link, message: StartTasks, now_s: float) -> None:
-        """Admit the tasks of a message and start as many as there are slots."""
-        self.view.merge(message.view, now_s)
+        """Admit the tasks of a message and start as many as there is room for."""
+        self.merge_stamp(link, message.view, now_s)
         entry = self.table.open(message.submission_id, now_s)
         entry.member = message.member
         entry.task_count = message.task_count
         listener = self._listen(message.submission_id, link)
-        refusal = self._refuse_batch(message, now_s)
+        refusal = self._refuse_batch(link, message, now_s)
         for task in message.tasks:
-            ref = TaskRef(task.index, task.attempt)
-            self._admit(entry, ref, refusal, message, task.payload, now_s)
+            self._admit(entry, link, refusal, message, task, now_s)
         self._fill(now_s)
         self._flush_if_done(entry.submission_id, listener)
 
@@ -131,13 +179,18 @@
         settled = [report for report in reports if report.state != TaskState.QUEUED]
         settled = [report for report in settled if report.state != TaskState.RUNNING]
         listener.report_each = True
-        link.send(TaskReports(message.submission_id, now_s, self.occupied, settled))
+        load = self.load_for(link, now_s)
+        link.send(TaskReports(message.submission_id, now_s, load, settled))
 
     def cancel(self, message: CancelTasks, now_s: float) -> None:
-        """Settle all queued tasks of a submission as not run and refuse later ones."""
+        """Settle all queued tasks of a submission as not run and refuse later ones.
+
+        Running tasks of best-effort jobs are stopped; others go on, as their caller was told.
+        """
         entry = self.table.open(message.submission_id, now_s)
         entry.sealed = True
-        self._withdraw_queued(entry, RefusalReason.CANCELLED)
+        self._withdraw_entry(entry, RefusalReason.CANCELLED)
+        self._stop_running(lambda task: task.entry is entry, RefusalReason.CANCELLED)
         self._fill(now_s)
 
     def seal(self, link: Link, message: SealSubmissions, now_s: float) -> None:
@@ -145,17 +198,14 @@
         sealed = []
         for submission_id in message.submission_ids:
             entry = self.table.open(submission_id, now_s)
-            self._withdraw_queued(entry, RefusalReason.SEALED)
+            self._withdraw_entry(entry, RefusalReason.SEALED)
             sealed.append(self.table.seal(submission_id, now_s))
             self._listen(submission_id, link).report_each = True
         link.send(SealReply(message.request_id, self.announce_offset, sealed))
 
     def shed(self, reason: RefusalReason, now_s: float) -> int:
         """Settle every queued task as not run; running ones go on. Return how many were shed."""
-        count = 0
-        while self._queue:
-            task = self._queue.popleft()
-            count += self._withdraw(task, reason)
+        count = self._withdraw_queued(lambda _task: True, reason)
         if count:
             logs.event("tasks_shed", reason=reason, tasks=count)
         self.tell_entries(now_s)
@@ -179,11 +229,35 @@
         """Forget old submissions for as long as the process runs."""
         while True:
             await trio.sleep(EXPIRY_INTERVAL_S)
-            self.table.expire(clock.boot_s())
+            now_s = clock.boot_s()
+            self.table.expire(now_s)
+            self.leases.expire(now_s)
             gone = [key for key in self._listeners if self.table.find(key) is None]
             for submission_id in gone:
                 del self._listeners[submission_id]
 
+    async def async_watch_leases(self) -> None:
+        """End the best-effort tasks of entries whose lease has ended, for as long as it runs."""
+        while True:
+            await trio.sleep(LEASE_CHECK_S)
+            if self.occupied:
+                self.end_lapsed(clock.boot_s())
+
+    def end_lapsed(self, now_s: float) -> None:
+        """End the best-effort tasks of every entry whose lease has ended."""
+        for owner in list(self._room.by_owner):
+            if self.leases.holds(owner, now_s):
+                continue
+
+            def is_owners(task: QueuedTask, owner: str = owner) -> bool:
+                return task.best_effort and task.held.owner == owner
+
+            count = self._withdraw_queued(is_owners, RefusalReason.LEASE_ENDED)
+            count += self._stop_running(is_owners, RefusalReason.LEASE_ENDED)
+            if count:
+                age_s = self.leases.age_s(owner, now_s)
+                logs.warning("entry_lease_ended", entry=owner, tasks=count, age_s=age_s)
+
     def _listen(self, submission_id: str, link: Link) -> Listener:
         listener = self._listeners.get(submission_id)
         if listener is None:
@@ -191,27 +265,41 @@
         listener.links.add(link)
         return listener
 
-    def _refuse_batch(self, message: StartTasks, now_s: float) -> RefusalReason | None:
-        refusal = refuse_submission(
-            message.submission_id,
-            self.announce_offset,
-            self._settings.retention_s,
-            clock.wall_s(),
-        )
-        return refusal or refuse_start(self.view, self.target, self.stopping, now_s)
+    def _refuse_batch(self, link: Link, message: StartTasks, now_s: float) -> RefusalReason | None:
+        """Return why none of a message's tasks may be admitted, if so."""
+        if message.best_effort:
+            echo_s = message.view.echo_s
+            if not self.leases.is_recent(echo_s, now_s):
+                age_s = now_s - echo_s
+                logs.warning("start_stale", entry=link.peer_incarnation, age_s=age_s)
+                return RefusalReason.LEASE_ENDED
+        else:
+            refusal = refuse_submission(
+                message.submission_id,
+                self.announce_offset,
+                self._settings.retention_s,
+                clock.wall_s(),
+            )
+            if refusal is not None:
+                return refusal
+        if not self._client.ready:
+            return RefusalReason.TARGET_LOST
+        return refuse_start(self.view, self.target, self.stopping, now_s)
 
     def _admit(
         self,
         entry: SubmissionStarts,
-        ref: TaskRef,
+        link: Link,
         refusal: RefusalReason | None,
         message: StartTasks,
-        payload: bytes,
+        task: TaskStart,
         now_s: float,
     ) -> None:
-        limit = self.target.slots + self._settings.queue_tasks
-        if refusal is None and self.occupied >= limit:
-            refusal = RefusalReason.BUSY
+        ref = TaskRef(task.index, task.attempt)
+        demand = Demand(task.cpu_m, task.mem_mb)
+        if refusal is None and len(self._queue) >= self._settings.queue_tasks:
+            fits = self._room.fits(demand, self.target.cpu_m, self.target.mem_mb)
+            refusal = None if fits else RefusalReason.BUSY
         if refusal is not None:
             self._report(entry, self.table.refuse(entry, ref, refusal))
             return
@@ -219,36 +307,47 @@
         if known is not None:
             self._report(entry, known)
             return
-        call = TargetCall(
-            task_id=f"{message.submission_id}/{ref.index}",
-            member=message.member,
-            job=message.job,
-            payload=payload,
-            timeout_s=message.task_timeout_s,
-            refusal_is_not_run=message.refusal_is_not_run,
+        self._order += 1
+        held = HeldTask(link.peer_incarnation, demand, message.priority, task.run_s)
+        queued = QueuedTask(
+            entry,
+            ref,
+            now_s + message.deadline_in_s,
+            _target_call(message, task, demand),
+            held,
+            message.best_effort,
+            self._order,
         )
         self._listeners[entry.submission_id].unsettled += 1
-        self._queue.append(QueuedTask(entry, ref, now_s + message.deadline_in_s, call))
+        self._room.admit(held)
+        insort(self._queue, queued, key=lambda item: item.rank)
+        self._note_load()
 
     def _fill(self, now_s: float) -> None:
-        """Start queued tasks while there are free slots and the view allows it."""
-        while self._queue and self.running < max(1, self.target.slots):
+        """Start queued tasks while there is room and the view allows it."""
+        while self._queue and self._fits(self._queue[0]):
             if not self.view.is_fresh(now_s):
                 self._request_refresh(now_s)
                 return
-            task = self._queue.popleft()
+            task = self._queue.pop(0)
             refusal = refuse_start(self.view, self.target, self.stopping, now_s)
+            if not self._client.ready:
+                refusal = RefusalReason.TARGET_LOST
             if now_s >= task.deadline_s:
                 refusal = RefusalReason.DEADLINE
             if refusal is not None:
                 self._withdraw(task, refusal)
             elif self.table.start(task.entry, task.ref):
-                self.running += 1
+                self._room.start(task.held, now_s)
+                self._running.add(task)
                 self._nursery.start_soon(self._async_run, task)
             else:
                 self._withdraw(task, RefusalReason.SEALED)
         self._metrics.occupied.set(self.occupied)
 
+    def _fits(self, task: QueuedTask) -> bool:
+        return self._room.fits(task.held.demand, self.target.cpu_m, self.target.mem_mb)
+
     def _request_refresh(self, now_s: float) -> None:
         if self._refresh_pending:
             return
@@ -268,11 +367,13 @@
 
     async def _async_run(self, task: QueuedTask) -> None:
         started_s = clock.boot_s()
-        answer = TargetAnswer(Verdict.MAY_HAVE_RUN, RefusalReason.TARGET_TIMEOUT)
-        with trio.move_on_after(task.call.timeout_s):
-            answer = await self._client.async_call(self.target.url, task.call)
+        answer = await self._client.async_call(self.target.url, task.call)
         now_s = clock.boot_s()
-        self.running -= 1
+        self._running.discard(task)
+        self._room.release(task.held)
+        reason = answer.reason
+        if reason == RefusalReason.CANCELLED and task.stop_reason is not None:
+            reason = task.stop_reason
         report = TaskReport(
             index=task.ref.index,
             attempt=task.ref.attempt,
@@ -280,7 +381,7 @@
             verdict=answer.verdict,
             status_code=answer.status_code,
             body=answer.body,
-            reason=answer.reason or "",
+            reason=reason or "",
             run_s=now_s - started_s,
         )
         self.table.settle(task.entry, report)
@@ -288,6 +389,7 @@
         self._listeners[task.entry.submission_id].unsettled -= 1
         self._fill(now_s)
         self._report(task.entry, report)
+        self._note_load()
         if not self.occupied:
             self._idle.set()
 
@@ -298,32 +400,61 @@
         if report.reason:
             logs.event(
                 "task_failed",
-                task=task.call.task_id,
+                submission=task.entry.submission_id,
+                task=report.index,
+                attempt=report.attempt,
                 verdict=report.verdict,
                 reason=report.reason,
                 status=report.status_code,
                 run_s=report.run_s,
             )
-            return
-        logs.debug("task_ran", task=task.call.task_id, run_s=report.run_s)
+        else:
+            logs.debug(
+                "task_ran",
+                submission=task.entry.submission_id,
+                task=report.index,
+                attempt=report.attempt,
+                run_s=report.run_s,
+            )
 
-    def _withdraw(self, task: QueuedTask, reason: RefusalReason) -> int:
-        """Settle a task taken from the queue as not run; return 1 when it had not been settled."""
-        self._listeners[task.entry.submission_id].unsettled -= 1
+    def _stop_running(self, wanted: Callable[[QueuedTask], bool], reason: RefusalReason) -> int:
+        """Stop the running best-effort tasks that are wanted, and return their number."""
+        found = [task for task in self._running if task.best_effort and wanted(task)]
+        for task in found:
+            task.stop_reason = task.stop_reason or reason
+            self._client.stop(task.call)
+        return len(found)
+
+    def _withdraw_entry(self, entry: SubmissionStarts, reason: RefusalReason) -> None:
+        self._withdraw_queued(lambda task: task.entry is entry, reason)
+
+    def _withdraw_queued(self, wanted: Callable[[QueuedTask], bool], reason: RefusalReason) -> int:
+        """Settle the queued tasks that are wanted as not run, and return their number."""
+        queued = [task for task in self._queue if wanted(task)]
+        if not queued:
+            return 0
+        self._queue = [task for task in self._queue if not wanted(task)]
+        return sum(self._withdraw(task, reason) for task in queued)
+
+    def _withdraw(self, task: QueuedTask, reason: RefusalReason) -> bool:
+        """Settle a task that was taken off the queue as not run."""
+        self._room.release(task.held)
+        self._note_load()
         report = self.table.withdraw(task.entry, task.ref, reason)
+        self._listeners[task.entry.submission_id].unsettled -= 1
         if report is None:
-            return 0
+            return False
         self._report(task.entry, report)
-        return 1
+        if not self.occupied:
+            self._idle.set()
+        return True
 
-    def _withdraw_queued(self, entry: SubmissionStarts, reason: RefusalReason) -> None:
-        """Settle all queued tasks of one submission as not run."""
-        mine = [task for task in self._queue if task.entry is entry]
-        if not mine:
-            return
-        self._queue = deque(task for task in self._queue if task.entry is not entry)
-        for task in mine:
-            self._withdraw(task, reason)
+    def _note_load(self) -> None:
+        self._load_changed.set()
+
+    def reset_load_changed(self) -> None:
+        """Make a new event for the next change of load."""
+        self._load_changed = trio.Event()
 
     def _report(self, entry: SubmissionStarts, report: TaskReport) -> None:
         if report.state in (TaskState.QUEUED, TaskState.RUNNING):
@@ -352,7 +483,22 @@
     def _flush(self, submission_id: str, listener: Listener) -> None:
         if not listener.pending:
             return
-        message = TaskReports(submission_id, clock.boot_s(), self.occupied, listener.pending)
-        listener.pending = []
+        now_s = clock.boot_s()
+        reports, listener.pending = listener.pending, []
         for link in listener.links:
-            link.send(message)
+            load = self.load_for(link, now_s)
+            link.send(TaskReports(submission_id, now_s, load, reports))
+
+
+def _target_call(message: StartTasks, task: TaskStart, demand: Demand) -> TargetCall:
+    name = message.job_key or message.submission_id
+    return TargetCall(
+        task_id=f"{name}/{task.index}",
+        run=task.attempt,
+        member=message.member,
+        job=message.job,
+        payload=task.payload or message.shared_payload,
+        timeout_s=message.task_timeout_s,
+        refusal_is_not_run=message.refusal_is_not_run,
+        demand=demand,
+    )
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -1,17 +1,14 @@
-"""The agent's servers: links from entries, and HTTP for its target, probes and metrics."""
+"""The agent's links to entries, and what it tells them unasked."""
 
 import random
 from functools import singledispatchmethod
 
 import trio
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from websockets.trio.server import ServerConnection
 
 from .. import clock, logs
 from ..const import PROTOCOL_VERSION, Role
 from ..errors import RefusalReason
-from ..http.models import Request, Response, invalid, json_response, read_object
-from ..http.server import HttpApp, Route, async_serve_http, route
 from ..protocol.link import (
     Link,
     async_accept,
@@ -30,29 +27,26 @@
 )
 from ..settings.models import AgentSettings
 from ..submissions.identifiers import new_incarnation
-from .admission import TargetState
-from .const import IDLE_HEARTBEAT_S
-from .metrics import AgentMetrics
+from .const import (
+    IDLE_HEARTBEAT_S,
+    LOAD_PUSH_S,
+    LOAD_STEP_FRACTION,
+    PRESSED_FRACTION,
+    STATE_REPLY_S,
+)
+from .models import TargetState
 from .runner import TaskRunner
 
-MAX_HTTP_BODY_BYTES = 64 * 1024
-MAX_TARGET_SLOTS = 4096
-
 
 class AgentService:
-    """One agent process: wires links and HTTP to the task runner."""
+    """Wires an agent's links to its task runner."""
 
-    def __init__(
-        self,
-        settings: AgentSettings,
-        runner: TaskRunner,
-        metrics: AgentMetrics,
-    ) -> None:
+    def __init__(self, settings: AgentSettings, runner: TaskRunner) -> None:
         """Keep the parts; nothing is opened yet."""
         self.incarnation = new_incarnation()
         self._settings = settings
         self._runner = runner
-        self._metrics = metrics
+        self._told: dict[Link, tuple[int, bool]] = {}
 
     async def async_serve_links(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -65,19 +59,6 @@
             task_status=task_status,
         )
 
-    async def async_serve_http(
-        self, stopping: trio.Event, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Serve HTTP until `stopping` is set."""
-        await async_serve_http(
-            HttpApp(self._routes(), MAX_HTTP_BODY_BYTES),
-            self._settings.http_host,
-            self._settings.http_port,
-            stopping,
-            1.0,
-            task_status=task_status,
-        )
-
     def announcement(self) -> AnnounceRecord:
         """Return the record that announces this incarnation."""
         return AnnounceRecord(
@@ -101,26 +82,71 @@
             pause_s = IDLE_HEARTBEAT_S * random.uniform(0.8, 1.2)
             await trio.sleep(min(pause_s, ends_s + 0.01) if ends_s > 0 else pause_s)
             now_s = clock.boot_s()
-            if self._runner.target.slots and not self._runner.target.is_present(now_s):
+            if self._runner.target.cpu_m and not self._runner.target.is_present(now_s):
                 self._runner.shed(RefusalReason.LEAVING, now_s)
                 continue
             self._runner.tell_entries(now_s)
 
+    def announce_target(self, target: TargetState, now_s: float) -> None:
+        """Take a target's announcement; one that leaves gets nothing more from this moment on."""
+        before, self._runner.target = self._runner.target, target
+        changed = (before.service, before.url, before.cpu_m, before.is_present(now_s)) != (
+            target.service,
+            target.url,
+            target.cpu_m,
+            target.is_present(now_s),
+        )
+        if not changed:
+            return
+        logs.event(
+            "target",
+            service=target.service,
+            cpu_m=target.cpu_m,
+            mem_mb=target.mem_mb,
+            leaving=target.leaving,
+        )
+        if target.leaving:
+            self._runner.shed(RefusalReason.LEAVING, now_s)
+        else:
+            self._runner.tell_entries(now_s)
+
+    async def async_push_load(self) -> None:
+        """Tell entries when the load of the others has changed, at once where room is short."""
+        while True:
+            await self._runner.load_changed.wait()
+            await trio.sleep(LOAD_PUSH_S)
+            self._runner.reset_load_changed()
+            now_s = clock.boot_s()
+            for link in self._runner.links:
+                self._push_load(link, now_s)
+
+    def _push_load(self, link: Link, now_s: float) -> None:
+        load = self._runner.load_for(link, now_s)
+        told_cpu_m, told_waits = self._told.get(link, (0, False))
+        room_m = self._runner.target.cpu_m
+        changed_m = abs(load.others_cpu_m - told_cpu_m)
+        pressed = self._runner.free_cpu_m < PRESSED_FRACTION * room_m
+        step_m = 0.0 if pressed else LOAD_STEP_FRACTION * room_m
+        if changed_m > step_m or told_waits or load.waits_s:
+            self._told[link] = (load.others_cpu_m, bool(load.waits_s))
+            self._runner.tell(link, now_s)
+
     async def _async_link(self, connection: ServerConnection) -> None:
         now_s = clock.boot_s()
         offset = self._runner.announce_offset
-        reply = HelloReply(PROTOCOL_VERSION, self.incarnation, offset, now_s)
+        reply = HelloReply(PROTOCOL_VERSION, self.incarnation, offset, now_s, self._settings.domain)
         hello = await async_accept(connection, self._settings.secret, reply)
         if hello is None:
             return
         link = Link(connection, hello.incarnation, now_s)
         self._runner.links.add(link)
-        link.send(self._runner.state(now_s))
+        self._runner.tell(link, now_s)
         logs.event("link_open", peer=hello.incarnation)
         try:
-            await link.async_run(lambda item, at_s: self._handle(item, link, at_s), clock.boot_s)
+            await link.async_run(lambda item, at_s: self._handle(item, link, at_s))
         finally:
             self._runner.detach(link)
+            self._told.pop(link, None)
             logs.event("link_closed", peer=hello.incarnation)
 
     @singledispatchmethod
@@ -145,75 +171,15 @@
 
     @_handle.register
     def _(self, message: FreshnessRequest, link: Link, now_s: float) -> None:
-        link.send(self._runner.state(now_s))
+        self._runner.tell(link, now_s)
 
     @_handle.register
     def _(self, message: Freshness, link: Link, now_s: float) -> None:
         was_out = self._runner.view.domain_out
-        self._runner.view.merge(message.view, now_s)
+        self._runner.merge_stamp(link, message.view, now_s)
         self._runner.refreshed(now_s)
+        if now_s - link.sent_at_s > STATE_REPLY_S:
+            self._runner.tell(link, now_s)
         if self._runner.view.domain_out != was_out:
             logs.event("domain_changed", out=not was_out, offset=self._runner.view.offset)
             self._runner.tell_entries(now_s)
-
-    def _routes(self) -> list[Route]:
-        return [
-            route("PUT", "/v1/target", self._async_put_target),
-            route("GET", "/live", self._async_live),
-            route("GET", "/ready", self._async_ready),
-            route("GET", "/metrics", self._async_metrics),
-        ]
-
-    async def _async_put_target(self, request: Request) -> Response:
-        now_s = clock.boot_s()
-        before = self._runner.target
-        target = _read_target(request.body, now_s + self._settings.target_ttl_s)
-        self._runner.target = target
-        changed = (before.service, before.url, before.slots, before.is_present(now_s)) != (
-            target.service,
-            target.url,
-            target.slots,
-            target.is_present(now_s),
-        )
-        if changed:
-            logs.event("target", service=target.service, slots=target.slots, leaving=target.leaving)
-        if target.leaving and changed:
-            self._runner.shed(RefusalReason.LEAVING, now_s)
-        elif changed:
-            self._runner.tell_entries(now_s)
-        return json_response({"ttl_s": self._settings.target_ttl_s})
-
-    async def _async_live(self, request: Request) -> Response:
-        return json_response({"incarnation": self.incarnation})
-
-    async def _async_ready(self, request: Request) -> Response:
-        state = self._runner.state(clock.boot_s())
-        value = {
-            "ready": state.accepting,
-            "occupied": state.occupied,
-            "links": len(self._runner.links),
-        }
-        return json_response(value, 200 if state.accepting else 503)
-
-    async def _async_metrics(self, request: Request) -> Response:
-        self._metrics.view_age_s.set(self._runner.view.age_s(clock.boot_s()))
-        return Response(200, generate_latest(self._metrics.registry), CONTENT_TYPE_LATEST)
-
-
-def _read_target(body: bytes, expires_at_s: float) -> TargetState:
-    value = read_object(body)
-    for name in ("service", "url"):
-        if not isinstance(value.get(name), str) or not value[name]:
-            raise invalid(name, "expected a string")
-    slots = value.get("slots")
-    if type(slots) is not int or not 1 <= slots <= MAX_TARGET_SLOTS:
-        raise invalid("slots", f"expected an integer from 1 to {MAX_TARGET_SLOTS}")
-    if value.get("state", "ready") not in ("ready", "leaving"):
-        raise invalid("state", "expected ready or leaving")
-    return TargetState(
-        service=value["service"],
-        url=value["url"].rstrip("/"),
-        slots=slots,
-        leaving=value.get("state") == "leaving",
-        expires_at_s=expires_at_s,
-    )
--- a/pistachiohill/agent/target_client.py
+++ b/pistachiohill/agent/target_client.py
@@ -1,7 +1,7 @@
 """Calls to the target, with a verdict for every way in which they can end."""
 
 import httpcore
-from attrs import frozen
+import trio
 
 from ..errors import RefusalReason, Verdict
 from .const import (
@@ -10,34 +10,13 @@
     TARGET_CONNECTIONS,
     TARGET_KEEPALIVE_S,
 )
+from .models import TargetAnswer, TargetCall
 
 HEADER_TASK_ID = "task-id"
 HEADER_MEMBER = "member"
 HEADER_JOB = "job"
 
 
-@frozen
-class TargetCall:
-    """One task as the target sees it; `task_id` is the same for every caller of this task."""
-
-    task_id: str
-    member: str
-    job: str
-    payload: bytes
-    timeout_s: float
-    refusal_is_not_run: bool
-
-
-@frozen
-class TargetAnswer:
-    """How a call ended; `reason` is None on success."""
-
-    verdict: Verdict
-    reason: RefusalReason | None
-    status_code: int = 0
-    body: bytes = b""
-
-
 class TargetClient:
     """Sends tasks to the target over kept connections."""
 
@@ -47,16 +26,29 @@
             max_connections=TARGET_CONNECTIONS, keepalive_expiry=TARGET_KEEPALIVE_S
         )
 
+    @property
+    def ready(self) -> bool:
+        """Return whether tasks may be handed over; a target called over HTTP is always asked."""
+        return True
+
+    def stop(self, call: TargetCall) -> None:
+        """Let the call go on: a target called over HTTP has no way to end a task early."""
+
     async def async_close(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
 
     async def async_call(self, url: str, call: TargetCall) -> TargetAnswer:
-        """Run one task at the target.
+        """Run one task at the target, for at most the call's timeout.
 
         A connection that could not be opened carried no request, so that verdict is NOT_RUN. Any
         other lost answer may have run.
         """
+        with trio.move_on_after(call.timeout_s):
+            return await self._async_post(url, call)
+        return TargetAnswer(Verdict.MAY_HAVE_RUN, RefusalReason.TARGET_TIMEOUT)
+
+    async def _async_post(self, url: str, call: TargetCall) -> TargetAnswer:
         headers: dict[bytes | str, bytes | str] = {
             HEADER_TASK_ID: call.task_id,
             HEADER_MEMBER: call.member,
--- a/pistachiohill/daemon/root.py
+++ b/pistachiohill/daemon/root.py
@@ -56,7 +56,12 @@
 
     accounting = Accounting(metrics)
     directory = AgentDirectory(
-        incarnation, settings.secret, settings.silence_s, view, view_confirmed_at
+        incarnation,
+        settings.secret,
+        settings.silence_s,
+        settings.agents,
+        view,
+        view_confirmed_at,
     )
     dispatcher = Dispatcher(view, view_confirmed_at, directory, accounting)
     stopped = trio.Event()
@@ -137,18 +142,21 @@
 
 async def async_run_agent(settings: AgentSettings) -> None:
     """Run an agent until SIGTERM; a second one, or the grace time, ends it at once."""
+    from ..agent.http_api import MAX_HTTP_BODY_BYTES, AgentApi
     from ..agent.metrics import AgentMetrics
     from ..agent.runner import TaskRunner
     from ..agent.service import AgentService
     from ..agent.target_client import TargetClient
     from ..errors import RefusalReason
+    from ..http.server import HttpApp, async_serve_http
 
     log = LogClient(settings.log_url)
     metrics = AgentMetrics()
     client = TargetClient()
     async with trio.open_nursery() as nursery:
         runner = TaskRunner(settings, nursery, client, metrics)
-        service = AgentService(settings, runner, metrics)
+        service = AgentService(settings, runner)
+        api = AgentApi(settings, service, runner, metrics)
 
         async def async_drain() -> None:
             runner.stopping = True
@@ -161,10 +169,19 @@
             service.announced(offset)
 
         await nursery.start(service.async_serve_links)
-        await nursery.start(service.async_serve_http, trio.Event())
+        await nursery.start(
+            async_serve_http,
+            HttpApp(api.routes(), MAX_HTTP_BODY_BYTES),
+            settings.http_host,
+            settings.http_port,
+            trio.Event(),
+            1.0,
+        )
         nursery.start_soon(async_announce)
         nursery.start_soon(service.async_heartbeat)
+        nursery.start_soon(service.async_push_load)
         nursery.start_soon(runner.async_expire)
+        nursery.start_soon(runner.async_watch_leases)
         logs.event("started", role=Role.AGENT, incarnation=service.incarnation)
         await _async_wait_stop(settings.grace_s, async_drain)
         await _async_withdraw(log, service.incarnation)
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -1,4 +1,4 @@
-"""The entry's knowledge of agents: one task for each agent keeps a link to it."""
+"""The entry's knowledge of agents: one task for each address keeps a link to the agent there."""
 
 import random
 from collections.abc import Callable
@@ -9,6 +9,7 @@
 from websockets.trio.client import connect
 
 from .. import clock, logs
+from ..agent.const import ENTRY_LEASE_S, LEASE_S, MAX_CLOCK_DRIFT
 from ..consortium.const import NO_OFFSET
 from ..consortium.state import ConsortiumState
 from ..consortium.view import ConsortiumView
@@ -24,12 +25,13 @@
     was_refused,
 )
 from ..protocol.models import (
+    AgentLoad,
     AgentState,
     Freshness,
     FreshnessRequest,
     Hello,
+    HelloReply,
     Message,
-    ProcessRecord,
     SealReply,
     TaskReports,
     ViewStamp,
@@ -38,23 +40,43 @@
 from ..settings.const import ROOT_PATH
 from ..submissions.models import Submission, Task
 from .const import (
+    AGENT_CONNECT_TIMEOUT_S,
+    ECHO_INTERVAL_S,
     IDLE_SILENCE_S,
     IDLE_WATCH_S,
+    LEASE_MARGIN_S,
     RECONNECT_MAX_S,
     RECONNECT_MIN_S,
     REFUSED_CONNECTS_UNTIL_LOST,
 )
 
+Address = tuple[str, int]
+RUNNER_LEASE_S = LEASE_S * (1.0 + MAX_CLOCK_DRIFT)
+CONNECT_OPTIONS = WEBSOCKET_OPTIONS | {"open_timeout": AGENT_CONNECT_TIMEOUT_S}
+
 
 @define(eq=False)
 class Agent:
     """One agent incarnation as this entry knows it.
 
-    `echo_s` is the agent's latest boot time heard of, `echoed_at_s` when it was heard here.
-    `asked` is set from a question, at `asked_at_s`, until anything is heard.
+    Fields:
+        incarnation, address, domain: Who and where it is.
+        load: What the scheduler knows of its target.
+        link: The open link, None while there is none.
+        service: Service of its target.
+        accepting: Whether it takes tasks.
+        announce_offset: Offset of its announcement, -1 before it is known.
+        echo_s, echoed_at_s: The agent's latest clock reading heard of, and when it was heard here.
+        sent_at_s: When the latest echo was sent on a link that has ended since.
+        dead_at_s: When the process was known not to live any more, None while it may.
+        lost: Whether the incarnation is known to have ended.
+        asked, asked_at_s: Whether a question is open, and since when.
+        outstanding: Tasks placed there and not settled.
     """
 
-    process: ProcessRecord
+    incarnation: str
+    address: Address
+    domain: str
     load: TargetLoad
     link: Link | None = None
     service: str = ""
@@ -64,20 +86,36 @@
     view_age_s: float = 0.0
     echo_s: float = -1.0
     echoed_at_s: float = 0.0
+    sent_at_s: float = 0.0
+    dead_at_s: float | None = None
     lost: bool = False
     asked: bool = False
     asked_at_s: float = 0.0
     outstanding: dict[tuple[str, int], tuple[Submission, Task]] = field(factory=dict)
 
-    @property
-    def incarnation(self) -> str:
-        """Return the agent's incarnation."""
-        return self.process.incarnation
-
-    def heard(self, stamp_s: float, now_s: float) -> None:
-        """Note the agent's clock, to be echoed in view stamps."""
+    def heard(self, stamp_s: float, load: AgentLoad | None, now_s: float) -> None:
+        """Note the agent's clock, to be echoed in view stamps, and what it holds for others."""
         self.echo_s = stamp_s
         self.echoed_at_s = now_s
+        if load is None:
+            return
+        self.load.others = load.others
+        self.load.others_cpu_m = load.others_cpu_m
+        self.load.others_mem_mb = load.others_mem_mb
+        self.load.waits_s = tuple(load.waits_s)
+        self.load.reported_at_s = now_s
+
+    def runs_end_s(self) -> float:
+        """Return by when best-effort runs have surely ended, if nothing more is sent to the agent.
+
+        The agent ends them when this entry's lease has run out. Should it not live to do so, they
+        end with its own lease at the runner.
+        """
+        sent_at_s = self.link.sent_at_s if self.link is not None else self.sent_at_s
+        end_s = sent_at_s + ENTRY_LEASE_S
+        if self.dead_at_s is not None:
+            end_s = min(end_s, self.dead_at_s)
+        return end_s + RUNNER_LEASE_S + LEASE_MARGIN_S
 
 
 class AgentEvents:
@@ -92,7 +130,11 @@
         raise NotImplementedError
 
     def agent_lost(self, agent: Agent, now_s: float) -> None:
-        """React to an incarnation that is known to have ended."""
+        """React to an incarnation that is known to have ended; its runs may go on for a while."""
+        raise NotImplementedError
+
+    def runs_ended(self, agent: Agent, now_s: float) -> None:
+        """React to the end of an agent's leases: best-effort tasks there have surely ended."""
         raise NotImplementedError
 
     def tasks_reported(self, agent: Agent, message: TaskReports, now_s: float) -> None:
@@ -112,11 +154,13 @@
         incarnation: str,
         secret: str,
         silence_s: float,
+        hints: tuple[str, ...],
         view: ConsortiumView,
         view_confirmed_at: Callable[[float], float],
     ) -> None:
         """Start with no agent.
 
+        `hints` are addresses, as host:port, that are tried besides the announced ones.
         `view_confirmed_at` returns, for a boot time, the boot time as of which the view holds.
         """
         self.agents: dict[str, Agent] = {}
@@ -124,8 +168,11 @@
         self._incarnation = incarnation
         self._secret = secret
         self._silence_s = silence_s
+        self._hints = {_parse_address(text) for text in hints}
         self._view = view
         self._view_confirmed_at = view_confirmed_at
+        self._dialled: set[Address] = set()
+        self._ending: list[Agent] = []
 
     def stamp(self, agent: Agent, now_s: float) -> ViewStamp:
         """Return the view stamp for an agent."""
@@ -135,31 +182,37 @@
             offset=state.offset,
             echo_s=agent.echo_s,
             age_s=min(max(0.0, age_s), 1e9),
-            domain_out=state.domain_is_out(agent.process.domain),
+            domain_out=state.domain_is_out(agent.domain),
             max_age_s=state.settings(ROOT_PATH).view_max_age_s,
         )
 
     async def async_run(self, events: AgentEvents) -> None:
-        """Keep a link to every announced agent for as long as the process runs."""
+        """Keep a link to the agent at every known address for as long as the process runs."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._async_watch)
+            nursery.start_soon(self._async_watch, events)
             domains: dict[str, bool] = {}
             while True:
                 state = self._view.state
-                for process in _live_agents(state):
-                    if process.incarnation not in self.agents:
-                        agent = Agent(process, TargetLoad(process.incarnation, process.domain))
-                        agent.announce_offset = process.announce_offset
-                        self.agents[process.incarnation] = agent
-                        nursery.start_soon(self._async_keep_link, agent, events)
+                for address in self._addresses():
+                    if address not in self._dialled:
+                        self._dialled.add(address)
+                        nursery.start_soon(self._async_keep_link, address, events)
                 self._end_agents(state, events)
                 domains = self._tell_domains(state, domains, events)
                 await self._view.async_changed()
 
+    def _addresses(self) -> set[Address]:
+        announced = {
+            (process.host, process.port)
+            for process in self._view.state.processes.values()
+            if process.role == "agent" and process.ended_offset == NO_OFFSET
+        }
+        return announced | self._hints
+
     def _end_agents(self, state: ConsortiumState, events: AgentEvents) -> None:
         for agent in list(self.agents.values()):
             process = state.processes.get(agent.incarnation)
-            if process is None or process.ended_offset != NO_OFFSET:
+            if process is not None and process.ended_offset != NO_OFFSET:
                 self._lose(agent, events, "ended")
 
     def _tell_domains(
@@ -169,10 +222,9 @@
         after = {name: record.out for name, record in state.domains.items()}
         now_s = clock.boot_s()
         for agent in self.agents.values():
-            domain = agent.process.domain
-            if before.get(domain, False) == after.get(domain, False):
+            if before.get(agent.domain, False) == after.get(agent.domain, False):
                 continue
-            if not after.get(domain, False):
+            if not after.get(agent.domain, False):
                 agent.load.ramp_from_s = now_s
             if agent.link is not None:
                 agent.link.send(Freshness(self.stamp(agent, now_s)))
@@ -180,70 +232,97 @@
         return after
 
     def _lose(self, agent: Agent, events: AgentEvents, why: str) -> None:
+        """Give up an incarnation that is known to have ended."""
         if agent.lost:
             return
+        now_s = clock.boot_s()
         agent.lost = True
+        agent.dead_at_s = agent.dead_at_s or now_s
         self.agents.pop(agent.incarnation, None)
         if agent.link is not None:
             agent.link.close()
         logs.event("agent_lost", agent=agent.incarnation, why=why, tasks=len(agent.outstanding))
-        events.agent_lost(agent, clock.boot_s())
+        events.agent_lost(agent, now_s)
+        if agent.outstanding:
+            self._ending.append(agent)
 
-    async def _async_keep_link(self, agent: Agent, events: AgentEvents) -> None:
+    async def _async_keep_link(self, address: Address, events: AgentEvents) -> None:
+        """Dial an address again and again for as long as an agent may be there."""
         pause_s = RECONNECT_MIN_S
         refused = 0
-        while not agent.lost:
+        while address in self._addresses():
             opened_s = clock.boot_s()
             try:
-                await self._async_link(agent, events)
+                await self._async_link(address, events)
                 refused = 0
             except HandshakeError as err:
-                logs.warning("agent_refused_link", agent=agent.incarnation, detail=err)
-                if "wrong incarnation" in str(err):
-                    self._lose(agent, events, "replaced")
-                    return
+                logs.warning("agent_refused_link", address=_text(address), detail=err)
             except CONNECT_ERRORS as err:
                 refused = refused + 1 if was_refused(err) else 0
-                logs.event("agent_unreachable", agent=agent.incarnation, detail=repr(err))
-            agent.link = None
-            agent.accepting = False
-            if refused == REFUSED_CONNECTS_UNTIL_LOST and agent.outstanding:
+                logs.event("agent_unreachable", address=_text(address), detail=repr(err))
+            agent = self._at(address)
+            if agent is not None and refused >= REFUSED_CONNECTS_UNTIL_LOST and agent.outstanding:
+                agent.dead_at_s = agent.dead_at_s or clock.boot_s()
                 events.agent_lost(agent, clock.boot_s())
             if clock.boot_s() - opened_s > RECONNECT_MAX_S:
                 pause_s = RECONNECT_MIN_S
             await trio.sleep(pause_s * random.uniform(0.7, 1.0))
             pause_s = min(pause_s * 2, RECONNECT_MAX_S)
+        self._dialled.discard(address)
 
-    async def _async_link(self, agent: Agent, events: AgentEvents) -> None:
-        uri = f"ws://{agent.process.host}:{agent.process.port}/"
+    def _at(self, address: Address) -> Agent | None:
+        """Return the latest incarnation seen at an address."""
+        return next((item for item in self.agents.values() if item.address == address), None)
+
+    async def _async_link(self, address: Address, events: AgentEvents) -> None:
+        uri = f"ws://{address[0]}:{address[1]}/"
         try:
-            async with connect(uri, **WEBSOCKET_OPTIONS) as connection:  # type: ignore[arg-type]
+            async with connect(uri, **CONNECT_OPTIONS) as connection:  # type: ignore[arg-type]
                 now_s = clock.boot_s()
-                hello = Hello(
-                    PROTOCOL_VERSION, self._incarnation, agent.incarnation, self._secret, now_s
-                )
+                hello = Hello(PROTOCOL_VERSION, self._incarnation, "", self._secret, now_s)
                 reply = await async_send_hello(connection, hello)
-                if reply.incarnation != agent.incarnation:
-                    raise HandshakeError("wrong incarnation")
                 now_s = clock.boot_s()
+                agent = self._meet(address, reply, events)
                 link = Link(connection, agent.incarnation, now_s, self.counters)
-                agent.announce_offset = max(agent.announce_offset, reply.announce_offset)
-                agent.heard(reply.stamp_s, now_s)
-                agent.link = link
-                link.send(Freshness(self.stamp(agent, now_s)))
-                events.agent_attached(agent, now_s)
-                agent.asked = False
-                await link.async_run(
-                    lambda message, now_s: self._handle(message, agent, events, now_s),
-                    clock.boot_s,
-                )
+                await self._async_use(agent, link, reply, events, now_s)
         except BaseExceptionGroup as group:
             raise first_error(group) from group
 
-    async def _async_watch(self) -> None:
-        """Look for silent links: often where tasks are outstanding, rarely elsewhere.
+    def _meet(self, address: Address, reply: HelloReply, events: AgentEvents) -> Agent:
+        """Return the agent that answered; another one that was at the address has ended."""
+        agent = self.agents.get(reply.incarnation)
+        if agent is not None:
+            return agent
+        before = self._at(address)
+        if before is not None:
+            self._lose(before, events, "replaced")
+        load = TargetLoad(reply.incarnation, reply.domain)
+        agent = Agent(reply.incarnation, address, reply.domain, load)
+        self.agents[agent.incarnation] = agent
+        return agent
+
+    async def _async_use(
+        self, agent: Agent, link: Link, reply: HelloReply, events: AgentEvents, now_s: float
+    ) -> None:
+        """Run a link until it ends."""
+        agent.announce_offset = max(agent.announce_offset, reply.announce_offset)
+        agent.heard(reply.stamp_s, None, now_s)
+        agent.link = link
+        agent.asked = False
+        link.send(Freshness(self.stamp(agent, now_s)))
+        events.agent_attached(agent, now_s)
+        try:
+            await link.async_run(lambda message, now_s: self._handle(message, agent, events, now_s))
+        finally:
+            agent.sent_at_s = link.sent_at_s
+            if agent.link is link:
+                agent.link = None
+                agent.accepting = False
 
-        One task watches all links, since a timer for each would cost an idle entry most of its
+    async def _async_watch(self, events: AgentEvents) -> None:
+        """Echo the agents' clocks, look for silent links and for leases that have ended.
+
+        One task watches all agents, since a timer for each would cost an idle entry most of its
         processor time.
         """
         idle_due_s = 0.0
@@ -256,9 +335,17 @@
             for agent in list(self.agents.values()):
                 if agent.link is not None and (agent.outstanding or idle_due or agent.asked):
                     self._check_silence(agent, agent.link, now_s)
+                if agent.link is None and agent.outstanding and now_s > agent.runs_end_s():
+                    events.runs_ended(agent, now_s)
+            self._end_lost(events, now_s)
+
+    def _end_lost(self, events: AgentEvents, now_s: float) -> None:
+        for agent in [item for item in self._ending if now_s > item.runs_end_s()]:
+            self._ending.remove(agent)
+            events.runs_ended(agent, now_s)
 
     def _check_silence(self, agent: Agent, link: Link, now_s: float) -> None:
-        """Close a link that does not answer, so that a new one is opened and asked.
+        """Echo the agent's clock; close a link that does not answer, so that a new one is opened.
 
         A link that was merely idle is asked first; only silence after a question counts.
         """
@@ -274,6 +361,8 @@
             agent.asked = True
             agent.asked_at_s = now_s
             link.send(FreshnessRequest(now_s))
+        if agent.outstanding and now_s - link.sent_at_s >= ECHO_INTERVAL_S:
+            link.send(Freshness(self.stamp(agent, now_s)))
 
     @singledispatchmethod
     def _handle(self, message: Message, agent: Agent, events: AgentEvents, now_s: float) -> None:
@@ -281,26 +370,36 @@
 
     @_handle.register
     def _(self, message: AgentState, agent: Agent, events: AgentEvents, now_s: float) -> None:
-        agent.heard(message.stamp_s, now_s)
+        agent.heard(message.stamp_s, message.load, now_s)
         agent.service = message.service
-        agent.load.slots = message.slots
-        agent.load.others = max(0, message.occupied - len(agent.outstanding))
+        agent.load.cpu_m = message.cpu_m
+        agent.load.mem_mb = message.mem_mb
         if message.accepting and not agent.accepting:
             logs.event("agent_accepting", agent=agent.incarnation, service=agent.service)
+            self._end_replaced(agent, events, now_s)
         agent.accepting = message.accepting
         agent.announce_offset = max(agent.announce_offset, message.announce_offset)
         agent.applied_offset = message.applied_offset
         agent.view_age_s = message.view_age_s
         events.agent_changed(agent, now_s)
 
+    def _end_replaced(self, agent: Agent, events: AgentEvents, now_s: float) -> None:
+        """Note that an agent takes tasks: its predecessor's runs have then ended.
+
+        A new agent process accepts nothing before the runner has listed no run of before.
+        """
+        for before in [item for item in self._ending if item.address == agent.address]:
+            self._ending.remove(before)
+            events.runs_ended(before, now_s)
+
     @_handle.register
     def _(self, message: TaskReports, agent: Agent, events: AgentEvents, now_s: float) -> None:
-        agent.heard(message.stamp_s, now_s)
+        agent.heard(message.stamp_s, message.load, now_s)
         events.tasks_reported(agent, message, now_s)
 
     @_handle.register
     def _(self, message: FreshnessRequest, agent: Agent, events: AgentEvents, now_s: float) -> None:
-        agent.heard(message.stamp_s, now_s)
+        agent.heard(message.stamp_s, None, now_s)
         if agent.link is not None:
             agent.link.send(Freshness(self.stamp(agent, now_s)))
 
@@ -309,9 +408,10 @@
         events.seal_replied(agent, message, now_s)
 
 
-def _live_agents(state: ConsortiumState) -> list[ProcessRecord]:
-    return [
-        process
-        for process in state.processes.values()
-        if process.role == "agent" and process.ended_offset == NO_OFFSET
-    ]
+def _parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def _text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
--- a/pistachiohill/entry/caller_api.py
+++ b/pistachiohill/entry/caller_api.py
@@ -20,7 +20,7 @@
 )
 from ..http.server import Route, route
 from ..settings.models import EntrySettings, JobSettings
-from ..submissions.models import JobAnswer, JobRequest
+from ..submissions.models import JobAnswer, JobRequest, TaskSpec
 from .auth import authenticate_member
 from .const import MAX_IDS_PER_REQUEST
 from .fairness import FairnessReporter
@@ -119,7 +119,7 @@
         idempotent = _read_flag(request, "idempotent", settings.idempotent)
         timeout_s = _read_query_number(request, "timeout_s", settings.deadline_s)
         timeout_s = min(timeout_s or settings.deadline_s, settings.deadline_s)
-        job_request = JobRequest(member, job, (request.body,), timeout_s)
+        job_request = JobRequest(member, job, (TaskSpec(request.body),), timeout_s)
         attempts = settings.max_request_attempts if idempotent else 1
         for attempt in range(1, attempts + 1):
             (submission_id,) = await self._submissions.async_ids(member, 1, settings.service)
@@ -192,12 +192,12 @@
     return NOT_RUN_STATUS.get(answer.reason, 503)
 
 
-def _read_tasks(value: dict[str, Any], settings: JobSettings) -> tuple[bytes, ...]:
+def _read_tasks(value: dict[str, Any], settings: JobSettings) -> tuple[TaskSpec, ...]:
     tasks = value.get("tasks")
     limit = min(settings.max_tasks, MAX_JOB_TASKS)
     if not isinstance(tasks, list) or not 1 <= len(tasks) <= limit:
         raise invalid("tasks", f"expected a list of 1 to {limit} tasks")
-    return tuple(_read_task(index, task, settings) for index, task in enumerate(tasks))
+    return tuple(TaskSpec(_read_task(index, task, settings)) for index, task in enumerate(tasks))
 
 
 def _read_task(index: int, task: object, settings: JobSettings) -> bytes:
--- a/pistachiohill/entry/const.py
+++ b/pistachiohill/entry/const.py
@@ -3,8 +3,12 @@
 from typing import Final
 
 RECONNECT_MIN_S: Final = 0.05
-RECONNECT_MAX_S: Final = 3.0
+RECONNECT_MAX_S: Final = 1.0
 REFUSED_CONNECTS_UNTIL_LOST: Final = 2
+AGENT_CONNECT_TIMEOUT_S: Final = 0.5  # a round trip takes milliseconds; a lease is 0.6 s
+ECHO_INTERVAL_S: Final = 0.12  # several echoes fit into an entry's lease at an agent
+SUSPECT_SILENCE_S: Final = 0.3  # echoes are answered every 0.1 s; a silent agent gets no task
+LEASE_MARGIN_S: Final = 0.08  # time in which a runner ends its runs, and timers fire late
 IDLE_SILENCE_S: Final = 30.0
 IDLE_WATCH_S: Final = 5.0
 PEER_SILENCE_S: Final = 4.0
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -30,6 +30,7 @@
 AVOID_REASONS = frozenset(
     {
         RefusalReason.WRONG_INCARNATION,
+        RefusalReason.TARGET_FAILED,
         RefusalReason.TARGET_LOST,
         RefusalReason.TARGET_REFUSED,
     }
@@ -42,7 +43,16 @@
         RefusalReason.TARGET_TIMEOUT,
     }
 )
+ENDED_REASONS = frozenset(
+    {
+        RefusalReason.CANCELLED,
+        RefusalReason.LEASE_ENDED,
+        RefusalReason.LOST_AGENT,
+        RefusalReason.TARGET_LOST,
+    }
+)
 TICK_S = 0.25
+BUSY_TICK_S = 0.02  # while tasks wait, room that was expected to be free is looked for this often
 MIN_TIMEOUT_S = 0.01
 
 
@@ -76,7 +86,7 @@
     async def async_run(self) -> None:
         """Place tasks whenever something has changed, and expire what is overdue."""
         while True:
-            with trio.move_on_after(TICK_S):
+            with trio.move_on_after(BUSY_TICK_S if self.waiting.any() else TICK_S):
                 await self._work.wait()
             self._work = trio.Event()
             now_s = clock.boot_s()
@@ -137,9 +147,21 @@
         self._work.set()
 
     def agent_lost(self, agent: Agent, now_s: float) -> None:
-        """Settle all tasks at a dead incarnation: they may have run."""
+        """Settle the at-most-once tasks at a dead incarnation: they may have run.
+
+        Best-effort tasks may run again, and so they wait until their runs have surely ended.
+        """
         self._quarantine.forget(agent.incarnation)
+        self._settle_lost(agent, best_effort=False, now_s=now_s)
+
+    def runs_ended(self, agent: Agent, now_s: float) -> None:
+        """Settle the best-effort tasks at an agent whose leases have ended."""
+        self._settle_lost(agent, best_effort=True, now_s=now_s)
+
+    def _settle_lost(self, agent: Agent, *, best_effort: bool, now_s: float) -> None:
         for submission, task in list(agent.outstanding.values()):
+            if submission.settings.best_effort != best_effort:
+                continue
             report = TaskReport(
                 task.index,
                 task.attempt,
@@ -148,6 +170,7 @@
                 reason=RefusalReason.LOST_AGENT,
             )
             self._settle(agent, submission, task, report, now_s)
+        self._work.set()
 
     def tasks_reported(self, agent: Agent, message: TaskReports, now_s: float) -> None:
         """Settle reported tasks; reports of other submissions go to the recovery."""
@@ -157,7 +180,6 @@
                 self._accounting.wasted("duplicate")
                 continue
             self._settle(agent, found[0], found[1], report, now_s)
-        agent.load.others = max(0, message.occupied - len(agent.outstanding))
         for listener in self._seal_listeners:
             listener.tasks_reported(agent, message, now_s)
         self._work.set()
@@ -174,8 +196,7 @@
         key = (submission.submission_id, task.index)
         submission.outstanding += 1
         agent.outstanding[key] = (submission, task)
-        agent.load.outstanding += 1
-        agent.load.ends[key] = placement.end_s
+        agent.load.place(key, task.spec.demand, placement.end_s)
 
     def _send(self, batch: list[Placement], now_s: float) -> None:
         """Send the placements of one submission at one agent in one message."""
@@ -183,6 +204,8 @@
         tasks = [placement.task for placement in batch]
         assert agent.link is not None
         settings = submission.settings
+        factor = agent.load.factor
+        shared = tasks[0].spec.payload if submission.request.key else b""
         left_s = max(0.0, submission.deadline_s - now_s)
         message = StartTasks(
             submission_id=submission.submission_id,
@@ -193,7 +216,11 @@
             task_timeout_s=min(settings.task_timeout_s, max(MIN_TIMEOUT_S, left_s)),
             refusal_is_not_run=settings.refusal_is_not_run,
             view=self._directory.stamp(agent, now_s),
-            tasks=[TaskStart(task.index, task.attempt, task.payload) for task in tasks],
+            tasks=[self._start(submission, task, factor, shared) for task in tasks],
+            shared_payload=shared,
+            job_key=submission.request.key,
+            best_effort=settings.best_effort,
+            priority=settings.priority,
         )
         agent.link.send(message)
         logs.debug(
@@ -203,6 +230,17 @@
             tasks=len(tasks),
         )
 
+    def _start(self, submission: Submission, task: Task, factor: float, shared: bytes) -> TaskStart:
+        needs = self.waiting.needs(submission, task)
+        return TaskStart(
+            task.index,
+            task.attempt,
+            b"" if task.spec.payload == shared else task.spec.payload,
+            needs.demand.cpu_m,
+            needs.demand.mem_mb,
+            needs.run_s * factor,
+        )
+
     # Settling
 
     def _settle(
@@ -213,8 +251,7 @@
             return
         key = (submission.submission_id, task.index)
         del agent.outstanding[key]
-        del agent.load.ends[key]
-        agent.load.outstanding -= 1
+        agent.load.settle(key)
         submission.outstanding -= 1
         self._accounting.ended(submission.request.member, report.run_s)
         self._judge(agent, submission, report, now_s)
@@ -225,10 +262,17 @@
             self._accounting.wasted("refused")
             self._place_again(agent, submission, task, report, now_s)
             return
+        if submission.settings.best_effort and _may_run_again(submission, task, report):
+            self._accounting.wasted("run_again")
+            submission.repeated = Verdict(report.verdict)
+            self._place_again(agent, submission, task, report, now_s)
+            return
         if submission.failure is not None and report.verdict == Verdict.RAN:
             self._accounting.wasted("cancelled_after_start")
         if report.verdict == Verdict.RAN and not report.reason:
-            self.waiting.estimates.learn(submission.request.path, agent.load.speed, report.run_s)
+            self.waiting.estimates.learn(
+                submission.request.path, agent.load.speed, report.run_s, task.spec.declared_s
+            )
             agent.load.learned_at_s = now_s
         self._keep(submission, task, report, now_s)
 
@@ -259,10 +303,11 @@
             agent.accepting = False
         if reason in AVOID_REASONS:
             task.refused_by.add(agent.incarnation)
-        if submission.failure is not None or reason in FATAL_REASONS:
+        if submission.failure is not None or reason in _fatal_reasons(submission):
             self._keep(submission, task, report, now_s)
             return
-        if task.attempt > submission.settings.max_restarts:
+        task.restarts += reason != RefusalReason.BUSY
+        if task.restarts > submission.settings.max_restarts:
             report.reason = RefusalReason.TOO_MANY_RESTARTS
             self._keep(submission, task, report, now_s)
             return
@@ -357,3 +402,23 @@
         for submission_id in old:
             del self.submissions[submission_id]
         return len(old)
+
+
+def _fatal_reasons(submission: Submission) -> frozenset[RefusalReason]:
+    """Return the refusals after which a task can't be placed elsewhere."""
+    if submission.settings.best_effort:
+        return frozenset({RefusalReason.INVALID})
+    return FATAL_REASONS
+
+
+def _may_run_again(submission: Submission, task: Task, report: TaskReport) -> bool:
+    """Return whether a best-effort task whose run has ended runs once more.
+
+    A run that was cut short counts for nothing; one that failed counts against the job's limit.
+    """
+    if report.reason in ENDED_REASONS:
+        return True
+    if report.reason != RefusalReason.TARGET_FAILED:
+        return False
+    task.runs += 1
+    return task.runs < submission.settings.max_runs
--- a/pistachiohill/entry/operator_api.py
+++ b/pistachiohill/entry/operator_api.py
@@ -187,11 +187,12 @@
         return [
             {
                 "agent": agent.incarnation,
-                "domain": agent.process.domain,
+                "domain": agent.domain,
                 "service": agent.service,
                 "linked": agent.link is not None,
                 "accepting": agent.accepting,
-                "slots": agent.load.slots,
+                "cpu_m": agent.load.cpu_m,
+                "mem_mb": agent.load.mem_mb,
                 "occupied": agent.load.load,
                 "factor": round(agent.load.factor, 3),
                 "quarantined_s": max(0.0, agent.load.quarantined_until_s - now_s),
--- a/pistachiohill/entry/owner.py
+++ b/pistachiohill/entry/owner.py
@@ -15,7 +15,7 @@
 from ..settings.const import ROOT_PATH
 from ..settings.models import EntrySettings, JobSettings
 from ..submissions.identifiers import IdIssuer, SubmissionId, home_entry, parse_submission_id
-from ..submissions.models import JobAnswer, JobRequest, failed, new_submission, refused
+from ..submissions.models import JobAnswer, JobRequest, TaskSpec, failed, new_submission, refused
 from .accounting import Accounting
 from .const import OWNER_LINK_GRACE_S, RETRY_AFTER_S
 from .dispatcher import Dispatcher
@@ -113,7 +113,7 @@
         wait_s: float,
         request: JobRequest | None = None,
     ) -> Forward:
-        payloads = request.payloads if request else ()
+        tasks = request.tasks if request else ()
         return Forward(
             request_id=0,
             submission_id=submission_id,
@@ -122,7 +122,7 @@
             job=request.job if request else "",
             deadline_in_s=request.deadline_s if request else 0.0,
             wait_s=wait_s,
-            tasks=[ForwardedTask(payload) for payload in payloads],
+            tasks=[ForwardedTask(task.payload) for task in tasks],
         )
 
     async def _async_route(
@@ -202,11 +202,11 @@
         request = JobRequest(
             message.member,
             message.job,
-            tuple(task.payload for task in message.tasks),
+            tuple(TaskSpec(task.payload) for task in message.tasks),
             message.deadline_in_s,
         )
         settings = self._view.state.settings(request.path)
-        self._accounting.offered(request.member, len(request.payloads))
+        self._accounting.offered(request.member, len(request.tasks))
         answer = self._refuse(request, settings, now_s)
         if answer is not None:
             assert answer.reason is not None
@@ -225,7 +225,7 @@
 
     def _refuse(self, request: JobRequest, settings: JobSettings, now_s: float) -> JobAnswer | None:
         """Return why a new job is turned away, if so; nothing of it has run."""
-        count = len(request.payloads)
+        count = len(request.tasks)
         retry_s = _jitter(RETRY_AFTER_S)
         if self.stopping:
             return refused(RefusalReason.STOPPING, "this entry is stopping", retry_s, count)
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -230,7 +230,9 @@
 
     async def _async_accept(self, connection: ServerConnection) -> None:
         now_s = clock.boot_s()
-        reply = HelloReply(PROTOCOL_VERSION, self._incarnation, NO_OFFSET, now_s)
+        reply = HelloReply(
+            PROTOCOL_VERSION, self._incarnation, NO_OFFSET, now_s, self._settings.domain
+        )
         hello = await async_accept(connection, self._settings.secret, reply)
         if hello is None:
             return
@@ -243,9 +245,7 @@
         self._send_view(peer, clock.boot_s())
         self._view.notify()
         try:
-            await peer.link.async_run(
-                lambda message, now_s: self._handle(message, peer, now_s), clock.boot_s
-            )
+            await peer.link.async_run(lambda message, now_s: self._handle(message, peer, now_s))
         finally:
             self.peers.remove(peer)
             for pending in self._pending.values():
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -8,16 +8,18 @@
 from ..consortium.view import ConsortiumView
 from ..scheduling.estimates import RunEstimates
 from ..scheduling.fair_queue import FairQueue, MemberQueue
-from ..scheduling.models import TargetLoad
-from ..scheduling.plan import SlotPlan
+from ..scheduling.models import SLOT_CPU_M, TargetLoad
+from ..scheduling.plan import RoomPlan, TaskNeeds
 from ..scheduling.policy import ExpectedCompletion, PolicyObject, choose, make_policy
 from ..settings.const import ROOT_PATH, Policy
 from ..settings.models import JobSettings
 from ..submissions.models import JobRequest, Submission, Task
 from .accounting import Accounting
 from .agents import Agent, AgentDirectory
+from .const import SUSPECT_SILENCE_S
 
-MAX_PLANNED_TASKS = 2000
+MAX_PLANNED_TASKS = 2000  # bounds the time that one round of planning takes
+QUEUE_TASKS = 8  # tasks that the simple policies queue at an agent beyond its target's room
 
 
 @define(slots=True)
@@ -32,11 +34,23 @@
 
 @define
 class ServiceQueue:
-    """The waiting submissions of one service and the number of their waiting tasks."""
+    """The waiting submissions of one service, by priority, and how many tasks they are."""
 
-    fair: FairQueue[Submission] = field(factory=FairQueue)
+    by_priority: dict[int, FairQueue[Submission]] = field(factory=dict)
     waiting_tasks: int = 0
 
+    def fair(self, priority: int) -> FairQueue[Submission]:
+        """Return the queue of a priority."""
+        return self.by_priority.setdefault(priority, FairQueue())
+
+    def in_order(self) -> list[FairQueue[Submission]]:
+        """Return the queues that hold anything, the first to be served first."""
+        return [queue for _, queue in sorted(self.by_priority.items()) if queue]
+
+    def items_of(self, member: str) -> list[Submission]:
+        """Return all waiting submissions of a member."""
+        return [item for queue in self.by_priority.values() for item in queue.items_of(member)]
+
 
 class WaitingTasks:
     """A fair queue for each service, and the policy that places from it."""
@@ -55,19 +69,17 @@
 
     def add(self, submission: Submission) -> None:
         """Queue all waiting tasks of a new submission."""
-        queue = self._queues.setdefault(submission.settings.service, ServiceQueue())
+        queue = self._queue(submission)
         queue.waiting_tasks += len(submission.waiting)
-        queue.fair.push(submission.request.member, submission.settings.weight, submission)
+        self._push(queue, submission)
 
     def add_back(self, submission: Submission, task: Task) -> None:
         """Queue a task again, before its submission's others."""
-        queue = self._queues.setdefault(submission.settings.service, ServiceQueue())
+        queue = self._queue(submission)
         queue.waiting_tasks += 1
         submission.waiting.appendleft(task)
-        if len(submission.waiting) > 1:
-            return
-        member = submission.request.member
-        queue.fair.push(member, submission.settings.weight, submission, front=True)
+        if len(submission.waiting) == 1:
+            self._push(queue, submission, front=True)
 
     def drop(self, submission: Submission) -> None:
         """Take all waiting tasks of a submission out; they count as settled."""
@@ -77,37 +89,65 @@
         queue.waiting_tasks -= len(submission.waiting)
         submission.unsettled -= len(submission.waiting)
         submission.waiting.clear()
-        queue.fair.remove(submission.request.member, submission)
+        fair = queue.fair(submission.settings.priority)
+        fair.remove(submission.request.member, submission)
+
+    def _queue(self, submission: Submission) -> ServiceQueue:
+        return self._queues.setdefault(submission.settings.service, ServiceQueue())
+
+    def _push(self, queue: ServiceQueue, submission: Submission, front: bool = False) -> None:
+        settings = submission.settings
+        fair = queue.fair(settings.priority)
+        fair.push(submission.request.member, settings.weight, submission, front=front)
 
     def count(self, member: str) -> int:
         """Return how many tasks of a member wait here."""
         return sum(
-            len(item.waiting)
-            for queue in self._queues.values()
-            for item in queue.fair.items_of(member)
+            len(item.waiting) for queue in self._queues.values() for item in queue.items_of(member)
         )
 
     def backlog_s(self, request: JobRequest, settings: JobSettings) -> float:
         """Return the expected time until a new job's first task would start.
 
-        Only the tasks that fair queueing serves first count: the member's own, and as many of the
-        other members' as their weights allow in the meantime.
+        Only the tasks that are served first count: those of a higher priority, the member's own,
+        and as many of the other members' as their weights allow in the meantime.
         """
-        slots = sum(agent.load.slots for agent in self.agents_of(settings.service))
+        cores = sum(agent.load.cpu_m for agent in self.agents_of(settings.service)) / 1000
         queue = self._queues.get(settings.service)
-        if not slots or queue is None:
+        if not cores or queue is None:
             return 0.0
-        own_s = self._waiting_run_s(queue.fair.items_of(request.member))
-        rest_s = self._waiting_run_s(queue.fair.all_items()) - own_s
-        weights = queue.fair.total_weight(request.member, settings.weight)
+        fair = queue.fair(settings.priority)
+        own_s = self._waiting_core_s(fair.items_of(request.member))
+        rest_s = self._waiting_core_s(fair.all_items()) - own_s
+        weights = fair.total_weight(request.member, settings.weight)
         others_s = min(rest_s, own_s * (weights - settings.weight) / settings.weight)
-        return (own_s + others_s) / slots
+        before_s = sum(
+            self._waiting_core_s(other.all_items())
+            for priority, other in queue.by_priority.items()
+            if priority < settings.priority
+        )
+        return (before_s + own_s + others_s) / cores
 
-    def _waiting_run_s(self, submissions: Iterable[Submission]) -> float:
+    def _waiting_core_s(self, submissions: Iterable[Submission]) -> float:
+        """Return the expected work of the waiting tasks of submissions, in core-seconds."""
         return sum(
-            len(item.waiting) * self.estimates.job_s(item.request.path) for item in submissions
+            self._run_s(item, task) * task.spec.demand.cpu_m / 1000
+            for item in submissions
+            for task in item.waiting
         )
 
+    def _run_s(self, submission: Submission, task: Task) -> float:
+        return self.estimates.task_s(submission.request.path, task.spec.declared_s)
+
+    def needs(self, submission: Submission, task: Task) -> TaskNeeds:
+        """Return what the plan must know of a task."""
+        run_s = self._run_s(submission, task)
+        return TaskNeeds(task.spec.demand, run_s, submission.settings.priority)
+
+    def any(self) -> bool:
+        """Return whether any task waits here."""
+        return any(queue.waiting_tasks > 0 for queue in self._queues.values())
+
     def has_target(self, service: str) -> bool:
         """Return whether any agent of a service accepts tasks."""
         return bool(self.agents_of(service))
@@ -141,6 +181,7 @@
             for agent in self.agents_of(service)
             if now_s >= agent.load.quarantined_until_s
             and not self._view.state.domain_is_out(agent.load.domain)
+            and not _is_suspect(agent, now_s)
         ]
         if isinstance(self._policy, ExpectedCompletion):
             placements = self._plan(queue, targets, now_s)
@@ -152,68 +193,82 @@
     def _plan(
         self, queue: ServiceQueue, targets: list[TargetLoad], now_s: float
     ) -> list[Placement]:
-        """Bind the tasks whose planned slot frees up within the horizon."""
+        """Bind the tasks that should start within the horizon."""
         root = self._view.state.settings(ROOT_PATH)
-        order = queue.fair.in_order()
-        first = order.first()
-        if first is None:
-            return []
-        mean_s = self.estimates.job_s(first.items[0].request.path)
-        plan = SlotPlan(targets, now_s, root.horizon_s, root.ramp_s, mean_s)
+        plan = RoomPlan(targets, now_s, root.horizon_s, root.ramp_s, self._mean_run_s(queue))
         newest_offset = self._newest_offset(targets)
+        placements: list[Placement] = []
+        for fair in queue.in_order():
+            placements += self._plan_priority(fair, plan, targets, newest_offset)
+        return placements
+
+    def _mean_run_s(self, queue: ServiceQueue) -> float:
+        first = queue.in_order()[0].all_items()[0]
+        return self.estimates.task_s(first.request.path)
+
+    def _plan_priority(
+        self,
+        fair: FairQueue[Submission],
+        plan: RoomPlan,
+        targets: list[TargetLoad],
+        newest_offset: int,
+    ) -> list[Placement]:
+        """Plan the tasks of one priority in fair order."""
+        order = fair.in_order()
         planned: dict[str, int] = {}
         placements: list[Placement] = []
         for _ in range(MAX_PLANNED_TASKS):
             member = order.first()
-            if member is None or not plan.has_room():
+            if member is None:
                 break
             submission = self._next_submission(member, planned)
             if submission is None or self._at_quota(submission):
                 order.leave()
                 continue
-            run_s = self.estimates.job_s(submission.request.path)
-            slot = plan.take(run_s, self._usable(submission, targets, newest_offset))
+            task = submission.waiting[planned.get(submission.submission_id, 0)]
+            needs = self.needs(submission, task)
+            slot = plan.take(needs, self._usable(submission, task, targets, newest_offset))
             if slot is None:
                 order.leave()
             elif plan.bind(slot):
-                placements.append(self._bind(member, submission, slot.plan.target, slot.end_s))
-                order.served(run_s)
+                placements.append(
+                    self._bind(member, submission, task, slot.plan.target, slot.end_s)
+                )
+                order.served(needs.run_s)
             else:
                 held = planned.get(submission.submission_id, 0)
                 planned[submission.submission_id] = held + 1
-                order.planned(run_s)
+                order.planned(needs.run_s)
         return placements
 
     def _bind_at_once(
         self, queue: ServiceQueue, targets: list[TargetLoad], now_s: float
     ) -> list[Placement]:
         """Bind tasks by a simple policy as long as any target has room."""
-        ramp_s = self._view.state.settings(ROOT_PATH).ramp_s
-        rooms = {
-            target.name: target.allowed(now_s, ramp_s, target.queue_limit) - target.load
-            for target in targets
-        }
+        rooms = {target.name: _simple_room(target, now_s) for target in targets}
         newest_offset = self._newest_offset(targets)
-        order = queue.fair.in_order()
         placements: list[Placement] = []
-        while (member := order.first()) is not None:
-            submission = self._next_submission(member, {})
-            if submission is None or self._at_quota(submission):
-                order.leave()
-                continue
-            usable = self._usable(submission, targets, newest_offset)
-            having_room = [item for item in targets if rooms[item.name] > 0]
-            if usable is not None:
-                having_room = [item for item in having_room if item in usable]
-            target = choose(self._policy, having_room)
-            if target is None:
-                order.leave()
-                continue
-            rooms[target.name] -= 1
-            run_s = self.estimates.job_s(submission.request.path)
-            end_s = now_s + run_s * target.factor
-            placements.append(self._bind(member, submission, target, end_s))
-            order.served(run_s)
+        for fair in queue.in_order():
+            order = fair.in_order()
+            while (member := order.first()) is not None:
+                submission = self._next_submission(member, {})
+                if submission is None or self._at_quota(submission):
+                    order.leave()
+                    continue
+                task = submission.waiting[0]
+                usable = self._usable(submission, task, targets, newest_offset)
+                having_room = [item for item in targets if rooms[item.name] > 0]
+                if usable is not None:
+                    having_room = [item for item in having_room if item in usable]
+                target = choose(self._policy, having_room)
+                if target is None:
+                    order.leave()
+                    continue
+                rooms[target.name] -= 1
+                run_s = self._run_s(submission, task)
+                end_s = now_s + run_s * target.factor
+                placements.append(self._bind(member, submission, task, target, end_s))
+                order.served(run_s)
         return placements
 
     def _next_submission(
@@ -233,21 +288,30 @@
         return running >= submission.settings.max_running_tasks
 
     def _usable(
-        self, submission: Submission, targets: list[TargetLoad], newest_offset: int
+        self,
+        submission: Submission,
+        task: Task,
+        targets: list[TargetLoad],
+        newest_offset: int,
     ) -> list[TargetLoad] | None:
-        """Return the targets that may take a submission's next task, None for all of them."""
-        task = submission.waiting[0]
-        if task.refused_by and self._refused_by_all(task, submission.settings.service):
+        """Return the targets that may take a task, None for all of them.
+
+        An at-most-once task may only go to agents that were announced before its id was issued.
+        """
+        settings = submission.settings
+        if task.refused_by and self._refused_by_all(task, settings.service):
             task.refused_by.clear()
-        allowed = submission.settings.domains_allowed
-        if not task.refused_by and not allowed and newest_offset <= submission.issued_offset:
+        allowed = settings.domains_allowed
+        old = not settings.best_effort and newest_offset > submission.issued_offset
+        if not task.refused_by and not allowed and not old:
             return None
+        agents = self._directory.agents
         return [
             target
             for target in targets
             if target.name not in task.refused_by
             and (not allowed or target.domain in allowed)
-            and self._directory.agents[target.name].announce_offset <= submission.issued_offset
+            and (not old or agents[target.name].announce_offset <= submission.issued_offset)
         ]
 
     def _newest_offset(self, targets: list[TargetLoad]) -> int:
@@ -262,13 +326,29 @@
         self,
         member: MemberQueue[Submission],
         submission: Submission,
+        task: Task,
         target: TargetLoad,
         end_s: float,
     ) -> Placement:
-        """Take the submission's next task out of its queue."""
-        task = submission.waiting.popleft()
+        """Take a submission's task out of its queue."""
+        submission.waiting.remove(task)
         if not submission.waiting:
             member.items.remove(submission)
         self._accounting.started(submission.request.member)
         agent = self._directory.agents[target.name]
         return Placement(agent, submission, task, end_s)
+
+
+def _is_suspect(agent: Agent, now_s: float) -> bool:
+    """Return whether an agent that should have answered by now has not been heard."""
+    if agent.link is None or not agent.outstanding:
+        return False
+    return now_s - agent.link.heard_at_s > SUSPECT_SILENCE_S
+
+
+def _simple_room(target: TargetLoad, now_s: float) -> int:
+    """Return how many more tasks of one slot a simple policy may place at a target."""
+    limit = target.cpu_m // SLOT_CPU_M + QUEUE_TASKS
+    if target.probation_limit is not None:
+        limit = target.probation_limit
+    return limit - target.load
--- a/pistachiohill/protocol/link.py
+++ b/pistachiohill/protocol/link.py
@@ -13,7 +13,7 @@
 from websockets.trio.connection import Connection
 from websockets.trio.server import ServerConnection, serve
 
-from .. import logs
+from .. import clock, logs
 from ..const import MAX_FRAME_BYTES, PROTOCOL_VERSION
 from .codec import decode_frame, encode_frame
 from .errors import DecodeError, HandshakeError
@@ -63,6 +63,7 @@
         self.peer_incarnation = peer_incarnation
         self.counters = counters or LinkCounters()
         self.heard_at_s = now_s
+        self.sent_at_s = now_s
         self.closed = False
         self._connection = connection
         self._outbox: list[Message] = []
@@ -85,15 +86,13 @@
         self.closed = True
         self._scope.cancel()
 
-    async def async_run(
-        self, handle: Callable[[Message, float], None], clock: Callable[[], float]
-    ) -> None:
+    async def async_run(self, handle: Callable[[Message, float], None]) -> None:
         """Send queued messages and hand received ones to `handle` until the link ends."""
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._async_write)
-                    await self._async_read(handle, clock)
+                    await self._async_read(handle)
                     nursery.cancel_scope.cancel()
         finally:
             self.closed = True
@@ -105,6 +104,7 @@
                 await trio.lowlevel.checkpoint()
                 messages, self._outbox, self._wake = self._outbox, [], trio.Event()
                 data = encode_frame(messages)
+                self.sent_at_s = clock.boot_s()
                 self.counters.messages_sent += len(messages)
                 self.counters.frames_sent += 1
                 self.counters.bytes_sent += len(data)
@@ -112,13 +112,11 @@
         except ConnectionClosed:
             self.close()
 
-    async def _async_read(
-        self, handle: Callable[[Message, float], None], clock: Callable[[], float]
-    ) -> None:
+    async def _async_read(self, handle: Callable[[Message, float], None]) -> None:
         try:
             while True:
                 data = await self._connection.recv(decode=False)
-                self.heard_at_s = clock()
+                self.heard_at_s = clock.boot_s()
                 messages = decode_frame(data)
                 self.counters.messages_received += len(messages)
                 self.counters.frames_received += 1
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -15,16 +15,22 @@
     Fields:
         index: Position of the task in its submission.
         attempt: Number of this placement, from 1; an agent refuses one that it has fenced.
-        payload: Body handed to the target.
+        payload: Body handed to the target; empty where the message has a shared one.
+        cpu_m: Processor room that the task takes, in thousandths of a core.
+        mem_mb: Memory that the task takes, in MB.
+        run_s: Expected run time at this target in seconds, 0 where unknown.
     """
 
     index: int
     attempt: int
     payload: bytes
+    cpu_m: int = 1000
+    mem_mb: int = 0
+    run_s: float = 0.0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.index, self.attempt, self.payload]
+        return [self.index, self.attempt, self.payload, self.cpu_m, self.mem_mb, self.run_s]
 
     @classmethod
     def from_wire(cls, source: object) -> "TaskStart":
@@ -34,6 +40,41 @@
             index=wire.read_int(items[0]),
             attempt=wire.read_int(items[1]),
             payload=wire.read_bytes(items[2]),
+            cpu_m=wire.read_int(items[3]) if len(items) > 3 else 1000,
+            mem_mb=wire.read_int(items[4]) if len(items) > 4 else 0,
+            run_s=wire.read_float(items[5]) if len(items) > 5 else 0.0,
+        )
+
+
+@define(slots=True)
+class AgentLoad:
+    """What an agent holds for other entries, and how long one more task would wait there.
+
+    Fields:
+        others: Tasks of other entries, queued or running.
+        others_cpu_m: Processor room that they take, in thousandths of a core.
+        others_mem_mb: Memory that they take, in MB.
+        waits_s: Expected wait of one more task, by priority from 0; empty where there is room.
+    """
+
+    others: int
+    others_cpu_m: int
+    others_mem_mb: int
+    waits_s: list[float]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.others, self.others_cpu_m, self.others_mem_mb, self.waits_s]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "AgentLoad":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 4, "AgentLoad")
+        return cls(
+            others=wire.read_int(items[0]),
+            others_cpu_m=wire.read_int(items[1]),
+            others_mem_mb=wire.read_int(items[2]),
+            waits_s=[wire.read_float(item) for item in wire.read_list(items[3])],
         )
 
 
@@ -1079,13 +1120,13 @@
     Fields:
         submission_id: Identifier of the submission.
         stamp_s: Sender's boot time in seconds.
-        occupied: Tasks queued or running, for all entries.
+        load: What other entries have placed here.
         reports: The settled tasks.
     """
 
     submission_id: str
     stamp_s: float
-    occupied: int
+    load: AgentLoad
     reports: list[TaskReport]
 
     def to_wire(self) -> list[object]:
@@ -1093,7 +1134,7 @@
         return [
             self.submission_id,
             self.stamp_s,
-            self.occupied,
+            self.load.to_wire(),
             [item.to_wire() for item in self.reports],
         ]
 
@@ -1104,7 +1145,7 @@
         return cls(
             submission_id=wire.read_str(items[0]),
             stamp_s=wire.read_float(items[1]),
-            occupied=wire.read_int(items[2]),
+            load=AgentLoad.from_wire(items[2]),
             reports=[TaskReport.from_wire(item) for item in wire.read_list(items[3])],
         )
 
@@ -1123,6 +1164,10 @@
         refusal_is_not_run: Whether HTTP 503 from the target means that nothing ran.
         view: Freshness of the sender's view.
         tasks: Tasks to start.
+        shared_payload: Body of the tasks that carry none of their own.
+        job_key: Caller's name of the job, by which the target tells tasks apart.
+        best_effort: Whether a task may run again once an earlier run has surely ended.
+        priority: Order in the agent's queue; 0 goes first.
     """
 
     submission_id: str
@@ -1134,6 +1179,10 @@
     refusal_is_not_run: bool
     view: ViewStamp
     tasks: list[TaskStart]
+    shared_payload: bytes = b""
+    job_key: str = ""
+    best_effort: bool = False
+    priority: int = 0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
@@ -1147,6 +1196,10 @@
             self.refusal_is_not_run,
             self.view.to_wire(),
             [item.to_wire() for item in self.tasks],
+            self.shared_payload,
+            self.job_key,
+            self.best_effort,
+            self.priority,
         ]
 
     @classmethod
@@ -1163,6 +1216,10 @@
             refusal_is_not_run=wire.read_bool(items[6]),
             view=ViewStamp.from_wire(items[7]),
             tasks=[TaskStart.from_wire(item) for item in wire.read_list(items[8])],
+            shared_payload=wire.read_bytes(items[9]) if len(items) > 9 else b"",
+            job_key=wire.read_str(items[10]) if len(items) > 10 else "",
+            best_effort=wire.read_bool(items[11]) if len(items) > 11 else False,
+            priority=wire.read_int(items[12]) if len(items) > 12 else 0,
         )
 
 
@@ -1174,9 +1231,10 @@
         stamp_s: Sender's boot time in seconds.
         announce_offset: Offset of the sender's announcement, -1 before it is known.
         service: Service of the agent's target.
-        slots: Tasks that the target runs side by side.
+        cpu_m: Processor room of the target, in thousandths of a core.
+        mem_mb: Memory of the target in MB.
         accepting: Whether new tasks are accepted.
-        occupied: Tasks queued or running, for all entries.
+        load: What other entries have placed here.
         applied_offset: Log offset of the view in force.
         view_age_s: Age of that view in seconds.
     """
@@ -1184,9 +1242,10 @@
     stamp_s: float
     announce_offset: int
     service: str
-    slots: int
+    cpu_m: int
+    mem_mb: int
     accepting: bool
-    occupied: int
+    load: AgentLoad
     applied_offset: int
     view_age_s: float
 
@@ -1196,9 +1255,10 @@
             self.stamp_s,
             self.announce_offset,
             self.service,
-            self.slots,
+            self.cpu_m,
+            self.mem_mb,
             self.accepting,
-            self.occupied,
+            self.load.to_wire(),
             self.applied_offset,
             self.view_age_s,
         ]
@@ -1206,16 +1266,17 @@
     @classmethod
     def from_wire(cls, source: object) -> "AgentState":
         """Read the fields by position; raise DecodeError on bad input."""
-        items = wire.read_fields(source, 8, "AgentState")
+        items = wire.read_fields(source, 9, "AgentState")
         return cls(
             stamp_s=wire.read_float(items[0]),
             announce_offset=wire.read_int(items[1]),
             service=wire.read_str(items[2]),
-            slots=wire.read_int(items[3]),
-            accepting=wire.read_bool(items[4]),
-            occupied=wire.read_int(items[5]),
-            applied_offset=wire.read_int(items[6]),
-            view_age_s=wire.read_float(items[7]),
+            cpu_m=wire.read_int(items[3]),
+            mem_mb=wire.read_int(items[4]),
+            accepting=wire.read_bool(items[5]),
+            load=AgentLoad.from_wire(items[6]),
+            applied_offset=wire.read_int(items[7]),
+            view_age_s=wire.read_float(items[8]),
         )
 
 
@@ -1228,26 +1289,29 @@
         incarnation: Incarnation of the sender.
         announce_offset: Offset of the sender's announcement, -1 before it is known.
         stamp_s: Sender's boot time in seconds.
+        domain: Failure domain of the sender's instance.
     """
 
     version: int
     incarnation: str
     announce_offset: int
     stamp_s: float
+    domain: str
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.version, self.incarnation, self.announce_offset, self.stamp_s]
+        return [self.version, self.incarnation, self.announce_offset, self.stamp_s, self.domain]
 
     @classmethod
     def from_wire(cls, source: object) -> "HelloReply":
         """Read the fields by position; raise DecodeError on bad input."""
-        items = wire.read_fields(source, 4, "HelloReply")
+        items = wire.read_fields(source, 5, "HelloReply")
         return cls(
             version=wire.read_int(items[0]),
             incarnation=wire.read_str(items[1]),
             announce_offset=wire.read_int(items[2]),
             stamp_s=wire.read_float(items[3]),
+            domain=wire.read_str(items[4]),
         )
 
 
--- a/pistachiohill/scheduling/models.py
+++ b/pistachiohill/scheduling/models.py
@@ -1,39 +1,69 @@
-"""What the scheduler knows of a target, as seen from one entry."""
+"""What the scheduler knows of a task's needs and of a target, as seen from one entry."""
 
-from attrs import define, field
+from typing import Final
+
+from attrs import define, field, frozen
 
 from .estimates import Mean
 
+SLOT_CPU_M: Final = 1000  # a task without a declared size takes one slot, counted as one core
+
+
+@frozen
+class Demand:
+    """Room that a task takes: processor in thousandths of a core, memory in MB."""
+
+    cpu_m: int = SLOT_CPU_M
+    mem_mb: int = 0
+
+
+@frozen
+class PlacedTask:
+    """A task that this entry has placed at a target; `end_s` is its expected end, a boot time."""
+
+    demand: Demand
+    end_s: float
+
+
+TaskKey = tuple[str, int]
+
 
 @define(eq=False)
 class TargetLoad:
     """Capacity, load and learned speed of one target.
 
     Fields:
-        slots: Tasks that the target runs side by side.
-        outstanding: Tasks that this entry has placed there and that are not settled.
+        cpu_m, mem_mb: The target's room.
+        placed: Tasks that this entry has placed there and that are not settled.
+        own_cpu_m, own_mem_mb: Room that they take.
         others: Tasks of other entries there, as of the latest report.
+        others_cpu_m, others_mem_mb: Room that they take.
+        waits_s: Expected wait of one more task by priority, as reported; empty where there is room.
+        reported_at_s: Boot time of that report.
         speed: Learned run time relative to the mean of all targets.
         ramp_from_s: Boot time since which a returning target is brought up again.
         quarantined_until_s: Boot time until which it gets no task.
         learned_at_s: Boot time of the latest run that the factor was learned from.
-        ends: Expected end of each task that this entry has placed there, by task key.
         probation_limit: Tasks that it may have until one succeeds, None when it is trusted.
-        queue_limit: Tasks that the target's agent queues beyond the slots.
     """
 
     name: str
     domain: str
-    slots: int = 0
-    outstanding: int = 0
+    cpu_m: int = 0
+    mem_mb: int = 0
+    placed: dict[TaskKey, PlacedTask] = field(factory=dict)
+    own_cpu_m: int = 0
+    own_mem_mb: int = 0
     others: int = 0
+    others_cpu_m: int = 0
+    others_mem_mb: int = 0
+    waits_s: tuple[float, ...] = ()
+    reported_at_s: float = 0.0
     speed: Mean = field(factory=lambda: Mean(1.0))
     ramp_from_s: float = -1e9
     quarantined_until_s: float = -1e9
     learned_at_s: float = 0.0
-    ends: dict[tuple[str, int], float] = field(factory=dict)
     probation_limit: int | None = None
-    queue_limit: int = 8
 
     @property
     def factor(self) -> float:
@@ -42,15 +72,24 @@
 
     @property
     def load(self) -> int:
-        """Return the tasks there, as far as they are known here."""
-        return self.outstanding + self.others
-
-    def allowed(self, now_s: float, ramp_s: float, depth: int) -> int:
-        """Return how many tasks may be there at once, growing from 1 while it ramps up."""
-        if self.probation_limit is not None:
-            return self.probation_limit
-        limit = self.slots + depth
+        """Return the number of tasks there, as far as they are known here."""
+        return len(self.placed) + self.others
+
+    def place(self, key: TaskKey, demand: Demand, end_s: float) -> None:
+        """Count a task that is being placed there."""
+        self.placed[key] = PlacedTask(demand, end_s)
+        self.own_cpu_m += demand.cpu_m
+        self.own_mem_mb += demand.mem_mb
+
+    def settle(self, key: TaskKey) -> None:
+        """Forget a placed task."""
+        demand = self.placed.pop(key).demand
+        self.own_cpu_m -= demand.cpu_m
+        self.own_mem_mb -= demand.mem_mb
+
+    def ramp_fraction(self, now_s: float, ramp_s: float) -> float:
+        """Return which part of a returning target's room may be used, growing to 1."""
         elapsed_s = now_s - self.ramp_from_s
         if elapsed_s >= ramp_s or ramp_s <= 0:
-            return limit
-        return max(1, int(self.slots * elapsed_s / ramp_s))
+            return 1.0
+        return max(0.0, elapsed_s / ramp_s)
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -1,9 +1,10 @@
-"""Plan which slot each waiting task will take, and bind only those that start soon.
+"""Plan at which target each waiting task is expected to end first, and bind those that start soon.
 
-The plan gives every task, in fair order, the slot in which it is expected to finish first, a slot
-that is still busy included. A task whose slot frees up within the horizon is bound to its target
-now, so the target goes on without a round trip and messages carry several tasks; any other task
-stays at the entry and is planned anew at the next event.
+The plan gives every task, in order of service, the target where it should end first, by the room
+that is free now, the wait that the target's agent reports, and learned run times. A task that
+should start within the horizon is bound now: the agent queues it for the moment until its room is
+free, so the target goes on without a round trip. Any other task stays at the entry and is planned
+anew at the next event.
 """
 
 import math
@@ -12,25 +13,64 @@
 
 from attrs import define, frozen
 
-from .models import TargetLoad
+from .models import Demand, TargetLoad
 
-OVERDUE_FRACTION = 0.2
-OTHERS_FRACTION = 0.5
-FADE_S = 30.0
+OVERDUE_FRACTION = 0.2  # an overdue task is expected to take a fifth of its run time more
+FADE_S = 30.0  # after which a third of an unconfirmed slowness is left
+MAX_QUEUED = 8  # tasks of one size that may queue at a target; late binding pays
+SPREAD = 0.05  # prefers the less used of equally fast targets, as a part of the run time
 
 
-@define
+@frozen
+class TaskNeeds:
+    """What the plan must know of a task; `run_s` is its run time at a target of factor 1."""
+
+    demand: Demand
+    run_s: float
+    priority: int = 0
+
+
+@define(eq=False)
 class TargetPlan:
-    """Expected times at which a target's slots become free, as a heap."""
+    """One target's room and expected waits in this round of planning."""
 
     target: TargetLoad
     factor: float
-    free_s: list[float]
-    room: int
-
-    def end_s(self, run_s: float) -> float:
-        """Return when a task would end in the slot that frees up first."""
-        return self.free_s[0] + run_s * self.factor
+    free_cpu_m: float
+    free_mem_mb: float
+    capacity_cpu_m: float
+    release_s: float
+    waits_s: tuple[float, ...]
+    backlog_s: float = 0.0
+    tasks_left: float = math.inf
+
+    def wait_s(self, needs: TaskNeeds) -> float:
+        """Return how long a task would wait here."""
+        if not self.waits_s and self.has_room(needs.demand):
+            return 0.0
+        reported_s = 0.0
+        if self.waits_s:
+            reported_s = self.waits_s[min(needs.priority, len(self.waits_s) - 1)]
+        return max(self.release_s, reported_s) + self.backlog_s
+
+    def has_room(self, demand: Demand) -> bool:
+        """Return whether a task fits beside those that are there."""
+        return self.free_cpu_m >= demand.cpu_m and self.free_mem_mb >= demand.mem_mb
+
+    def cost_s(self, needs: TaskNeeds) -> float:
+        """Return when a task would end here, counted from now, with a small term for spreading."""
+        run_s = needs.run_s * self.factor
+        used = 1.0 - self.free_cpu_m / self.capacity_cpu_m
+        return self.wait_s(needs) + run_s * (1.0 + SPREAD * max(0.0, used))
+
+    def occupy(self, needs: TaskNeeds) -> None:
+        """Count a task as running or queued here."""
+        demand = needs.demand
+        if self.waits_s or not self.has_room(demand):
+            self.backlog_s += needs.run_s * self.factor * demand.cpu_m / self.capacity_cpu_m
+        self.free_cpu_m -= demand.cpu_m
+        self.free_mem_mb -= demand.mem_mb
+        self.tasks_left -= 1
 
 
 @frozen
@@ -38,12 +78,13 @@
     """Where a task is expected to run; times are boot times."""
 
     plan: TargetPlan
+    needs: TaskNeeds
     start_s: float
     end_s: float
 
 
-class SlotPlan:
-    """The slots of all usable targets for one round of placement."""
+class RoomPlan:
+    """All usable targets of a service for one round of placement."""
 
     def __init__(
         self,
@@ -53,74 +94,101 @@
         ramp_s: float,
         mean_run_s: float,
     ) -> None:
-        """Read the targets' loads; `mean_run_s` stands for the tasks of other entries."""
-        self._limit_s = now_s + horizon_s
+        """Read the targets' loads; `mean_run_s` stands for tasks of which no end is known."""
         self._now_s = now_s
-        plans = (self._plan(target, ramp_s, mean_run_s) for target in targets)
+        self._limit_s = now_s + horizon_s
+        plans = (_target_plan(target, now_s, ramp_s, mean_run_s) for target in targets)
         self._plans = [plan for plan in plans if plan is not None]
-        usable = (plan for plan in self._plans if plan.free_s[0] <= self._limit_s)
-        self._room = sum(max(0, plan.room) for plan in usable)
-        self._ends: list[tuple[float, int]] = []
-        self._ends_run_s = 0.0
+        self._costs: list[tuple[float, int]] = []
+        self._costs_of: TaskNeeds | None = None
 
-    def has_room(self) -> bool:
-        """Return whether any target may still be given a task."""
-        return self._room > 0
+    def take(self, needs: TaskNeeds, usable: Sequence[TargetLoad] | None = None) -> Slot | None:
+        """Give the next task its slot; None when no target can ever hold it.
 
-    def take(self, run_s: float, usable: Sequence[TargetLoad] | None) -> Slot | None:
-        """Give the next task its slot; `run_s` is its run time at a target of factor 1.
-
-        `usable` limits the choice of targets. None is returned when there is no target.
+        `usable` limits the choice of targets.
         """
         if usable is not None:
-            self._ends = []
-            return self._take_among([p for p in self._plans if p.target in usable], run_s)
-        if not self._plans:
+            self._costs_of = None
+            return self._take_among([p for p in self._plans if p.target in usable], needs)
+        if self._costs_of != needs:
+            self._order_by_cost(needs)
+        if not self._costs:
             return None
-        if not self._ends or run_s != self._ends_run_s:
-            self._order_by_end(run_s)
-        _, number = self._ends[0]
+        _, number = self._costs[0]
         plan = self._plans[number]
-        slot = self._occupy(plan, run_s)
-        heapreplace(self._ends, (plan.end_s(run_s), number))
+        slot = self._occupy(plan, needs)
+        heapreplace(self._costs, (_cost_or_never(plan, needs), number))
         return slot
 
     def bind(self, slot: Slot) -> bool:
-        """Return whether a slot's task is to be bound now, and count it against the room."""
-        if slot.start_s > self._limit_s or slot.plan.room <= 0:
-            return False
-        slot.plan.room -= 1
-        self._room -= 1
-        return True
-
-    def _order_by_end(self, run_s: float) -> None:
-        """Order all targets by when a task of a run time would end there."""
-        self._ends_run_s = run_s
-        self._ends = [(plan.end_s(run_s), number) for number, plan in enumerate(self._plans)]
-        heapify(self._ends)
-
-    def _take_among(self, plans: list[TargetPlan], run_s: float) -> Slot | None:
-        best = min(plans, key=lambda plan: plan.end_s(run_s), default=None)
-        return None if best is None else self._occupy(best, run_s)
-
-    def _occupy(self, plan: TargetPlan, run_s: float) -> Slot:
-        slot = Slot(plan, plan.free_s[0], plan.end_s(run_s))
-        heapreplace(plan.free_s, slot.end_s)
-        return slot
-
-    def _plan(self, target: TargetLoad, ramp_s: float, mean_run_s: float) -> TargetPlan | None:
-        slots = target.allowed(self._now_s, ramp_s, 0)
-        if slots <= 0:
-            return None
-        factor = current_factor(target, mean_run_s, self._now_s)
-        run_s = mean_run_s * factor
-        overdue_s = self._now_s + OVERDUE_FRACTION * run_s
-        ends = [max(end_s, overdue_s) for end_s in target.ends.values()]
-        ends += [self._now_s + OTHERS_FRACTION * run_s] * target.others
-        ends.sort()
-        free = ends[-slots:] if len(ends) >= slots else ends + [self._now_s] * (slots - len(ends))
-        heapify(free)
-        return TargetPlan(target, factor, free, _queue_room(target, slots) - len(ends))
+        """Return whether a slot's task is to be bound now."""
+        return slot.start_s <= self._limit_s
+
+    def _order_by_cost(self, needs: TaskNeeds) -> None:
+        self._costs_of = needs
+        self._costs = [
+            (_cost_or_never(plan, needs), number)
+            for number, plan in enumerate(self._plans)
+            if _can_hold(plan, needs.demand)
+        ]
+        heapify(self._costs)
+
+    def _take_among(self, plans: list[TargetPlan], needs: TaskNeeds) -> Slot | None:
+        able = [plan for plan in plans if _can_hold(plan, needs.demand)]
+        best = min(able, key=lambda plan: _cost_or_never(plan, needs), default=None)
+        return None if best is None else self._occupy(best, needs)
+
+    def _occupy(self, plan: TargetPlan, needs: TaskNeeds) -> Slot:
+        if not _takes_more(plan, needs.demand):
+            return Slot(plan, needs, math.inf, math.inf)
+        start_s = self._now_s + plan.wait_s(needs)
+        plan.occupy(needs)
+        return Slot(plan, needs, start_s, start_s + needs.run_s * plan.factor)
+
+
+def _can_hold(plan: TargetPlan, demand: Demand) -> bool:
+    return plan.target.cpu_m >= demand.cpu_m and plan.target.mem_mb >= demand.mem_mb
+
+
+def _cost_or_never(plan: TargetPlan, needs: TaskNeeds) -> float:
+    """Return a task's cost at a target, infinite when the target takes no more for now."""
+    return plan.cost_s(needs) if _takes_more(plan, needs.demand) else math.inf
+
+
+def _takes_more(plan: TargetPlan, demand: Demand) -> bool:
+    return plan.tasks_left > 0 and plan.free_cpu_m > -MAX_QUEUED * demand.cpu_m
+
+
+def _target_plan(
+    target: TargetLoad, now_s: float, ramp_s: float, mean_run_s: float
+) -> TargetPlan | None:
+    if target.cpu_m <= 0:
+        return None
+    part = target.ramp_fraction(now_s, ramp_s)
+    factor = current_factor(target, mean_run_s, now_s)
+    age_s = now_s - target.reported_at_s
+    run_s = mean_run_s * factor
+    free_cpu_m = target.cpu_m * part - target.own_cpu_m - target.others_cpu_m
+    queued_s = run_s * max(0.0, -free_cpu_m) / target.cpu_m
+    plan = TargetPlan(
+        target,
+        factor,
+        free_cpu_m=free_cpu_m,
+        free_mem_mb=target.mem_mb - target.own_mem_mb - target.others_mem_mb,
+        capacity_cpu_m=target.cpu_m,
+        release_s=_next_release_s(target, run_s, now_s) + queued_s,
+        waits_s=tuple(max(0.0, wait_s - age_s) for wait_s in target.waits_s),
+    )
+    if target.probation_limit is not None:
+        plan.tasks_left = target.probation_limit - len(target.placed)
+    return plan
+
+
+def _next_release_s(target: TargetLoad, run_s: float, now_s: float) -> float:
+    """Return how long it should take until any task ends at a target."""
+    overdue_s = OVERDUE_FRACTION * run_s
+    own_s = min((task.end_s - now_s for task in target.placed.values()), default=run_s)
+    return min(max(own_s, overdue_s), run_s / (target.others + 1))
 
 
 def current_factor(target: TargetLoad, mean_run_s: float, now_s: float) -> float:
@@ -134,12 +202,8 @@
     if factor > 1.0:
         idle_s = max(0.0, now_s - target.learned_at_s)
         factor = 1.0 + (factor - 1.0) * math.exp(-idle_s / FADE_S)
-    if not target.ends or mean_run_s <= 0.0:
+    if not target.placed or mean_run_s <= 0.0:
         return factor
-    overdue_s = sum(max(0.0, now_s - end_s) for end_s in target.ends.values()) / len(target.ends)
+    ends = [task.end_s for task in target.placed.values()]
+    overdue_s = sum(max(0.0, now_s - end_s) for end_s in ends) / len(ends)
     return factor + overdue_s / mean_run_s
-
-
-def _queue_room(target: TargetLoad, slots: int) -> int:
-    """Return how many tasks a target may have, its agent's queue included."""
-    return slots if target.probation_limit is not None else slots + target.queue_limit
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -20,6 +20,13 @@
         max_tasks: Most tasks in one submission.
         max_payload_bytes: Largest payload of one task.
         max_restarts: How often one task may be placed again after a refusal that was not run.
+        best_effort: Whether a task may run again, from the start, once an earlier run has
+            surely ended.
+        max_runs: Runs of one task of a best-effort job before the job fails.
+        priority: Order in which waiting jobs are served; 0 goes first.
+        slack_factor: Response time aimed at, as a multiple of the longest task's run time; 0
+            for none.
+        target_latency_s: Time added to that multiple.
         max_request_attempts: Attempts of one idempotent single request.
         idempotent: Whether single requests of this job may be repeated after they may have run.
         refusal_is_not_run: Whether HTTP 503 from a target means that the task did not run.
@@ -45,6 +52,11 @@
     max_tasks: int = 1400
     max_payload_bytes: int = 65536
     max_restarts: int = 8
+    best_effort: bool = False
+    max_runs: int = 2
+    priority: int = 0
+    slack_factor: float = 0.0
+    target_latency_s: float = 0.0
     max_request_attempts: int = 2
     idempotent: bool = False
     refusal_is_not_run: bool = False
@@ -117,6 +129,46 @@
         100.0,
         ("consortium", "member", "job"),
     ),
+    FieldSpec(
+        "best_effort",
+        "bool",
+        "Whether a task may run again, from the start, once an earlier run has surely ended.",
+        0.0,
+        0.0,
+        ("consortium", "member", "job"),
+    ),
+    FieldSpec(
+        "max_runs",
+        "int",
+        "Runs of one task of a best-effort job before the job fails.",
+        1.0,
+        100.0,
+        ("consortium", "member", "job"),
+    ),
+    FieldSpec(
+        "priority",
+        "int",
+        "Order in which waiting jobs are served; 0 goes first.",
+        0.0,
+        100.0,
+        ("consortium", "member", "job"),
+    ),
+    FieldSpec(
+        "slack_factor",
+        "float",
+        "Response time aimed at, as a multiple of the longest task's run time; 0 for none.",
+        0.0,
+        1000.0,
+        ("consortium", "member", "job"),
+    ),
+    FieldSpec(
+        "target_latency_s",
+        "float",
+        "Time added to that multiple.",
+        0.0,
+        3600.0,
+        ("consortium", "member", "job"),
+    ),
     FieldSpec(
         "max_request_attempts",
         "int",
@@ -242,6 +294,7 @@
         submission_ttl_s: How long a submission id may be used after it was issued.
         grace_s: Longest time that a planned stop waits for requests.
         silence_s: Silence on a connection with outstanding work after which it is replaced.
+        agents: host:port of agents, used when the log cannot be read at start.
         max_body_bytes: Largest request body.
         advertised_port: Port announced to other entries; 0 for peer_port.
         max_wait_s: Longest time that one HTTP request may wait for an answer.
@@ -260,6 +313,7 @@
     submission_ttl_s: float = 120.0
     grace_s: float = 30.0
     silence_s: float = 1.0
+    agents: tuple[str, ...] = ()
     max_body_bytes: int = 33554432
     advertised_port: int = 0
     max_wait_s: float = 60.0
@@ -309,6 +363,14 @@
         60.0,
         (),
     ),
+    FieldSpec(
+        "agents",
+        "list[str]",
+        "host:port of agents, used when the log cannot be read at start.",
+        0.0,
+        256.0,
+        (),
+    ),
     FieldSpec("max_body_bytes", "int", "Largest request body.", 1024.0, 268435456.0, ()),
     FieldSpec(
         "advertised_port",
@@ -343,7 +405,9 @@
         log_url: Base URL of the platform's log.
         secret: Secret shared by the deployment's processes.
         retention_s: How long a start is remembered.
-        queue_tasks: Tasks queued beyond the target's slots.
+        queue_tasks: Tasks queued beyond the target's room.
+        announce_first: Whether no task is taken before the agent's announcement stands in the
+            log.
         report_interval_s: Longest time that a settled task waits for its group's report.
         grace_s: Longest time that a planned stop waits for tasks.
         advertised_port: Port announced to entries; 0 for peer_port.
@@ -360,6 +424,7 @@
     secret: str = ""
     retention_s: float = 180.0
     queue_tasks: int = 8
+    announce_first: bool = True
     report_interval_s: float = 0.12
     grace_s: float = 30.0
     advertised_port: int = 0
@@ -390,7 +455,15 @@
     FieldSpec("log_url", "str", "Base URL of the platform's log.", 1.0, 256.0, ()),
     FieldSpec("secret", "str", "Secret shared by the deployment's processes.", 0.0, 256.0, ()),
     FieldSpec("retention_s", "float", "How long a start is remembered.", 1.0, 7200.0, ()),
-    FieldSpec("queue_tasks", "int", "Tasks queued beyond the target's slots.", 0.0, 1400.0, ()),
+    FieldSpec("queue_tasks", "int", "Tasks queued beyond the target's room.", 0.0, 1400.0, ()),
+    FieldSpec(
+        "announce_first",
+        "bool",
+        "Whether no task is taken before the agent's announcement stands in the log.",
+        0.0,
+        0.0,
+        (),
+    ),
     FieldSpec(
         "report_interval_s",
         "float",
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -8,18 +8,36 @@
 from ..const import JobState
 from ..errors import RefusalReason, Verdict
 from ..protocol.models import ForwardReply, TaskReport
+from ..scheduling.models import Demand
 from ..settings.models import JobSettings
 from .identifiers import parse_submission_id
 
 
+@frozen
+class TaskSpec:
+    """What a caller says of one task; `declared_s` is its declared run time, 0 for none."""
+
+    payload: bytes
+    demand: Demand = Demand()
+    declared_s: float = 0.0
+
+
 @frozen
 class JobRequest:
-    """A checked request to run a job's tasks; times in seconds."""
+    """A checked request to run a job's tasks.
+
+    Fields:
+        member, job: Whose job it is, by the names of the settings tree.
+        tasks: The tasks.
+        deadline_s: How long the caller waits, in seconds; 0 for the job's own deadline.
+        key: The caller's name of the job, empty where the submission id is the only name.
+    """
 
     member: str
     job: str
-    payloads: tuple[bytes, ...]
+    tasks: tuple[TaskSpec, ...]
     deadline_s: float = 0.0
+    key: str = ""
 
     @property
     def path(self) -> str:
@@ -87,11 +105,17 @@
 
 @define(eq=False, slots=True)
 class Task:
-    """One task: how often it was placed, where it is, and its outcome once settled."""
+    """One task, where it is, and its outcome once settled.
+
+    `attempt` numbers its placements; `restarts` counts those after a refusal that was not merely
+    for want of room; `runs` counts the runs that have failed.
+    """
 
     index: int
-    payload: bytes
+    spec: TaskSpec
     attempt: int = 0
+    restarts: int = 0
+    runs: int = 0
     agent: str = ""
     refused_by: set[str] = field(factory=set)
     report: TaskReport | None = None
@@ -99,7 +123,10 @@
 
 @define(eq=False, slots=True)
 class Submission:
-    """A job in progress or answered; `deadline_s` and `submitted_at_s` are boot times."""
+    """A job in progress or answered; `deadline_s` and `submitted_at_s` are boot times.
+
+    `repeated` is the verdict on runs that have ended and were started once more.
+    """
 
     submission_id: str
     request: JobRequest
@@ -110,6 +137,7 @@
     issued_offset: int
     waiting: deque[Task]
     unsettled: int
+    repeated: Verdict = Verdict.NOT_RUN
     outstanding: int = 0
     failure: RefusalReason | None = None
     failure_detail: str = ""
@@ -130,6 +158,7 @@
     def verdict(self) -> Verdict:
         """Return whether any task may have run, as far as it is known now."""
         verdicts = {task.report.verdict for task in self.tasks if task.report is not None}
+        verdicts.add(self.repeated)
         if Verdict.RAN in verdicts:
             return Verdict.RAN
         if self.outstanding or Verdict.MAY_HAVE_RUN in verdicts:
@@ -141,7 +170,7 @@
     submission_id: str, request: JobRequest, settings: JobSettings, now_s: float
 ) -> Submission:
     """Return the record of a job accepted at a boot time."""
-    tasks = [Task(index, payload) for index, payload in enumerate(request.payloads)]
+    tasks = [Task(index, spec) for index, spec in enumerate(request.tasks)]
     parsed = parse_submission_id(submission_id)
     assert parsed is not None
     limit_s = min(request.deadline_s or settings.deadline_s, settings.deadline_s)
--- a/standins/agents.py
+++ b/standins/agents.py
@@ -2,15 +2,16 @@
 
 import trio
 
-from pistachiohill.agent.admission import TargetState
 from pistachiohill.agent.metrics import AgentMetrics
+from pistachiohill.agent.models import TargetAnswer, TargetCall, TargetState
 from pistachiohill.agent.runner import TaskRunner
 from pistachiohill.agent.service import AgentService
-from pistachiohill.agent.target_client import TargetAnswer, TargetCall, TargetClient
+from pistachiohill.agent.target_client import TargetClient
 from pistachiohill.errors import Verdict
 from pistachiohill.platform_log.client import LogClient
 from pistachiohill.platform_log.models import Appended
 from pistachiohill.protocol.codec import encode_record
+from pistachiohill.scheduling.models import SLOT_CPU_M
 from pistachiohill.settings.models import AgentSettings
 
 FOREVER_S = 1e12
@@ -47,11 +48,14 @@
                 secret=secret,
             )
             runner = TaskRunner(settings, nursery, WaitingTarget(run_s), metrics)
-            runner.target = TargetState(service, "http://none", slots, False, FOREVER_S)
-            agent = AgentService(settings, runner, metrics)
+            runner.target = TargetState(
+                service, "http://none", slots * SLOT_CPU_M, 0, False, FOREVER_S
+            )
+            agent = AgentService(settings, runner)
             await nursery.start(agent.async_serve_links)
             outcome = await log.async_append(encode_record(agent.announcement()))
             assert isinstance(outcome, Appended), outcome
             agent.announced(outcome.offset)
             nursery.start_soon(agent.async_heartbeat)
+            nursery.start_soon(agent.async_push_load)
             nursery.start_soon(runner.async_expire)
--- a/tests/agent/test_view.py
+++ b/tests/agent/test_view.py
@@ -3,7 +3,8 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from pistachiohill.agent.admission import TargetState, refuse_start, refuse_submission
+from pistachiohill.agent.admission import refuse_start, refuse_submission
+from pistachiohill.agent.models import TargetState
 from pistachiohill.agent.view import AgentView
 from pistachiohill.errors import RefusalReason
 from pistachiohill.protocol.models import ViewStamp
@@ -47,8 +48,8 @@
         self.assertEqual(max(known, default=float("-inf")), view.confirmed_at_s)
 
     def test_refusals_before_a_start(self) -> None:
-        present = TargetState("s", "http://h", 8, False, 100.0)
-        leaving = TargetState("s", "http://h", 8, True, 100.0)
+        present = TargetState("s", "http://h", 8000, 0, False, 100.0)
+        leaving = TargetState("s", "http://h", 8000, 0, True, 100.0)
         out = AgentView(1, True, 0.0, 4.0)
         self.assertIsNone(refuse_start(AgentView(), present, False, 50.0))
         self.assertEqual(RefusalReason.STOPPING, refuse_start(AgentView(), present, True, 50.0))
--- a/tests/failures/test_bad_peers.py
+++ b/tests/failures/test_bad_peers.py
@@ -11,6 +11,7 @@
 from websockets.trio.client import connect
 
 from pistachiohill.client import ClientError
+from pistachiohill.const import PROTOCOL_VERSION
 from pistachiohill.protocol.codec import encode_frame
 from pistachiohill.protocol.models import Hello, StartTasks, TaskStart, ViewStamp
 from standins.deployment import HOST, SECRET, Deployment
@@ -69,11 +70,11 @@
                 f"{'0' * 16}.0.1.1.{'0' * 16}",
                 "m", "j", 1, 9.0, 9.0, False, stamp, [TaskStart(0, 1, b"{}")],
             )  # fmt: skip
-            good = encode_frame([Hello(1, "x", agent, SECRET, 0.0)])
+            good = encode_frame([Hello(PROTOCOL_VERSION, "x", agent, SECRET, 0.0)])
             first_frames = [
-                encode_frame([Hello(1, "x", "", "wrong", 0.0)]),
+                encode_frame([Hello(PROTOCOL_VERSION, "x", "", "wrong", 0.0)]),
                 encode_frame([Hello(99, "x", "", SECRET, 0.0)]),
-                encode_frame([Hello(1, "x", "0" * 16, SECRET, 0.0)]),
+                encode_frame([Hello(PROTOCOL_VERSION, "x", "0" * 16, SECRET, 0.0)]),
                 encode_frame([start]),
                 b"garbage",
                 good[:-3],
--- a/tests/failures/test_domains.py
+++ b/tests/failures/test_domains.py
@@ -90,6 +90,7 @@
         async with Deployment(spec()) as deployment, trio.open_nursery() as nursery:
             jobs = [await self.async_job(deployment, nursery, 30, 0.2, [0]) for _ in range(4)]
             await self.async_started(deployment, 24)
+            await self.async_accepted(deployment, 4)
             deployment.entries[0].signal(signal.SIGTERM)
             self.assertEqual(0, await deployment.entries[0].async_wait())
             for job in jobs:
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -8,6 +8,7 @@
 from pistachiohill.protocol.errors import DecodeError
 from pistachiohill.protocol.models import (
     MESSAGE_TAGS,
+    AgentLoad,
     CancelTasks,
     Message,
     TaskReport,
@@ -54,7 +55,9 @@
     @settings(max_examples=300, deadline=None, database=None)
     @given(st.integers(0, 60), st.integers(0, 255))
     def test_truncated_and_flipped_frames(self, cut: int, value: int) -> None:
-        message = TaskReports("s", 1.0, 2, [TaskReport(0, 1, "settled", "ran", 200, b"x")])
+        message = TaskReports(
+            "s", 1.0, AgentLoad(2, 1000, 0, [0.5]), [TaskReport(0, 1, "settled", "ran", 200, b"x")]
+        )
         data = bytearray(encode_frame([message]))
         whole = len(data)
         if cut < whole:
--- a/tests/scheduling/test_estimates.py
+++ b/tests/scheduling/test_estimates.py
@@ -18,12 +18,12 @@
                 estimates.learn("consortium/m/j", speeds[name], run_s)
         ratio = speeds["slow"].value / speeds["fast"].value
         self.assertTrue(4.5 < ratio < 5.5, ratio)
-        expected_s = estimates.job_s("consortium/m/j") * speeds["slow"].value
+        expected_s = estimates.task_s("consortium/m/j") * speeds["slow"].value
         self.assertTrue(0.45 < expected_s < 0.55, expected_s)
 
     def test_unknown_jobs_and_bounded_memory(self) -> None:
         estimates = RunEstimates()
-        self.assertEqual(DEFAULT_RUN_S, estimates.job_s("consortium/m/new"))
+        self.assertEqual(DEFAULT_RUN_S, estimates.task_s("consortium/m/new"))
         for number in range(MAX_JOBS + 10):
             estimates.learn(f"consortium/m/{number}", Mean(1.0), 0.1)
-        self.assertEqual(DEFAULT_RUN_S, estimates.job_s("consortium/m/0"))
+        self.assertEqual(DEFAULT_RUN_S, estimates.task_s("consortium/m/0"))
--- a/tests/scheduling/test_plan.py
+++ b/tests/scheduling/test_plan.py
@@ -1,56 +1,143 @@
-"""The slot plan against a naive search over all slots."""
+"""The room plan against a naive search over all targets."""
+
+import math
 
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
 from pistachiohill.scheduling.estimates import Mean
-from pistachiohill.scheduling.models import TargetLoad
-from pistachiohill.scheduling.plan import SlotPlan, current_factor
+from pistachiohill.scheduling.models import Demand, TargetLoad
+from pistachiohill.scheduling.plan import RoomPlan, TaskNeeds, current_factor
 from pistachiohill.scheduling.policy import choose, make_policy
 from pistachiohill.settings.const import Policy
 
 from ..base import TestCase
 
 NOW_S = 1000.0
-TARGETS = st.lists(
-    st.tuples(st.integers(1, 3), st.floats(0.5, 3.0), st.lists(st.floats(0.3, 2.0), max_size=3)),
+SPREAD = 0.05
+HORIZON_S = 0.2
+MEAN_RUN_S = 0.1
+# Cores, factor, expected ends of own tasks, cores of others, reported waits.
+SHAPES = st.lists(
+    st.tuples(
+        st.integers(1, 6),
+        st.floats(0.5, 3.0),
+        st.lists(st.floats(0.3, 2.0), max_size=3),
+        st.integers(0, 3),
+        st.lists(st.floats(0.0, 0.5), max_size=2),
+    ),
     min_size=1,
     max_size=4,
 )
-RUNS = st.lists(st.sampled_from([0.1, 0.4]), min_size=1, max_size=12)
+TASKS = st.lists(
+    st.tuples(st.sampled_from([500, 1000, 3000]), st.sampled_from([0.1, 0.4]), st.integers(0, 2)),
+    min_size=1,
+    max_size=12,
+)
 
 
-def load(number: int, slots: int, factor: float, ends: list[float]) -> TargetLoad:
-    target = TargetLoad(str(number), "d", slots=slots, speed=Mean(factor), learned_at_s=NOW_S)
-    for index, end_s in enumerate(ends[:slots]):
-        target.ends[("s", index)] = NOW_S + end_s
+def load(number: int, cores: int, factor: float, ends: list[float]) -> TargetLoad:
+    target = TargetLoad(
+        str(number), "d", cpu_m=cores * 1000, speed=Mean(factor), learned_at_s=NOW_S
+    )
+    target.reported_at_s = NOW_S
+    for index, end_s in enumerate(ends[:cores]):
+        target.place(("s", index), Demand(), NOW_S + end_s)
     return target
 
 
+class NaiveTarget:
+    """Recomputes every expected end from the whole list of what was placed."""
+
+    def __init__(self, target: TargetLoad) -> None:
+        self.target = target
+        self.taken: list[tuple[TaskNeeds, bool]] = []
+
+    def held_m(self) -> int:
+        own = sum(task.demand.cpu_m for task in self.target.placed.values())
+        return own + self.target.others_cpu_m
+
+    def used_m(self) -> int:
+        return self.held_m() + sum(needs.demand.cpu_m for needs, _ in self.taken)
+
+    def is_full(self, needs: TaskNeeds) -> bool:
+        return self.used_m() - self.target.cpu_m >= 8 * needs.demand.cpu_m
+
+    def has_room(self, needs: TaskNeeds) -> bool:
+        return not self.target.waits_s and self.used_m() + needs.demand.cpu_m <= self.target.cpu_m
+
+    def wait_s(self, needs: TaskNeeds) -> float:
+        if self.has_room(needs):
+            return 0.0
+        run_s = MEAN_RUN_S * self.target.factor
+        ends = [task.end_s - NOW_S for task in self.target.placed.values()]
+        own_s = max(min(ends), 0.2 * run_s) if ends else run_s
+        over_m = max(0, self.held_m() - self.target.cpu_m)
+        release_s = min(own_s, run_s / (self.target.others + 1))
+        release_s += run_s * over_m / self.target.cpu_m
+        waits = self.target.waits_s
+        reported_s = waits[min(needs.priority, len(waits) - 1)] if waits else 0.0
+        queued = [item for item, fits in self.taken if not fits]
+        work = sum(n.run_s * self.target.factor * n.demand.cpu_m for n in queued)
+        return max(release_s, reported_s) + work / self.target.cpu_m
+
+    def cost_s(self, needs: TaskNeeds) -> float:
+        if needs.demand.cpu_m > self.target.cpu_m or self.is_full(needs):
+            return math.inf
+        used = max(0.0, self.used_m() / self.target.cpu_m)
+        return self.wait_s(needs) + needs.run_s * self.target.factor * (1 + SPREAD * used)
+
+
 class PlanTest(TestCase):
     @seed(20261204)
     @settings(max_examples=300, deadline=None, database=None)
-    @given(TARGETS, RUNS, st.booleans())
+    @given(SHAPES, TASKS, st.booleans())
     def test_equals_naive_search(
-        self, shapes: list[tuple[int, float, list[float]]], runs: list[float], restrict: bool
+        self,
+        shapes: list[tuple[int, float, list[float], int, list[float]]],
+        tasks: list[tuple[int, float, int]],
+        restrict: bool,
     ) -> None:
-        targets = [load(number, *shape) for number, shape in enumerate(shapes)]
+        targets = []
+        for number, (cores, factor, ends, others, waits) in enumerate(shapes):
+            target = load(number, cores, factor, ends)
+            target.others, target.others_cpu_m = others, others * 1000
+            target.waits_s = tuple(waits)
+            targets.append(target)
         usable = targets[:1] if restrict else None
-        plan = SlotPlan(targets, NOW_S, horizon_s=0.2, ramp_s=0.0, mean_run_s=0.1)
-        slots: list[list[float]] = []
-        for number, target in enumerate(targets):
-            free = list(target.ends.values()) + [NOW_S] * (target.slots - len(target.ends))
-            slots += [[end_s, float(number)] for end_s in free]
-        for run_s in runs:
-            options = [s for s in slots if usable is None or s[1] == 0.0]
-            ends = [s[0] + run_s * targets[int(s[1])].factor for s in options]
-            slot = plan.take(run_s, usable)
+        plan = RoomPlan(targets, NOW_S, HORIZON_S, ramp_s=0.0, mean_run_s=MEAN_RUN_S)
+        naive = {target.name: NaiveTarget(target) for target in targets}
+        for cpu_m, run_s, priority in tasks:
+            needs = TaskNeeds(Demand(cpu_m), run_s, priority)
+            options = [naive[t.name].cost_s(needs) for t in (usable or targets)]
+            slot = plan.take(needs, usable)
+            if min(options) == math.inf:
+                self.assertFalse(slot is not None and plan.bind(slot))
+                continue
             assert slot is not None
-            self.assertAlmostEqual(min(ends), slot.end_s)
-            number = int(slot.plan.target.name)
-            chosen = min((s for s in slots if int(s[1]) == number), key=lambda s: s[0])
-            chosen[0] = slot.end_s
-            self.assertEqual(slot.start_s <= NOW_S + 0.2, plan.bind(slot))
+            chosen = naive[slot.plan.target.name]
+            self.assertAlmostEqual(min(options), chosen.cost_s(needs))
+            self.assertAlmostEqual(NOW_S + chosen.wait_s(needs), slot.start_s)
+            self.assertEqual(slot.start_s <= NOW_S + HORIZON_S, plan.bind(slot))
+            chosen.taken.append((needs, chosen.has_room(needs)))
+
+    def test_a_target_on_probation_takes_one_task(self) -> None:
+        target = load(0, 4, 1.0, [])
+        target.probation_limit = 1
+        plan = RoomPlan([target], NOW_S, HORIZON_S, 0.0, MEAN_RUN_S)
+        needs = TaskNeeds(Demand(), 0.1)
+        first, second = plan.take(needs), plan.take(needs)
+        assert first is not None and second is not None
+        self.assertTrue(plan.bind(first))
+        self.assertFalse(plan.bind(second))
+
+    def test_a_returning_target_is_filled_by_and_by(self) -> None:
+        target = load(0, 4, 1.0, [])
+        target.ramp_from_s = NOW_S - 0.25
+        plan = RoomPlan([target], NOW_S, 0.0, ramp_s=0.5, mean_run_s=MEAN_RUN_S)
+        slots = [plan.take(TaskNeeds(Demand(), 0.1)) for _ in range(4)]
+        bound = [slot for slot in slots if slot is not None and plan.bind(slot)]
+        self.assertEqual(2, len(bound))
 
     def test_overdue_tasks_raise_a_factor_and_time_fades_it(self) -> None:
         slow = load(0, 2, 1.0, [0.0])
@@ -61,7 +148,9 @@
 
     def test_baselines(self) -> None:
         targets = [load(number, 2, 1.0, []) for number in range(3)]
-        targets[0].outstanding, targets[2].outstanding = 2, 1
+        for index in range(2):
+            targets[0].place(("s", index), Demand(), NOW_S)
+        targets[2].others = 1
         self.assertIs(targets[1], choose(make_policy(Policy.LEAST_OUTSTANDING), targets))
         turns = make_policy(Policy.ROUND_ROBIN)
         self.assertEqual(3, len({str(choose(turns, targets)) for _ in range(3)}))
--- a/tests/scheduling/test_quarantine.py
+++ b/tests/scheduling/test_quarantine.py
@@ -10,7 +10,7 @@
 
 
 def pool(count: int = 4) -> list[TargetLoad]:
-    return [TargetLoad(str(number), "d", slots=8) for number in range(count)]
+    return [TargetLoad(str(number), "d", cpu_m=8000) for number in range(count)]
 
 
 class QuarantineTest(TestCase):
