Answer before the watch for the caller ends; drain an entry by what still fits

Besides, 28 answers were 500: an infinite forecast as Retry-After.

Ruled out: the server's own shutdown (it answers what it has read and closes idle connections).

Change: the watch ends before the answer is sent; forecasts do not limit queues and are finite; after SIGTERM an entry takes on what should end in time, closes each connection with its answer, and ends what is left with 502, after which callers send the job again.

--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -31,6 +31,7 @@
 from .stopping import LINGER_S, async_wait_stop
 
 FORGET_INTERVAL_S = 1.0
+STOP_MARGIN_S = 0.8  # time in which jobs that must be ended are stopped and answered
 
 
 @define(eq=False, slots=False)
@@ -134,7 +135,7 @@
     async def async_drain(self) -> None:
         """Refuse new work and wait until what was taken on is answered."""
         self.submissions.stopping = True
-        self.jobs.stopping = True
+        await self.jobs.async_drain()
         await self.dispatcher.async_wait_answered()
         await trio.sleep(LINGER_S)
         self.stopped.set()
@@ -190,6 +191,7 @@
     logs.event("started", role=Role.ENTRY, incarnation=entry.incarnation)
 
     async def async_drain() -> None:
+        entry.jobs.stop_by(clock.boot_s() + entry.settings.grace_s - STOP_MARGIN_S)
         await platform.async_leave_balancer()
         await entry.async_drain()
         await platform.ended.wait()
--- a/pistachiohill/entry/admission.py
+++ b/pistachiohill/entry/admission.py
@@ -1,5 +1,6 @@
 """Decide at arrival whether a job can be served."""
 
+import math
 import random
 
 from ..errors import RefusalReason
@@ -8,6 +9,7 @@
 from .const import RETRY_AFTER_S
 from .waiting import WaitingTasks
 
+STOP_RETRY_S = 0.1  # another entry can be asked at once
 LATE_FACTOR = 3.0  # a caller has no use for an answer after three times the time aimed at
 
 
@@ -18,14 +20,28 @@
         """Keep the waiting tasks."""
         self._waiting = waiting
 
-    def refuse(self, request: JobRequest, settings: JobSettings, now_s: float) -> JobAnswer | None:
-        """Return the refusal of a job that can't be served in time, None when it can be."""
+    def refuse(
+        self,
+        request: JobRequest,
+        settings: JobSettings,
+        now_s: float,
+        stop_at_s: float = math.inf,
+    ) -> JobAnswer | None:
+        """Return the refusal of a job that can't be served in time, None when it can be.
+
+        `stop_at_s` is the boot time by which this entry must have answered.
+        """
         count = len(request.tasks)
         if not self._waiting.has_target(settings.service):
             detail = f"no target of service {settings.service!r} takes tasks"
             retry_s = RETRY_AFTER_S * random.uniform(0.9, 1.1)
             return refused(RefusalReason.NO_TARGET, detail, retry_s, count)
         forecast = self._waiting.forecast(request, settings, now_s)
+        if not math.isfinite(forecast.end_s):
+            detail = "no target is large enough for a task of this job"
+            return refused(RefusalReason.NO_TARGET, detail, RETRY_AFTER_S, count)
+        if forecast.end_s > stop_at_s:
+            return refused(RefusalReason.STOPPING, "this entry is stopping", STOP_RETRY_S, count)
         limit_s = self._limit_s(request, settings, forecast.run_s)
         if forecast.end_s - now_s <= limit_s:
             return None
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -4,8 +4,9 @@
 again, to any entry. The job ends when its caller has gone, since it may then be sent again.
 """
 
-import random
+import math
 
+import trio
 from attrs import define
 
 from .. import clock, logs
@@ -13,10 +14,10 @@
 from ..errors import RefusalReason
 from ..settings.models import JobSettings
 from ..submissions.identifiers import IdIssuer
-from ..submissions.models import JobAnswer, JobRequest, Submission, new_submission, refused
+from ..submissions.models import JobAnswer, JobRequest, Submission, new_submission
 from .accounting import Accounting
 from .admission import Admission
-from .const import RETRY_AFTER_S
+from .const import DRAIN_CHECK_S
 from .dispatcher import Dispatcher
 
 
@@ -40,7 +41,7 @@
         accounting: Accounting,
     ) -> None:
         """Keep the parts."""
-        self.stopping = False
+        self._stop_at_s = math.inf
         self._issuer = issuer
         self._view = view
         self._dispatcher = dispatcher
@@ -48,6 +49,22 @@
         self._accounting = accounting
         self._jobs: dict[str, KeyedJob] = {}
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether this entry is about to stop."""
+        return self._stop_at_s < math.inf
+
+    def stop_by(self, stop_at_s: float) -> None:
+        """Take on only jobs that should end before a boot time."""
+        self._stop_at_s = stop_at_s
+
+    async def async_drain(self) -> None:
+        """Wait until no job runs; end those that still run at the time of stopping."""
+        while self._jobs and clock.boot_s() < self._stop_at_s:
+            await trio.sleep(DRAIN_CHECK_S)
+        for job in list(self._jobs.values()):
+            self._dispatcher.cancel(job.submission, clock.boot_s(), RefusalReason.STOPPING)
+
     def find(self, key: str) -> Submission | None:
         """Return a job that runs here."""
         job = self._jobs.get(key)
@@ -112,14 +129,9 @@
     def _refuse(self, request: JobRequest, settings: JobSettings, now_s: float) -> JobAnswer | None:
         """Return why a new job is turned away, if so; nothing of it has run."""
         self._accounting.offered(request.member, len(request.tasks))
-        if self.stopping:
-            retry_s = RETRY_AFTER_S * random.uniform(0.9, 1.1)
-            answer = refused(RefusalReason.STOPPING, "this entry is stopping", retry_s)
-        else:
-            found = self._admission.refuse(request, settings, now_s)
-            if found is None:
-                return None
-            answer = found
+        answer = self._admission.refuse(request, settings, now_s, self._stop_at_s)
+        if answer is None:
+            return None
         assert answer.reason is not None
         self._accounting.refused(request.member, answer.reason)
         logs.event(
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -107,10 +107,18 @@
         )
         self._work.set()
 
-    def cancel(self, submission: Submission, now_s: float) -> None:
-        """Cancel a submission: nothing more of it starts, what runs goes on unheard."""
+    def cancel(
+        self,
+        submission: Submission,
+        now_s: float,
+        reason: RefusalReason = RefusalReason.CANCELLED,
+    ) -> None:
+        """Cancel a submission: nothing more of it starts.
+
+        Running tasks of best-effort jobs are stopped; others go on unheard.
+        """
         if submission.answer is None:
-            self._fail(submission, RefusalReason.CANCELLED, "cancelled by its caller", now_s)
+            self._fail(submission, reason, f"ended before it was complete: {reason}", now_s)
 
     async def async_wait_answered(self) -> None:
         """Wait until every submission taken on so far is answered."""
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -168,7 +168,7 @@
         root = self._view.state.settings(ROOT_PATH)
         mean_s = self.estimates.task_s(request.path)
         targets = self._targets(settings.service, now_s)
-        plan = RoomPlan(targets, now_s, 0.0, root.ramp_s, mean_s)
+        plan = RoomPlan(targets, now_s, 0.0, root.ramp_s, mean_s, max_queued=math.inf)
         for needs in self._needs_before(settings):
             plan.take(needs)
         end_s = now_s
--- a/pistachiohill/logs.py
+++ b/pistachiohill/logs.py
@@ -1,6 +1,7 @@
 """Structured logs: one line of key=value pairs for each event."""
 
 import logging as std_logging
+import traceback
 
 from absl import flags, logging
 
@@ -17,6 +18,12 @@
     logging.warning("%s", _line(name, fields))
 
 
+def exception(name: str, error: BaseException, /, **fields: object) -> None:
+    """Log an error that nothing was prepared for, with the place it came from."""
+    trace = "".join(traceback.format_exception(error))
+    logging.error("%s", _line(name, {**fields, "error": repr(error), "trace": trace}))
+
+
 def debug(name: str, /, **fields: object) -> None:
     """Log an event at level DEBUG; the line is only built when the level is on."""
     if logging.level_debug():
--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import trio
+from attrs import evolve
 
 from .. import logs
 from ..const import JobState
@@ -98,18 +99,34 @@
         if scope["type"] != "http":
             await async_lifespan(scope, receive, send)
             return
+        try:
+            await self._async_answer(scope, receive, send)
+        except Exception as err:
+            logs.exception("handler_failed", err, path=scope["path"])
+            raise
+
+    def _final(self, response: Response) -> Response:
+        """Return a response that ends its connection when this entry is about to stop.
+
+        A caller's next request then comes on a new connection, which the balancer sends elsewhere.
+        """
+        if not self._jobs.stopping:
+            return response
+        return evolve(response, headers={**response.headers, "connection": "close"})
+
+    async def _async_answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = {name: value.decode("latin-1") for name, value in scope["headers"]}
         host = headers.get(b"host", "").partition(":")[0]
         match = self._routes.find(host, scope["path"])
         if match is None:
-            await async_send_response(send, self._no_route())
+            await async_send_response(send, self._final(self._no_route()))
             return
         method = scope["method"]
         if method == "POST":
             await self._async_post(match, headers, receive, send)
             return
         response = self._answer_short(method, match)
-        await async_send_response(send, response)
+        await async_send_response(send, self._final(response))
 
     def _no_route(self) -> Response:
         if self._loaded():
@@ -138,14 +155,19 @@
                 match, headers, await async_read_body(receive, MAX_JOB_BODY_BYTES)
             )
         except BodyError as err:
-            await async_send_response(send, problem_response(err.problem))
+            await async_send_response(send, self._final(problem_response(err.problem)))
             return
         except UnsupportedShapeError as err:
-            await async_send_response(send, _problem(503, RefusalReason.INVALID, str(err)))
+            await async_send_response(
+                send, self._final(_problem(503, RefusalReason.INVALID, str(err)))
+            )
             return
         except WireError as err:
-            await async_send_response(send, _problem(400, RefusalReason.INVALID, str(err)))
+            await async_send_response(
+                send, self._final(_problem(400, RefusalReason.INVALID, str(err)))
+            )
             return
+        answer: JobAnswer | None = None
         async with trio.open_nursery() as nursery:
 
             async def async_watch() -> None:
@@ -155,8 +177,11 @@
 
             nursery.start_soon(async_watch)
             answer = await self._jobs.async_run(request, match.routed.settings)
-            await async_send_response(send, _answer_response(answer))
             nursery.cancel_scope.cancel()
+        # The server counts a sent answer as the end of the caller's interest, so the watch must
+        # have ended by then.
+        if answer is not None:
+            await async_send_response(send, self._final(_answer_response(answer)))
 
 
 def _job_request(match: Match, headers: dict[bytes, str], body: bytes) -> JobRequest:
@@ -178,17 +203,23 @@
 def _answer_response(answer: JobAnswer) -> Response:
     if answer.state == JobState.COMPLETE:
         return json_response({"state": "completed"})
+    if answer.verdict != Verdict.NOT_RUN and answer.reason == RefusalReason.STOPPING:
+        # Callers send a job again after this status, and best-effort jobs may run again.
+        return _problem(502, answer.reason, answer.detail, verdict=answer.verdict)
     if answer.verdict != Verdict.NOT_RUN:
-        logs.debug("job_failed", detail=answer.detail)
         return json_response({"state": "failed", "detail": answer.detail})
     assert answer.reason is not None
     return _problem(503, answer.reason, answer.detail, answer.retry_after_s)
 
 
 def _problem(
-    status: int, reason: RefusalReason, detail: str, retry_after_s: float = 0.0
+    status: int,
+    reason: RefusalReason,
+    detail: str,
+    retry_after_s: float = 0.0,
+    verdict: Verdict = Verdict.NOT_RUN,
 ) -> Response:
-    problem = Problem(status, reason, Verdict.NOT_RUN, detail, retry_after_s=retry_after_s)
+    problem = Problem(status, reason, verdict, detail, retry_after_s=retry_after_s)
     return problem_response(problem)
 
 
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -93,8 +93,14 @@
         horizon_s: float,
         ramp_s: float,
         mean_run_s: float,
+        max_queued: float = MAX_QUEUED,
     ) -> None:
-        """Read the targets' loads; `mean_run_s` stands for tasks of which no end is known."""
+        """Read the targets' loads.
+
+        `mean_run_s` stands for tasks of which no end is known, `max_queued` bounds how many tasks
+        of one size may queue at a target.
+        """
+        self._max_queued = max_queued
         self._now_s = now_s
         self._limit_s = now_s + horizon_s
         plans = (_target_plan(target, now_s, ramp_s, mean_run_s) for target in targets)
@@ -117,7 +123,7 @@
         _, number = self._costs[0]
         plan = self._plans[number]
         slot = self._occupy(plan, needs)
-        heapreplace(self._costs, (_cost_or_never(plan, needs), number))
+        heapreplace(self._costs, (self._cost_or_never(plan, needs), number))
         return slot
 
     def bind(self, slot: Slot) -> bool:
@@ -127,7 +133,7 @@
     def _order_by_cost(self, needs: TaskNeeds) -> None:
         self._costs_of = needs
         self._costs = [
-            (_cost_or_never(plan, needs), number)
+            (self._cost_or_never(plan, needs), number)
             for number, plan in enumerate(self._plans)
             if _can_hold(plan, needs.demand)
         ]
@@ -135,28 +141,26 @@
 
     def _take_among(self, plans: list[TargetPlan], needs: TaskNeeds) -> Slot | None:
         able = [plan for plan in plans if _can_hold(plan, needs.demand)]
-        best = min(able, key=lambda plan: _cost_or_never(plan, needs), default=None)
+        best = min(able, key=lambda plan: self._cost_or_never(plan, needs), default=None)
         return None if best is None else self._occupy(best, needs)
 
     def _occupy(self, plan: TargetPlan, needs: TaskNeeds) -> Slot:
-        if not _takes_more(plan, needs.demand):
+        if not self._takes_more(plan, needs.demand):
             return Slot(plan, needs, math.inf, math.inf)
         start_s = self._now_s + plan.wait_s(needs)
         plan.occupy(needs)
         return Slot(plan, needs, start_s, start_s + needs.run_s * plan.factor)
 
+    def _cost_or_never(self, plan: TargetPlan, needs: TaskNeeds) -> float:
+        """Return a task's cost at a target, infinite when the target takes no more for now."""
+        return plan.cost_s(needs) if self._takes_more(plan, needs.demand) else math.inf
 
-def _can_hold(plan: TargetPlan, demand: Demand) -> bool:
-    return plan.target.cpu_m >= demand.cpu_m and plan.target.mem_mb >= demand.mem_mb
-
-
-def _cost_or_never(plan: TargetPlan, needs: TaskNeeds) -> float:
-    """Return a task's cost at a target, infinite when the target takes no more for now."""
-    return plan.cost_s(needs) if _takes_more(plan, needs.demand) else math.inf
+    def _takes_more(self, plan: TargetPlan, demand: Demand) -> bool:
+        return plan.tasks_left > 0 and plan.free_cpu_m > -self._max_queued * demand.cpu_m
 
 
-def _takes_more(plan: TargetPlan, demand: Demand) -> bool:
-    return plan.tasks_left > 0 and plan.free_cpu_m > -MAX_QUEUED * demand.cpu_m
+def _can_hold(plan: TargetPlan, demand: Demand) -> bool:
+    return plan.target.cpu_m >= demand.cpu_m and plan.target.mem_mb >= demand.mem_mb
 
 
 def _target_plan(
