--- a/experiments/measure.py
+++ b/experiments/measure.py
@@ -163,7 +163,7 @@
     elif event.kind in ("out", "back"):
         await deployment.async_domain(event.domain, out=event.kind == "out")
     else:
-        await deployment.async_log_faults(down=event.kind == "log down")
+        await deployment.async_store_faults(down=event.kind == "log down")
 
 
 async def _async_heal(deployment: Deployment, scenario: Scenario) -> None:
--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -104,7 +104,7 @@
                 "agents",
                 f"--port={FIRST_AGENT_PORT + first}",
                 f"--count={size}",
-                f"--log_url={deployment.log_url}",
+                f"--store_url={deployment.store_url}",
                 f"--secret={SECRET}",
                 f"--run_s={TASK_RUN_S}",
                 kind="standins",
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -62,7 +62,6 @@
     def announcement(self) -> AnnounceRecord:
         """Return the record that announces this incarnation."""
         return AnnounceRecord(
-            change_id=self.incarnation,
             role=Role.AGENT,
             incarnation=self.incarnation,
             domain=self._settings.domain,
--- /dev/null
+++ b/pistachiohill/consortium/follow.py
@@ -0,0 +1,50 @@
+"""Follow a keyed topic of the platform's store."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from .. import clock, logs
+from ..platform.models import HistoryGone, KeyedPage, StoreFailed
+from ..platform.store import StoreClient
+from .const import RETRY_MAX_S, RETRY_MIN_S
+
+ApplyPage = Callable[[KeyedPage, bool, float], None]
+
+
+async def async_follow_topic(
+    store: StoreClient, topic: str, wait_s: Callable[[], float], apply: ApplyPage
+) -> None:
+    """Read the newest record of each key, then whatever follows, for as long as it runs.
+
+    `apply` takes a page, whether it holds the newest record of every key, and the boot time at
+    which it was asked for. `wait_s` returns how long a read may wait for news.
+    """
+    offset: int | None = None
+    retry_s = RETRY_MIN_S
+    failing = False
+    while True:
+        asked_at_s = clock.boot_s()
+        page: KeyedPage | HistoryGone | StoreFailed
+        if offset is None:
+            page = await store.async_newest(topic)
+        else:
+            page = await store.async_read(topic, offset, wait_s())
+        if isinstance(page, HistoryGone):
+            logs.event("history_gone", topic=topic, offset=offset, first=page.first)
+            offset = None
+            continue
+        if isinstance(page, StoreFailed):
+            if not failing:
+                logs.warning("store_lost", topic=topic, offset=offset, detail=page.detail)
+            failing = True
+            await trio.sleep(retry_s * random.uniform(0.5, 1.0))
+            retry_s = min(retry_s * 2, RETRY_MAX_S)
+            continue
+        if failing:
+            logs.event("store_regained", topic=topic, end=page.end)
+        failing = False
+        retry_s = RETRY_MIN_S
+        apply(page, offset is None, asked_at_s)
+        offset = page.end
--- a/pistachiohill/consortium/spec.py
+++ b/pistachiohill/consortium/spec.py
@@ -1,16 +1,18 @@
 """Specification of a view's freshness, and of changes published through the log.
 
-Freshness: a log, one entry and one agent on a small clock. Reads of the log and stamps to the agent
-may take any time and arrive in any order, which also stands for paused processes. Publishing: two
-operators change one node, each append's answer may be lost and the append repeated.
+Freshness: a topic, one entry and one agent on a small clock. Reads of the topic and stamps to the
+agent may take any time and arrive in any order, which also stands for paused processes. Publishing:
+two operators change one node through entries of their own; an append may be carried out late, and
+its answer may be lost.
 
 | action of the specification | function of the product |
 | --- | --- |
-| ask, answer | `consortium.tail.async_follow_log`, `apply_page`, `ConsortiumView.confirm` |
+| ask, answer | `consortium.follow.async_follow_topic`, `ConsortiumView.confirm` |
 | stamp | `entry.agents.AgentDirectory.stamp` |
 | deliver stamp | `agent.view.AgentView.merge` |
 | start | `agent.runner.TaskRunner._fill`, `AgentView.is_fresh` |
-| append | `consortium.publisher.async_publish` |
+| send, tell, refuse | `consortium.publisher.async_publish` |
+| carry out | the store |
 | apply | `consortium.state.ConsortiumState.apply` |
 """
 
@@ -32,8 +34,17 @@
     ECHO = "a stamp's age is counted from the agent's own echoed clock"
     OFFSET_ORDER = "a stamp with a lower offset changes nothing"
     FRESH = "an agent starts nothing on a view past its age"
-    CHANGE_ID = "a change id takes effect once"
-    VERSION = "a change takes effect only on the version it expects"
+    AT_END = "a change is appended only at the end that its publisher has applied"
+    CHANGE_ID = "a change that stands is not appended again"
+    VERSION = "a change is appended only on the version it expects"
+
+
+class Told(StrEnum):
+    """What an operator has heard of its change."""
+
+    NOTHING = "nothing"
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
 
 
 @frozen
@@ -134,64 +145,90 @@
 VIEW_INVARIANTS = {"no_late_start": no_late_start, "offset_never_falls": offset_never_falls}
 
 
+@frozen
+class Append:
+    """An append under way: the operator's number and the end at which it may take place."""
+
+    operator: int
+    at: int
+
+
 @frozen
 class LogWorld:
-    """A log of changes by two operators; a record is the operator's number.
+    """A topic of changes by two operators; a record is the operator's number.
 
-    Operator 0 expects the first version, operator 1 any version. `effects` counts how often each
-    change took effect, `last` is the operator whose value is in force.
+    Operator 0 expects the first version, operator 1 any version. Each publishes through an entry of
+    its own, which has applied the topic up to `applied`. An append may be carried out at any time
+    after it was sent, many times or never, and its answer may be lost. `told` is what an operator
+    heard: nothing, that its change stands, or that another one won.
     """
 
     log: tuple[int, ...] = ()
-    told: tuple[bool, bool] = (False, False)
-    applied: int = 0
-    version: int = 0
-    seen: frozenset[int] = frozenset()
-    effects: tuple[int, int] = (0, 0)
-    last: int = -1
-    reverted: bool = False
+    applied: tuple[int, int] = (0, 0)
+    sent: frozenset[Append] = frozenset()
+    told: tuple[Told, Told] = (Told.NOTHING, Told.NOTHING)
 
 
 def log_steps(world: LogWorld, guards: frozenset[Guard]) -> Iterator[tuple[str, LogWorld]]:
     """Yield every labelled next state of the publishing specification."""
     for operator in (0, 1):
-        if not world.told[operator] and len(world.log) < MAX_APPENDS:
-            appended = evolve(world, log=(*world.log, operator))
-            yield f"append {operator}, answer lost", appended
-            told = (operator == 0 or world.told[0], operator == 1 or world.told[1])
-            yield f"append {operator}", evolve(appended, told=told)
-    if world.applied < len(world.log):
-        yield "apply", _apply(world, world.log[world.applied], guards)
-
-
-def _apply(world: LogWorld, operator: int, guards: frozenset[Guard]) -> LogWorld:
-    world = evolve(world, applied=world.applied + 1)
-    used = operator in world.seen and Guard.CHANGE_ID in guards
-    wrong = operator == 0 and world.version != 0 and Guard.VERSION in guards
-    world = evolve(world, seen=world.seen | {operator})
-    if used or wrong:
-        return world
-    effects = (world.effects[0] + (operator == 0), world.effects[1] + (operator == 1))
-    return evolve(
-        world,
-        version=world.applied,
-        effects=effects,
-        last=operator,
-        reverted=world.reverted or (operator == 0 and world.last == 1),
-    )
+        if world.applied[operator] < len(world.log):
+            yield f"apply at {operator}", _set_applied(world, operator)
+        if world.told[operator] == Told.NOTHING:
+            yield from _publish_steps(world, operator, guards)
+    for append in world.sent:
+        in_place = append.at == len(world.log) or Guard.AT_END not in guards
+        if in_place and len(world.log) < MAX_APPENDS:
+            yield f"carry out {append}", evolve(world, log=(*world.log, append.operator))
+
+
+def _publish_steps(
+    world: LogWorld, operator: int, guards: frozenset[Guard]
+) -> Iterator[tuple[str, LogWorld]]:
+    """Yield what an operator's entry may do next about its change."""
+    seen = world.log[: world.applied[operator]]
+    if operator in seen and Guard.CHANGE_ID in guards:
+        yield f"tell {operator}", _tell(world, operator, Told.ACCEPTED)
+    elif operator == 0 and seen and Guard.VERSION in guards:
+        yield "refuse 0", _tell(world, 0, Told.REFUSED)
+    else:
+        append = Append(operator, world.applied[operator])
+        yield f"send {append}", evolve(world, sent=world.sent | {append})
+
+
+def _set_applied(world: LogWorld, operator: int) -> LogWorld:
+    applied = list(world.applied)
+    applied[operator] += 1
+    return evolve(world, applied=(applied[0], applied[1]))
+
+
+def _tell(world: LogWorld, operator: int, told: Told) -> LogWorld:
+    heard = list(world.told)
+    heard[operator] = told
+    return evolve(world, told=(heard[0], heard[1]))
 
 
 def change_takes_effect_once(world: LogWorld) -> bool:
-    """Return whether no change takes effect twice."""
-    return max(world.effects) <= 1
+    """Return whether no change stands twice."""
+    return max(world.log.count(operator) for operator in (0, 1)) <= 1
 
 
 def later_change_stays(world: LogWorld) -> bool:
     """Return whether no change made on the first version has replaced a later one."""
-    return not world.reverted
+    return 0 not in world.log[1:]
+
+
+def operators_hear_the_truth(world: LogWorld) -> bool:
+    """Return whether an accepted change stands and a refused one does not."""
+    return all(
+        (operator in world.log) == (told == Told.ACCEPTED)
+        for operator, told in enumerate(world.told)
+        if told != Told.NOTHING
+    )
 
 
 LOG_INVARIANTS = {
     "change_takes_effect_once": change_takes_effect_once,
     "later_change_stays": later_change_stays,
+    "operators_hear_the_truth": operators_hear_the_truth,
 }
--- a/pistachiohill/consortium/tail.py
+++ b/pistachiohill/consortium/tail.py
@@ -1,42 +1,61 @@
-"""Follow the platform's log, and keep a snapshot in it before its records expire."""
+"""Keep a view in step with this product's own topics, and announce processes there."""
 
 import random
 
 import trio
 
 from .. import clock, logs
-from ..platform_log.client import LogClient
-from ..platform_log.const import POLL_WAIT_S, RETRY_MAX_S, RETRY_MIN_S
-from ..platform_log.models import Appended, LogPage, RawRecord, ReadFailed
+from ..platform.models import Appended, KeyedPage, KeyedRecord
+from ..platform.store import StoreClient
 from ..protocol.codec import decode_record, encode_record
 from ..protocol.errors import DecodeError
-from ..protocol.models import SnapshotRecord
+from ..protocol.models import (
+    AnnounceRecord,
+    DomainChangeRecord,
+    EndRecord,
+    Message,
+    PublishRecord,
+)
 from ..settings.const import ROOT_PATH
 from ..settings.errors import SettingsError
-from .const import POLL_AGE_FRACTION, SNAPSHOT_EVERY_RECORDS, SNAPSHOT_RETENTION_FRACTION
-from .state import LoggedRecord
+from .const import (
+    ANNOUNCE_RETRY_S,
+    FORGET_CHECK_S,
+    POLL_AGE_FRACTION,
+    POLL_WAIT_S,
+    TOPIC_PROCESSES,
+    TOPIC_SETTINGS,
+    WITHDRAW_TIMEOUT_S,
+)
+from .follow import async_follow_topic
 from .view import ConsortiumView
 
 
-async def async_follow_log(client: LogClient, view: ConsortiumView) -> None:
-    """Apply the log's records to the view for as long as the process runs."""
-    retry_s = RETRY_MIN_S
-    cursor = 0
-    while True:
-        asked_at_s = clock.boot_s()
-        cursor = max(cursor, view.state.offset + 1)
-        page = await client.async_read(cursor, poll_wait_s(view))
-        if isinstance(page, ReadFailed):
-            logs.warning("log_unreadable", detail=page.detail, offset=view.state.offset)
-            await trio.sleep(retry_s * random.uniform(0.5, 1.0))
-            retry_s = min(retry_s * 2, RETRY_MAX_S)
-            continue
-        retry_s = RETRY_MIN_S
-        apply_page(view, page, asked_at_s)
-        cursor = _next_cursor(view, page, cursor)
-        if not view.loaded and not page.records:
-            await trio.sleep(RETRY_MIN_S)
-        await _async_keep_snapshot(client, view, page)
+async def async_follow_settings(store: StoreClient, view: ConsortiumView) -> None:
+    """Apply the settings that this product's operators publish, for as long as it runs."""
+
+    def apply(page: KeyedPage, whole: bool, asked_at_s: float) -> None:
+        for record in page.records:
+            _apply_change(view, record)
+        view.state.skip(page.end - 1)
+        view.confirm(page.end - 1, asked_at_s)
+        if page.records:
+            view.notify()
+
+    await async_follow_topic(store, TOPIC_SETTINGS, lambda: poll_wait_s(view), apply)
+
+
+async def async_follow_processes(store: StoreClient, view: ConsortiumView) -> None:
+    """Apply the announcements of processes, for as long as it runs."""
+
+    def apply(page: KeyedPage, whole: bool, asked_at_s: float) -> None:
+        for record in page.records:
+            apply_process(view, record)
+        view.processes.offset = max(view.processes.offset, page.end - 1)
+        if page.records:
+            view.notify()
+
+    await async_follow_topic(store, TOPIC_PROCESSES, lambda: POLL_WAIT_S, apply)
 
 
 def poll_wait_s(view: ConsortiumView) -> float:
@@ -45,58 +64,80 @@
     A view is confirmed as of the time its read was sent, so a read must not take up the age that
     the settings allow.
     """
-    if not view.loaded:
-        return 0.0
     max_age_s = view.state.settings(ROOT_PATH).view_max_age_s
     return min(POLL_WAIT_S, max_age_s * POLL_AGE_FRACTION)
 
 
-def apply_page(view: ConsortiumView, page: LogPage, asked_at_s: float) -> None:
-    """Apply a page and confirm the view where the page reaches the log's end.
+def change_key(record: PublishRecord | DomainChangeRecord) -> str:
+    """Return the key under which a change is kept."""
+    if isinstance(record, PublishRecord):
+        return f"node/{record.path}"
+    return f"domain/{record.domain}"
 
-    When records between the applied offset and the page have expired, nothing is applied until a
-    snapshot that covers them.
-    """
-    for raw in page.records:
-        _apply_raw(view, raw)
-    view.confirm(page.end - 1, asked_at_s)
+
+def _apply_change(view: ConsortiumView, record: KeyedRecord) -> None:
+    """Apply one record; one that can't be read, or stands under a foreign key, is passed over."""
+    change = _decode(record)
+    if not isinstance(change, PublishRecord | DomainChangeRecord):
+        return
+    if change_key(change) != record.key:
+        logs.warning("record_refused", key=record.key, offset=record.offset, detail="wrong key")
+        return
+    try:
+        view.apply(change, record.offset)
+    except SettingsError as err:
+        logs.warning("record_refused", key=record.key, offset=record.offset, detail=err)
 
 
-def _next_cursor(view: ConsortiumView, page: LogPage, cursor: int) -> int:
-    """Return where to read on; behind a gap, past the records that could not be applied."""
-    if view.state.offset + 1 >= page.first:
-        return view.state.offset + 1
-    if page.records:
-        return page.records[-1].offset + 1
-    return max(cursor, page.first)
+def apply_process(view: ConsortiumView, record: KeyedRecord) -> None:
+    """Apply one record of the processes."""
+    if record.value is None:
+        view.processes.forget(record.key, record.offset)
+        return
+    announced = _decode(record)
+    if isinstance(announced, AnnounceRecord):
+        view.processes.announce(announced, record.offset, clock.wall_s())
+    elif isinstance(announced, EndRecord):
+        view.processes.end(announced, record.offset, clock.wall_s())
 
 
-def _apply_raw(view: ConsortiumView, raw: RawRecord) -> None:
+def _decode(record: KeyedRecord) -> Message | None:
+    if record.value is None:
+        return None
     try:
-        record = decode_record(raw.data)
-        if isinstance(record, SnapshotRecord) and raw.offset > view.state.offset:
-            view.adopt(record, raw.at_s)
-    except (DecodeError, SettingsError) as err:
-        logs.warning("record_refused", offset=raw.offset, detail=err)
-        if raw.offset == view.state.offset + 1:
-            view.state.skip(raw.offset)
-            view.notify()
-        return
-    if raw.offset == view.state.offset + 1:
-        view.apply(LoggedRecord(raw.offset, raw.at_s, record))
+        return decode_record(record.value)
+    except DecodeError as err:
+        logs.warning("record_refused", key=record.key, offset=record.offset, detail=err)
+        return None
 
 
-async def _async_keep_snapshot(client: LogClient, view: ConsortiumView, page: LogPage) -> None:
-    """Append a snapshot when the latest one is old; the first of all entries to do so wins."""
-    state = view.state
-    if state.offset < 0 or page.end != state.offset + 1:
-        return
-    age_s = page.now_s - state.snapshot_at_s
-    due_s = page.retention_s * SNAPSHOT_RETENTION_FRACTION * random.uniform(0.8, 1.0)
-    if state.records_since_snapshot < SNAPSHOT_EVERY_RECORDS and age_s < due_s:
-        return
-    if state.records_since_snapshot == 0 and age_s < due_s:
-        return
-    outcome = await client.async_append(encode_record(state.snapshot()), page.end)
-    if isinstance(outcome, Appended):
-        logs.event("snapshot_appended", offset=outcome.offset, state_offset=state.offset)
+async def async_announce(store: StoreClient, record: AnnounceRecord) -> int:
+    """Set this process's record until that has succeeded, and return its offset.
+
+    When an answer was lost the record may stand twice; the later offset is the safe one to use.
+    """
+    while True:
+        value = encode_record(record)
+        outcome = await store.async_append(TOPIC_PROCESSES, record.incarnation, value)
+        if isinstance(outcome, Appended):
+            logs.event("announced", incarnation=record.incarnation, offset=outcome.offset)
+            return outcome.offset
+        logs.warning("announce_failed", outcome=outcome)
+        await trio.sleep(ANNOUNCE_RETRY_S * random.uniform(0.7, 1.3))
+
+
+async def async_withdraw(store: StoreClient, record: AnnounceRecord, offset: int) -> None:
+    """Note that a process has ended; tried once, since a successor makes it known too."""
+    ended = encode_record(EndRecord(record, offset))
+    with trio.move_on_after(WITHDRAW_TIMEOUT_S):
+        outcome = await store.async_append(TOPIC_PROCESSES, record.incarnation, ended)
+        logs.event("withdrawn", incarnation=record.incarnation, outcome=outcome)
+
+
+async def async_forget_ended(store: StoreClient, view: ConsortiumView) -> None:
+    """Drop the records of processes that ended long ago, whichever entry comes first."""
+    while True:
+        await trio.sleep(FORGET_CHECK_S * random.uniform(0.5, 1.5))
+        for incarnation in view.processes.expired(clock.wall_s()):
+            outcome = await store.async_append(TOPIC_PROCESSES, incarnation, None)
+            logs.event("process_forgotten", incarnation=incarnation, outcome=outcome)
--- a/pistachiohill/consortium/view.py
+++ b/pistachiohill/consortium/view.py
@@ -1,4 +1,4 @@
-"""The consortium's state in one process together with how fresh it is.
+"""What one process knows of the consortium, and how fresh that is.
 
 `confirmed_at_s` is a boot time at which everything published before it was included in the state.
 It is always taken from before the question was sent, so a slow answer never looks fresh.
@@ -8,17 +8,22 @@
 
 import trio
 
-from ..protocol.models import SnapshotRecord
+from ..protocol.models import ChangeRecord, Message, SnapshotRecord
 from .const import NO_OFFSET
-from .state import ConsortiumState, LoggedRecord
+from .processes import Processes
+from .state import ConsortiumState
 
 
 class ConsortiumView:
-    """State, freshness and a way to wait for changes."""
+    """Settings and failure domains, announced processes, freshness, and a way to wait for changes.
+
+    Settings and processes stand in topics of their own, each with its own offsets.
+    """
 
     def __init__(self) -> None:
         """Start with nothing known."""
         self.state = ConsortiumState()
+        self.processes = Processes()
         self.confirmed_at_s = -math.inf
         self._changed = trio.Event()
 
@@ -31,22 +36,33 @@
         """Return the age of the view at a boot time."""
         return max(0.0, now_s - self.confirmed_at_s)
 
-    def apply(self, logged: LoggedRecord) -> None:
-        """Apply a record and wake those who wait."""
-        self.state.apply(logged)
-        self.notify()
+    def apply(self, record: Message, offset: int) -> ChangeRecord | None:
+        """Apply a change of the settings or of a failure domain."""
+        return self.state.apply(record, offset)
+
+    def snapshot(self) -> SnapshotRecord:
+        """Return all that is known, for a process that can't read the store."""
+        return SnapshotRecord(
+            offset=self.state.offset,
+            scopes=self.state.scopes(),
+            domains=list(self.state.domains.values()),
+            processes=list(self.processes.records.values()),
+            changes=list(self.state.changes.values()),
+            process_offset=self.processes.offset,
+        )
 
-    def adopt(self, snapshot: SnapshotRecord, at_s: float) -> bool:
-        """Adopt a newer snapshot and wake those who wait; return whether it was newer."""
-        adopted = self.state.adopt(snapshot, at_s)
-        if adopted:
+    def adopt(self, snapshot: SnapshotRecord) -> bool:
+        """Adopt what is newer in a snapshot and wake those who wait; return whether any was."""
+        settings = self.state.adopt(snapshot)
+        processes = self.processes.adopt(snapshot.processes, snapshot.process_offset)
+        if settings or processes:
             self.notify()
-        return adopted
+        return settings or processes
 
     def confirm(self, offset: int, asked_at_s: float) -> None:
-        """Note that `offset` was the log's latest record at some time after `asked_at_s`."""
+        """Note that `offset` was the latest of the settings at some time after `asked_at_s`."""
         if offset <= self.state.offset and asked_at_s > self.confirmed_at_s:
-            first = not self.loaded or self.confirmed_at_s == -math.inf
+            first = self.confirmed_at_s == -math.inf
             self.confirmed_at_s = asked_at_s
             if first:
                 self.notify()
@@ -61,6 +77,11 @@
         await self._changed.wait()
 
     async def async_wait_offset(self, offset: int) -> None:
-        """Wait until a log offset has been applied."""
+        """Wait until an offset of the settings has been applied."""
         while self.state.offset < offset:
             await self.async_changed()
+
+    async def async_wait_processes(self, offset: int) -> None:
+        """Wait until an offset of the processes has been applied."""
+        while self.processes.offset < offset:
+            await self.async_changed()
--- a/pistachiohill/daemon/agent.py
+++ b/pistachiohill/daemon/agent.py
@@ -10,23 +10,23 @@
 from ..agent.runner import TaskRunner
 from ..agent.service import AgentService
 from ..agent.target_client import TargetClient
+from ..consortium.tail import async_announce, async_withdraw
 from ..const import Role
 from ..errors import RefusalReason
 from ..http.server import HttpApp, async_serve_http
 from ..platform.agent import AgentOnPlatform
 from ..platform.runner_client import RunnerClient
-from ..platform_log.client import LogClient
+from ..platform.store import StoreClient
 from ..settings.models import AgentSettings
-from .announcing import async_announce, async_withdraw
 from .stopping import LINGER_S, async_wait_stop
 
 
 async def async_run_agent(settings: AgentSettings) -> None:
     """Run an agent until SIGTERM; a second one, or the grace time, ends it at once."""
-    if settings.store_url:
+    if settings.control_address:
         await _async_run_on_platform(settings)
     else:
-        await _async_run_on_log(settings)
+        await _async_run_alone(settings)
 
 
 async def _async_start(
@@ -45,6 +45,22 @@
     return runner, service, api
 
 
+async def _async_serve(
+    settings: AgentSettings, nursery: trio.Nursery, runner: TaskRunner, service: AgentService
+) -> None:
+    """Announce the agent, serve until it is told to stop, and note that it has ended."""
+    store = StoreClient(settings.store_url)
+
+    async def async_announce_agent() -> None:
+        service.announced(await async_announce(store, service.announcement()))
+
+    nursery.start_soon(async_announce_agent)
+    logs.event("started", role=Role.AGENT, incarnation=service.incarnation)
+    await async_wait_stop(settings.grace_s, lambda: _async_drain(runner))
+    if runner.announce_offset >= 0:
+        await async_withdraw(store, service.announcement(), runner.announce_offset)
+
+
 async def _async_drain(runner: TaskRunner) -> None:
     """Take no more tasks, return what is queued and wait for what runs."""
     runner.stopping = True
@@ -53,22 +69,15 @@
     await trio.sleep(LINGER_S)
 
 
-async def _async_run_on_log(settings: AgentSettings) -> None:
-    """Run beside a target that is called over HTTP, on a log of records."""
-    log = LogClient(settings.log_url)
+async def _async_run_alone(settings: AgentSettings) -> None:
+    """Run beside a target that is called over HTTP."""
     async with trio.open_nursery() as nursery:
         runner, service, api = await _async_start(settings, nursery, TargetClient())
 
-        async def async_announce_agent() -> None:
-            service.announced(await async_announce(log, service.announcement()))
-
         app = HttpApp(api.routes(), MAX_HTTP_BODY_BYTES)
         address = f"{settings.http_host}:{settings.http_port}"
         await nursery.start(async_serve_http, app, [address], trio.Event(), 1.0)
-        nursery.start_soon(async_announce_agent)
-        logs.event("started", role=Role.AGENT, incarnation=service.incarnation)
-        await async_wait_stop(settings.grace_s, lambda: _async_drain(runner))
-        await async_withdraw(log, service.incarnation)
+        await _async_serve(settings, nursery, runner, service)
         nursery.cancel_scope.cancel()
     logs.event("stopped", role=Role.AGENT, incarnation=service.incarnation)
 
@@ -81,7 +90,6 @@
         platform = AgentOnPlatform(settings, service, target)
         nursery.start_soon(target.async_run)
         await platform.async_start(nursery, api.routes())
-        logs.event("started", role=Role.AGENT, incarnation=service.incarnation)
-        await async_wait_stop(settings.grace_s, lambda: _async_drain(runner))
+        await _async_serve(settings, nursery, runner, service)
         nursery.cancel_scope.cancel()
     logs.event("stopped", role=Role.AGENT, incarnation=service.incarnation)
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -4,7 +4,14 @@
 from attrs import define, field
 
 from .. import clock, logs
-from ..consortium.tail import async_follow_log
+from ..consortium.const import NO_OFFSET
+from ..consortium.tail import (
+    async_announce,
+    async_follow_processes,
+    async_follow_settings,
+    async_forget_ended,
+    async_withdraw,
+)
 from ..consortium.view import ConsortiumView
 from ..const import Role
 from ..entry.accounting import Accounting
@@ -22,12 +29,11 @@
 from ..entry.routes import RouteTable
 from ..http.server import HttpApp, async_serve_http
 from ..platform.entry import EntryOnPlatform
-from ..platform_log.client import LogClient
+from ..platform.store import StoreClient
 from ..protocol.models import AnnounceRecord
 from ..settings.const import ROOT_PATH
 from ..settings.models import EntrySettings
 from ..submissions.identifiers import IdIssuer, new_incarnation
-from .announcing import async_announce, async_withdraw
 from .stopping import LINGER_S, async_wait_stop
 
 FORGET_INTERVAL_S = 1.0
@@ -44,11 +50,12 @@
     view: ConsortiumView = field(factory=ConsortiumView)
     metrics: EntryMetrics = field(factory=EntryMetrics)
     stopped: trio.Event = field(factory=trio.Event)
+    announce_offset: int = NO_OFFSET
 
     def __attrs_post_init__(self) -> None:
         """Wire the parts."""
         settings, view = self.settings, self.view
-        self.log = LogClient(settings.log_url)
+        self.store = StoreClient(settings.store_url)
         self.peers = PeerDirectory(self.incarnation, settings, view)
         self.accounting = Accounting(self.metrics)
         self.directory = AgentDirectory(
@@ -90,7 +97,7 @@
             self.settings,
             self.incarnation,
             self.view,
-            self.log,
+            self.store,
             self.directory,
             self.peers,
             self.submissions,
@@ -102,7 +109,6 @@
         """Return the record that announces this process."""
         settings = self.settings
         return AnnounceRecord(
-            self.incarnation,
             Role.ENTRY,
             self.incarnation,
             settings.domain,
@@ -124,6 +130,17 @@
         self.nursery.start_soon(self.directory.async_run, self.dispatcher)
         self.nursery.start_soon(self.dispatcher.async_run)
         self.nursery.start_soon(self._async_forget)
+        self.nursery.start_soon(async_follow_processes, self.store, self.view)
+        self.nursery.start_soon(async_forget_ended, self.store, self.view)
+        self.nursery.start_soon(self._async_announce)
+
+    async def _async_announce(self) -> None:
+        self.announce_offset = await async_announce(self.store, self.announcement())
+
+    async def async_withdraw(self) -> None:
+        """Note in the store that this process has ended."""
+        if self.announce_offset > NO_OFFSET:
+            await async_withdraw(self.store, self.announcement(), self.announce_offset)
 
     async def _async_forget(self) -> None:
         while True:
@@ -145,16 +162,16 @@
     """Run an entry until SIGTERM; a second one, or the grace time, ends it at once."""
     async with trio.open_nursery() as nursery:
         entry = Entry(settings, nursery)
-        if settings.store_url:
+        if settings.jobs_address:
             await _async_run_on_platform(entry)
         else:
-            await _async_run_on_log(entry)
+            await _async_run_alone(entry)
         nursery.cancel_scope.cancel()
     logs.event("stopped", role=Role.ENTRY, incarnation=entry.incarnation)
 
 
-async def _async_run_on_log(entry: Entry) -> None:
-    """Run on a log of records that this product's own operators publish to."""
+async def _async_run_alone(entry: Entry) -> None:
+    """Serve the product's own interface by settings that its own operators publish."""
     settings = entry.settings
     http_ended = trio.Event()
 
@@ -171,21 +188,20 @@
         await entry.async_drain()
         await http_ended.wait()
 
-    entry.nursery.start_soon(async_follow_log, entry.log, entry.view)
+    entry.nursery.start_soon(async_follow_settings, entry.store, entry.view)
     await entry.async_start()
     await entry.nursery.start(async_http)
-    entry.nursery.start_soon(async_announce, entry.log, entry.announcement())
     logs.event("started", role=Role.ENTRY, incarnation=entry.incarnation)
     await async_wait_stop(settings.grace_s, async_drain)
-    await async_withdraw(entry.log, entry.incarnation)
+    await entry.async_withdraw()
 
 
 async def _async_run_on_platform(entry: Entry) -> None:
     """Run on the users' platform."""
     platform = EntryOnPlatform(
-        entry.settings, entry.view, entry.routes, entry.jobs, entry.directory
+        entry.settings, entry.store, entry.view, entry.routes, entry.jobs, entry.directory
     )
-    platform.start(entry.nursery, entry.announcement())
+    entry.nursery.start_soon(platform.async_follow)
     await entry.async_start()
     await platform.async_serve(entry.nursery, entry.app(), entry.stopped)
     logs.event("started", role=Role.ENTRY, incarnation=entry.incarnation)
@@ -197,3 +213,4 @@
         await platform.ended.wait()
 
     await async_wait_stop(entry.settings.grace_s, async_drain)
+    await entry.async_withdraw()
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -13,7 +13,7 @@
 from ..consortium.const import NO_OFFSET
 from ..consortium.state import ConsortiumState
 from ..consortium.view import ConsortiumView
-from ..const import PROTOCOL_VERSION
+from ..const import PROTOCOL_VERSION, Role
 from ..protocol.errors import HandshakeError
 from ..protocol.link import (
     CONNECT_ERRORS,
@@ -197,22 +197,16 @@
                     if address not in self._dialled:
                         self._dialled.add(address)
                         nursery.start_soon(self._async_keep_link, address, events)
-                self._end_agents(state, events)
+                self._end_agents(events)
                 domains = self._tell_domains(state, domains, events)
                 await self._view.async_changed()
 
     def _addresses(self) -> set[Address]:
-        announced = {
-            (process.host, process.port)
-            for process in self._view.state.processes.values()
-            if process.role == "agent" and process.ended_offset == NO_OFFSET
-        }
-        return announced | self._hints
-
-    def _end_agents(self, state: ConsortiumState, events: AgentEvents) -> None:
+        return self._view.processes.addresses(Role.AGENT, clock.wall_s()) | self._hints
+
+    def _end_agents(self, events: AgentEvents) -> None:
         for agent in list(self.agents.values()):
-            process = state.processes.get(agent.incarnation)
-            if process is not None and process.ended_offset != NO_OFFSET:
+            if self._view.processes.has_ended(agent.incarnation):
                 self._lose(agent, events, "ended")
 
     def _tell_domains(
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -110,7 +110,7 @@
                 self._end(request.key, job)
 
     def _take_on(self, request: JobRequest, settings: JobSettings, now_s: float) -> KeyedJob:
-        offset = self._view.state.offset
+        offset = self._view.processes.offset
         submission_id = self._issuer.issue(request.member, offset, clock.wall_s())
         submission = new_submission(submission_id, request, settings, now_s)
         job = self._jobs[request.key] = KeyedJob(submission)
--- a/pistachiohill/entry/operator_api.py
+++ b/pistachiohill/entry/operator_api.py
@@ -7,13 +7,14 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from .. import clock, logs
-from ..consortium.const import ANY_VERSION, NO_OFFSET
+from ..consortium.const import ANY_VERSION
 from ..consortium.publisher import async_publish
 from ..consortium.view import ConsortiumView
+from ..const import Role
 from ..errors import Refusal, RefusalReason, Verdict
 from ..http.models import HttpError, Problem, Request, Response, invalid, json_response, read_object
 from ..http.server import Route, route
-from ..platform_log.client import LogClient
+from ..platform.store import StoreClient
 from ..protocol.models import ChangeRecord, DomainChangeRecord, PublishRecord
 from ..settings.const import MAX_NAME_CHARS
 from ..settings.errors import SettingsError
@@ -34,7 +35,7 @@
         settings: EntrySettings,
         incarnation: str,
         view: ConsortiumView,
-        log: LogClient,
+        store: StoreClient,
         directory: AgentDirectory,
         peers: PeerDirectory,
         submissions: SubmissionService,
@@ -44,7 +45,7 @@
         self._settings = settings
         self._incarnation = incarnation
         self._view = view
-        self._log = log
+        self._store = store
         self._directory = directory
         self._peers = peers
         self._submissions = submissions
@@ -114,7 +115,8 @@
         return await self._async_publish(record)
 
     async def _async_publish(self, record: PublishRecord | DomainChangeRecord) -> Response:
-        fate = await async_publish(self._log, self._view, record)
+        self._refuse_foreign_settings()
+        fate = await async_publish(self._store, self._view, record)
         if isinstance(fate, Refusal):
             status = 503 if fate.verdict == Verdict.NOT_RUN else 504
             raise HttpError(
@@ -206,12 +208,16 @@
         linked = self._peers.incarnations() | {self._incarnation}
         return [
             process.incarnation
-            for process in self._view.state.processes.values()
-            if process.role == "entry"
-            and process.ended_offset == NO_OFFSET
-            and process.incarnation not in linked
+            for process in self._view.processes.live(Role.ENTRY)
+            if process.incarnation not in linked
         ]
 
+    def _refuse_foreign_settings(self) -> None:
+        """Refuse a change where the platform's operators publish the settings."""
+        if self._settings.jobs_address:
+            detail = "the settings in force here are published by the platform's operators"
+            raise invalid("path", detail, 409)
+
     def _authenticate(self, request: Request) -> None:
         authenticate_operator(self._settings.operator_token_sha256, request.headers)
 
--- a/pistachiohill/entry/owner.py
+++ b/pistachiohill/entry/owner.py
@@ -6,7 +6,6 @@
 import trio
 
 from .. import clock, logs
-from ..consortium.const import NO_OFFSET
 from ..consortium.view import ConsortiumView
 from ..const import ForwardAction
 from ..errors import RefusalReason, Verdict
@@ -54,7 +53,7 @@
     @property
     def loaded(self) -> bool:
         """Return whether this entry has a state to answer from."""
-        return self._view.state.offset > NO_OFFSET
+        return self._view.loaded
 
     @property
     def ready(self) -> bool:
@@ -63,7 +62,7 @@
 
     def issue_ids(self, member: str, count: int) -> list[str]:
         """Return new submission identifiers owned by this incarnation."""
-        offset = self._view.state.offset
+        offset = self._view.processes.offset
         now_s = clock.wall_s()
         return [self._issuer.issue(member, offset, now_s) for _ in range(count)]
 
@@ -144,9 +143,7 @@
     async def _async_owner_link(self, owner: str) -> Link | None:
         """Return a link to the owner, waiting a little when it is known but not linked."""
         link = self._peers.find(owner)
-        process = self._view.state.processes.get(owner)
-        ended = process is not None and process.ended_offset != NO_OFFSET
-        if link is not None or ended:
+        if link is not None or self._view.processes.has_ended(owner):
             return link
         with trio.move_on_after(OWNER_LINK_GRACE_S):
             while (link := self._peers.find(owner)) is None:
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -12,7 +12,7 @@
 from .. import clock, logs
 from ..consortium.const import NO_OFFSET
 from ..consortium.view import ConsortiumView
-from ..const import PROTOCOL_VERSION, VIEW_EXCHANGE_INTERVAL_S
+from ..const import PROTOCOL_VERSION, VIEW_EXCHANGE_INTERVAL_S, Role
 from ..protocol.errors import HandshakeError
 from ..protocol.link import (
     CONNECT_ERRORS,
@@ -123,9 +123,7 @@
                 return None
             name = peer.link.peer_incarnation
             linked[name] = max(linked.get(name, 0.0), peer.echoed_at_s)
-        for process in self._view.state.processes.values():
-            if process.role != "entry" or process.ended_offset != NO_OFFSET:
-                continue
+        for process in self._view.processes.live(Role.ENTRY):
             if process.incarnation == self._incarnation:
                 continue
             if process.incarnation not in linked:
@@ -177,9 +175,7 @@
         for text in self._settings.peers:
             host, _, port = text.rpartition(":")
             found.add((host, int(port)))
-        for process in self._view.state.processes.values():
-            if process.role == "entry" and process.ended_offset == NO_OFFSET:
-                found.add((process.host, process.port))
+        found |= self._view.processes.addresses(Role.ENTRY, clock.wall_s())
         found.discard((self._settings.peer_host, self._settings.peer_port))
         return found
 
@@ -265,22 +261,19 @@
         peer.age_s = message.age_s
         if 0.0 <= message.echo_s <= now_s:
             self._view.confirm(message.offset, message.echo_s - max(0.0, message.age_s))
-        root = self._view.state.settings("consortium")
-        if message.offset > self._view.state.offset and (
-            not self._view.loaded or self._view.age_s(now_s) > root.view_max_age_s / 2
-        ):
+        if message.offset > self._view.state.offset:
             self._next_request += 1
             peer.link.send(StateRequest(self._next_request))
 
     @_handle.register
     def _(self, message: StateRequest, peer: Peer, now_s: float) -> None:
         if self._view.loaded:
-            peer.link.send(StateReply(message.request_id, self._view.state.snapshot()))
+            peer.link.send(StateReply(message.request_id, self._view.snapshot()))
 
     @_handle.register
     def _(self, message: StateReply, peer: Peer, now_s: float) -> None:
         try:
-            adopted = self._view.adopt(message.snapshot, clock.wall_s())
+            adopted = self._view.adopt(message.snapshot)
         except SettingsError as err:
             logs.warning("snapshot_refused", peer=peer.link.peer_incarnation, detail=err)
             return
--- a/pistachiohill/entry/recovery.py
+++ b/pistachiohill/entry/recovery.py
@@ -57,11 +57,11 @@
         pending = self._pending.get(submission_id)
         if pending is None or pending.evidence.member != member:
             with trio.move_on_after(CATCH_UP_TIMEOUT_S) as scope:
-                await self._view.async_wait_offset(parsed.offset)
+                await self._view.async_wait_processes(parsed.offset)
             if scope.cancelled_caught:
-                detail = "this entry has not read the log far enough to tell"
+                detail = "this entry has not read the store far enough to tell"
                 return failed(RefusalReason.OWNER_LOST, Verdict.MAY_HAVE_RUN, detail, 0, 0)
-            expected = self._view.state.may_have_started(parsed.offset)
+            expected = self._view.processes.may_have_started(parsed.offset)
             names = frozenset(process.incarnation for process in expected)
             pending = PendingRecovery(Evidence(submission_id, member, names), clock.boot_s())
             self._pending[submission_id] = pending
--- a/pistachiohill/platform/agent.py
+++ b/pistachiohill/platform/agent.py
@@ -1,4 +1,4 @@
-"""An agent's side of the platform: the runner's announcements, and its own."""
+"""An agent's side of the platform: its runner's announcements."""
 
 import trio
 
@@ -9,14 +9,12 @@
 from ..http.server import HttpApp, Route, async_serve_http
 from ..settings.models import AgentSettings
 from .const import MAX_BEAT_BYTES
-from .follower import async_announce
 from .models import RunnerBeat
 from .registry import RunnerRegistry
-from .store import StoreClient
 
 
 class AgentOnPlatform:
-    """Takes the runner's announcements and announces the agent in the store."""
+    """Takes the runner's announcements."""
 
     def __init__(
         self, settings: AgentSettings, service: AgentService, target: LeasedTarget
@@ -29,19 +27,13 @@
         self._runner_id = ""
 
     async def async_start(self, nursery: trio.Nursery, routes: list[Route]) -> None:
-        """Serve the runner and this product's own interface, and announce the agent."""
+        """Serve the runner and this product's own interface."""
         settings = self._settings
         app = HttpApp(routes + self._registry.routes(), MAX_BEAT_BYTES)
         own = [settings.control_address, f"{settings.http_host}:{settings.http_port}"]
         await nursery.start(async_serve_http, app, own, trio.Event(), 1.0)
-        nursery.start_soon(self._async_announce)
         nursery.start_soon(self._async_follow_readiness)
 
-    async def _async_announce(self) -> None:
-        store = StoreClient(self._settings.store_url)
-        offset = await async_announce(store, self._service.announcement())
-        self._service.announced(offset)
-
     async def _async_follow_readiness(self) -> None:
         """Tell entries when the runner becomes usable or ceases to be."""
         while True:
--- a/pistachiohill/platform/const.py
+++ b/pistachiohill/platform/const.py
@@ -19,19 +19,14 @@
 HEADER_DEADLINE_MS: Final = "x-deadline-ms"
 HEADER_TARGET_INSTANCE: Final = "X-Target-Instance"
 
-# Keyed topics have one partition. The operators write the first one, this product the second.
 TOPIC_OPERATORS: Final = "keyed.op"
-TOPIC_PROCESSES: Final = "keyed.pistachiohill"
-ONLY_PART: Final = 0
+ONLY_PART: Final = 0  # keyed topics have one partition
 KEY_MANIFEST: Final = "config"
 KEY_EVACUATE: Final = "evacuate/"
 
 CONNECT_TIMEOUT_S: Final = 0.5
 ANSWER_TIMEOUT_S: Final = 2.0  # the store answers in 4 ms and may be slow
-READ_WAIT_S: Final = 10.0  # how long a read waits for news; bounds how late silence is noticed
-READ_MARGIN_S: Final = 1.0
-RETRY_MIN_S: Final = 0.1
-RETRY_MAX_S: Final = 1.0
+READ_MARGIN_S: Final = 2.0  # a slow store takes half a second for each part of an answer
 KEEPALIVE_S: Final = 30.0
 
 MAX_BEAT_BYTES: Final = 4 * 1024 * 1024
--- a/pistachiohill/platform/entry.py
+++ b/pistachiohill/platform/entry.py
@@ -1,4 +1,4 @@
-"""An entry's side of the platform: what it follows, serves and announces there."""
+"""An entry's side of the platform: what it follows and serves there."""
 
 import trio
 
@@ -8,11 +8,10 @@
 from ..entry.best_effort import BestEffortJobs
 from ..entry.routes import RouteTable
 from ..http.server import HttpApp, async_serve_http, route
-from ..protocol.models import AnnounceRecord
 from ..settings.models import EntrySettings
 from .const import PATH_READY
-from .follower import async_announce, async_follow_operators, async_follow_processes
 from .jobs_api import JobsApi, ready_route
+from .operators import async_follow_operators
 from .store import StoreClient
 
 # The balancer asks once a second and sends new callers until two answers have failed.
@@ -20,11 +19,12 @@
 
 
 class EntryOnPlatform:
-    """Serves callers and the balancer, follows the store and announces the entry there."""
+    """Serves callers and the balancer, and follows the operators' settings."""
 
     def __init__(
         self,
         settings: EntrySettings,
+        store: StoreClient,
         view: ConsortiumView,
         routes: RouteTable,
         jobs: BestEffortJobs,
@@ -36,7 +36,7 @@
         self._view = view
         self._jobs_api = JobsApi(routes, jobs, self._is_loaded)
         self._directory = directory
-        self._store = StoreClient(settings.store_url)
+        self._store = store
         self._leaving = False
 
     def _is_loaded(self) -> bool:
@@ -47,11 +47,9 @@
         accepting = any(agent.accepting for agent in self._directory.agents.values())
         return self._is_loaded() and accepting and not self._leaving
 
-    def start(self, nursery: trio.Nursery, announcement: AnnounceRecord) -> None:
-        """Follow the store and announce this process."""
-        nursery.start_soon(async_follow_operators, self._store, self._view)
-        nursery.start_soon(async_follow_processes, self._store, self._view)
-        nursery.start_soon(async_announce, self._store, announcement)
+    async def async_follow(self) -> None:
+        """Follow the operators' topic for as long as the process runs."""
+        await async_follow_operators(self._store, self._view)
 
     async def async_serve(self, nursery: trio.Nursery, app: HttpApp, stopped: trio.Event) -> None:
         """Serve callers, the balancer and this product's own interface until `stopped` is set."""
--- a/pistachiohill/platform_log/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Client of the platform's append-only log service."""
