--- a/pistachiohill/agent/const.py
+++ b/pistachiohill/agent/const.py
@@ -18,7 +18,6 @@
 HOLD_TIMEOUT_S: Final = 0.15
 START_TIMEOUT_S: Final = 0.15
 RETRY_ORDER_S: Final = 0.02
-RUNNER_SILENCE_S: Final = 0.45  # after which the lease is no longer extended
 TOKENS_PER_MS: Final = 1000
 TOKEN_LEAP: Final = 3600 * 1000 * TOKENS_PER_MS  # an hour of tokens
 
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -4,9 +4,9 @@
 the runner is asked for its runs: an answer under the new token proves that no order under an older
 one will still be carried out, so a start that it does not list has not happened and won't.
 
-Runs live until the lease ends; the agent extends it while it hears from the runner. When the runner
-falls silent, the agent stops extending and waits until the lease must have ended: only then are the
-runs known to have ended.
+Runs live until the lease ends; the agent extends it while the runner answers. When an answer is
+missing, the agent stops extending, and if none comes it waits until the lease must have ended: only
+then are the runs known to have ended.
 """
 
 import random
@@ -23,7 +23,6 @@
     LEASE_S,
     MAX_CLOCK_DRIFT,
     RETRY_ORDER_S,
-    RUNNER_SILENCE_S,
     START_TIMEOUT_S,
     TOKEN_LEAP,
     TOKENS_PER_MS,
@@ -55,6 +54,7 @@
     StartRefusal.NO_ROOM: RefusalReason.BUSY,
     StartRefusal.UNHEALTHY: RefusalReason.TARGET_REFUSED,
     StartRefusal.INVALID: RefusalReason.INVALID,
+    StartRefusal.UNREACHABLE: RefusalReason.TARGET_LOST,
     StartRefusal.OTHER_LIFE: RefusalReason.TARGET_LOST,
 }
 END_REASONS = {
@@ -121,7 +121,7 @@
         self._unacked = False
         self._clock_s = 0.0
         self._clock_at_s = 0.0
-        self._heard_at_s = 0.0
+        self._in_doubt = False
         self._held_until_s = 0.0
         self._changed = trio.Event()
         self._ready_changed = trio.Event()
@@ -168,10 +168,7 @@
     async def async_call(self, url: str, call: TargetCall) -> TargetAnswer:
         """Run one task and return how it ended, once it has surely ended."""
         run = Run(call)
-        now_s = clock.boot_s()
-        if not self._runs:
-            self._heard_at_s = now_s  # an idle runner is not asked, so its silence means nothing
-        if not self.ready or self._is_silent(now_s):
+        if not self.ready or self._in_doubt:
             return TargetAnswer(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
         self._runs[run.name] = run
         self._wake()
@@ -204,12 +201,14 @@
                 await self._async_hold_once(self._identity)
 
     def _has_business(self) -> bool:
-        return bool(self._runs) or bool(self._foreign) or not self._looked or self._unacked
+        pending = not self._looked or self._unacked or self._in_doubt
+        return pending or bool(self._runs) or bool(self._foreign)
 
     async def _async_hold_once(self, identity: RunnerIdentity) -> None:
         sent_at_s = clock.boot_s()
         token = self._token
-        wait_s = HOLD_WAIT_S if self._looked and self._runs and not self._unsure() else 0.0
+        calm = self._looked and self._runs and not self._in_doubt and not self._unsure()
+        wait_s = HOLD_WAIT_S if calm else 0.0
         lease = self._lease(sent_at_s)
         outcome = await self._port.async_hold(
             identity, lease, self._acked, wait_s, wait_s + HOLD_TIMEOUT_S
@@ -228,30 +227,30 @@
         return any(run.fence is not None for run in self._runs.values())
 
     def _lease(self, now_s: float) -> Lease:
-        """Return the lease to ask for, and note until when it may hold."""
-        if self._is_silent(now_s) or not self._looked or self._foreign or not self._runs:
+        """Return the lease to ask for, and note until when it may hold.
+
+        It is not extended while an answer is missing, so that it ends soon if none will come.
+        """
+        if self._in_doubt or not self._looked or self._foreign or not self._runs:
             return Lease(self._token, None)
         self._held_until_s = max(self._held_until_s, now_s + LEASE_S * (1.0 + MAX_CLOCK_DRIFT))
         until_clock_s = self._clock_s + (now_s - self._clock_at_s) + LEASE_S
         return Lease(self._token, until_clock_s)
 
-    def _is_silent(self, now_s: float) -> bool:
-        return now_s - self._heard_at_s > RUNNER_SILENCE_S
-
     def _set_clock(self, clock_s: float, now_s: float) -> None:
         self._clock_s = clock_s
         self._clock_at_s = now_s
 
     def _heard(self, clock_s: float, now_s: float) -> None:
         self._set_clock(clock_s, now_s)
-        self._heard_at_s = now_s
+        self._in_doubt = False
 
     async def _async_no_list(self, outcome: HoldOutcome, now_s: float) -> None:
         """React to a hold that brought no list of runs."""
         if isinstance(outcome, Fenced):
-            self._heard_at_s = now_s
             self._leap_token()
             return
+        self._in_doubt = True
         logs.warning("runner_silent", outcome=outcome, runs=len(self._runs), token=self._token)
         if isinstance(outcome, OtherLife):
             self._begin_life(now_s)
@@ -403,7 +402,7 @@
         self._acked = 0
         self._unacked = False
         self._held_until_s = now_s
-        self._heard_at_s = now_s
+        self._in_doubt = False
         self._look_again()
 
     def _look_again(self) -> None:
--- a/pistachiohill/agent/models.py
+++ b/pistachiohill/agent/models.py
@@ -148,6 +148,7 @@
     NO_ROOM = "no_room"
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
+    UNREACHABLE = "unreachable"
     OTHER_LIFE = "other_life"
 
 
--- a/pistachiohill/platform/runner_client.py
+++ b/pistachiohill/platform/runner_client.py
@@ -62,6 +62,8 @@
             **_lease_fields(lease),
         }
         reply = await self._async_post(runner, PATH_RUN_START, fields, timeout_s)
+        if isinstance(reply, NoReply) and not reply.sent:
+            return NotStarted(StartRefusal.UNREACHABLE)
         if isinstance(reply, NoReply):
             return NoAnswer(reply.detail)
         return _read_start(reply)
--- /dev/null
+++ b/tests/platform/test_manifest.py
@@ -0,0 +1,122 @@
+"""The operators' manifest as a settings tree, and their topic followed record by record."""
+
+import json
+from typing import Any
+
+from pistachiohill.consortium.view import ConsortiumView
+from pistachiohill.entry.routes import RouteTable
+from pistachiohill.platform.errors import WireError
+from pistachiohill.platform.manifest import decode_manifest
+from pistachiohill.platform.models import KeyedPage, KeyedRecord
+from pistachiohill.platform.operators import apply_page
+
+from ..base import TestCase
+
+ROUTE: dict[str, Any] = {
+    "name": "r-1",
+    "host": "Nony24.example",
+    "pathPrefix": "/lohu930/",
+    "service": "huvo11a",
+    "priority": 2,
+    "maxAttempts": 4,
+    "slackFactor": 1.6,
+    "targetLatencyMs": 60,
+    "timeoutMs": 1500,
+}
+
+
+def manifest(version: int, *routes: dict[str, Any]) -> bytes:
+    return json.dumps({"version": version, "routes": list(routes), "services": []}).encode()
+
+
+def record(offset: int, key: str, value: bytes | None) -> KeyedRecord:
+    return KeyedRecord(offset, key, value)
+
+
+def apply(view: ConsortiumView, *records: KeyedRecord, whole: bool = False) -> None:
+    apply_page(view, KeyedPage(records, records[-1].offset + 1), whole)
+
+
+class ManifestTest(TestCase):
+    def test_a_route_is_a_best_effort_job_of_its_host(self) -> None:
+        view = ConsortiumView()
+        apply(view, record(3, "config", manifest(7, ROUTE)), whole=True)
+        match = RouteTable(view).find("nony24.example", "/lohu930/5c0e7a21d94b36f8")
+        assert match is not None
+        settings = match.routed.settings
+        self.assertEqual("5c0e7a21d94b36f8", match.rest)
+        self.assertEqual(("nony24.example", "r-1"), (match.routed.member, match.routed.job))
+        self.assertEqual(
+            ("huvo11a", 2, 4, 1.6, 0.06, True),
+            (
+                settings.service,
+                settings.priority,
+                settings.max_runs,
+                settings.slack_factor,
+                settings.target_latency_s,
+                settings.best_effort,
+            ),
+        )
+
+    def test_the_longest_prefix_wins_and_dropped_routes_are_gone(self) -> None:
+        view = ConsortiumView()
+        table = RouteTable(view)
+        longer = {**ROUTE, "name": "r-2", "pathPrefix": "/lohu930/x/"}
+        apply(view, record(0, "config", manifest(1, ROUTE, longer)), whole=True)
+        match = table.find("nony24.example", "/lohu930/x/5c0e7a21d94b36f8")
+        assert match is not None
+        self.assertEqual("r-2", match.routed.job)
+        self.assertIsNone(table.find("other.example", "/lohu930/"))
+        apply(view, record(1, "config", manifest(2, longer)))
+        self.assertIsNone(table.find("nony24.example", "/lohu930/5c0e7a21d94b36f8"))
+
+    def test_an_older_record_changes_nothing(self) -> None:
+        view = ConsortiumView()
+        apply(view, record(5, "config", manifest(2, ROUTE)), whole=True)
+        apply(view, record(4, "config", manifest(1)), whole=True)
+        self.assertIsNotNone(RouteTable(view).find("nony24.example", "/lohu930/"))
+        self.assertEqual(5, view.state.offset)
+
+    def test_unreadable_records_and_routes_are_passed_over(self) -> None:
+        view = ConsortiumView()
+        apply(view, record(0, "config", manifest(1, ROUTE, {"name": "broken"})), whole=True)
+        self.assertIsNotNone(RouteTable(view).find("nony24.example", "/lohu930/"))
+        for number, body in enumerate((b"{", b"[]", b'{"version":"x"}', b"\xff"), start=1):
+            self.assertRaises(WireError, decode_manifest, body)
+            apply(view, record(number, "config", body))
+        self.assertIsNotNone(RouteTable(view).find("nony24.example", "/lohu930/"))
+
+    def test_odd_names_become_nodes(self) -> None:
+        view = ConsortiumView()
+        odd = {**ROUTE, "name": "_Route ä/1", "host": "-x.example"}
+        apply(view, record(0, "config", manifest(1, odd)), whole=True)
+        self.assertIsNotNone(RouteTable(view).find("-x.example", "/lohu930/"))
+
+
+class EvacuationTest(TestCase):
+    def test_a_zone_is_out_until_its_record_is_dropped(self) -> None:
+        view = ConsortiumView()
+        apply(view, record(0, "evacuate/bern-a", b"{}"), whole=True)
+        self.assertTrue(view.state.domain_is_out("bern-a"))
+        self.assertFalse(view.state.domain_is_out("aarau-c"))
+        apply(view, record(1, "evacuate/bern-a", None))
+        self.assertFalse(view.state.domain_is_out("bern-a"))
+
+    def test_a_drop_that_was_missed_is_seen_in_the_newest_records(self) -> None:
+        view = ConsortiumView()
+        apply(view, record(0, "evacuate/bern-a", b"{}"), whole=True)
+        apply(view, record(4, "evacuate/aarau-c", b"{}"), whole=True)
+        self.assertFalse(view.state.domain_is_out("bern-a"))
+        self.assertTrue(view.state.domain_is_out("aarau-c"))
+
+    def test_peers_pass_it_on(self) -> None:
+        view, other = ConsortiumView(), ConsortiumView()
+        apply(
+            view,
+            record(0, "config", manifest(1, ROUTE)),
+            record(1, "evacuate/bern-a", b"{}"),
+            whole=True,
+        )
+        self.assertTrue(other.adopt(view.snapshot()))
+        self.assertTrue(other.state.domain_is_out("bern-a"))
+        self.assertIsNotNone(RouteTable(other).find("nony24.example", "/lohu930/"))
