--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -42,6 +42,7 @@
 LOG = "tests/failures/test_platform_store.py::PlatformStoreTest::"
 DOMAINS = "tests/failures/test_domains.py::DomainTest::"
 ANSWERS = "tests/failures/test_answers.py::AnswerTest::"
+PLATFORM = "tests/failures/test_platform_jobs.py::PlatformJobsTest::"
 PEERS = "tests/failures/test_bad_peers.py::BadPeerTest::"
 
 MUTANTS = (
@@ -330,6 +331,70 @@
             ),
         ),
     ),
+    Mutant(
+        "an agent runs on for an entry that is lost",
+        PLATFORM + "test_an_entry_is_killed",
+        (
+            Edit(
+                "pistachiohill/agent/leases.py",
+                "        return self.age_s(entry, now_s) <= self.lease_s",
+                "        return True",
+            ),
+        ),
+    ),
+    Mutant(
+        "the token stays after an unanswered order",
+        PLATFORM + "test_orders_without_answer_are_carried_out_late",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "        self._token = max(self._token, token + 1)\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "tasks of an agent out of reach run again at once",
+        PLATFORM + "test_an_agent_out_of_reach_lives_on",
+        (
+            Edit(
+                "pistachiohill/entry/agents.py",
+                "        return end_s + RUNNER_LEASE_S + LEASE_MARGIN_S",
+                "        return 0.0",
+            ),
+        ),
+    ),
+    Mutant(
+        "a runner's runs count as ended as soon as it is silent",
+        "tests/agent/test_leased_target.py::LeasedTargetTest::"
+        "test_runs_of_a_silent_runner_are_lost_only_when_their_lease_has_ended",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "        elif now_s > self._held_until_s and self._runs:",
+                "        elif self._runs:",
+            ),
+        ),
+    ),
+    Mutant(
+        "the watch for a caller's leaving cuts the answer",
+        "tests/platform/test_jobs_api.py::JobsApiTest::"
+        "test_an_answer_is_sent_whole_though_the_server_says_that_the_caller_left",
+        (
+            Edit(
+                "pistachiohill/platform/jobs_api.py",
+                "            nursery.cancel_scope.cancel()\n        # The server counts",
+                "            response = self._final(_answer_response(answer))\n"
+                "            await async_send_response(send, response)\n"
+                "            nursery.cancel_scope.cancel()\n        # The server counts",
+            ),
+            Edit(
+                "pistachiohill/platform/jobs_api.py",
+                "        if answer is not None:\n",
+                "        if answer is None:\n",
+            ),
+        ),
+    ),
     Mutant(
         "any process may connect",
         PEERS + "test_frames_of_bad_peers",
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,4 +1,4 @@
-"""Run one stand-in process: `python -m standins store|target|relay --port=...`."""
+"""Run one stand-in process: `python -m standins store|runner|target|relay --port=...`."""
 
 import functools
 
@@ -17,6 +17,22 @@
 
         trio.run(platform_store.async_run, HOST, port)
 
+    def runner(
+        self,
+        port: int,
+        agent_url: str,
+        service: str = "clocking",
+        cores: int = 4,
+        rate: float = 1.0,
+    ) -> None:
+        """Serve a runner on a port and announce it to the agent at agent_url.
+
+        rate: speed of its clock.
+        """
+        from . import runner
+
+        trio.run(runner.async_run, HOST, port, agent_url, service, cores * 1000, float(rate))
+
     def target(
         self,
         port: int,
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -4,11 +4,8 @@
 """
 
 import json
-import os
 import signal
-import socket
 import struct
-import subprocess
 import sys
 import tempfile
 import tomllib
@@ -25,15 +22,12 @@
 from pistachiohill.entry.auth import hash_token
 from pistachiohill.platform.const import PATH_LOG_APPEND
 
+from .processes import HOST, POLL_S, Process, free_ports
+
 LENGTH = struct.Struct(">I")
 
-HOST = "127.0.0.1"
 SECRET = "deployment-secret"
 OPERATOR_TOKEN = "operator-token"
-POLL_S = 0.03
-FIRST_PORT = 12000
-PORT_COUNT = 18000
-PORT_STRIDE = 397
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 10.0
 
@@ -79,54 +73,6 @@
     record_starts: bool = True
 
 
-@define(eq=False)
-class Process:
-    """One started process; `args` allow starting it anew at the same address."""
-
-    name: str
-    args: list[str]
-    log_path: Path
-    popen: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        """Start the process, with its log appended to a file."""
-        with self.log_path.open("ab") as log_file:
-            self.popen = subprocess.Popen(self.args, stdout=log_file, stderr=log_file)
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal unless the process has ended."""
-        if self.popen is not None and self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    async def async_kill(self) -> None:
-        """Kill the process and wait for its end."""
-        self.signal(signal.SIGKILL)
-        await self.async_wait()
-
-    async def async_wait(self) -> int:
-        """Wait for the process's end and return its exit code."""
-        assert self.popen is not None
-        while (code := self.popen.poll()) is None:
-            await trio.sleep(POLL_S)
-        return code
-
-    def rss_bytes(self) -> int:
-        """Return the resident memory."""
-        assert self.popen is not None
-        text = Path(f"/proc/{self.popen.pid}/statm").read_text()
-        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-    def cpu_s(self) -> float:
-        """Return the processor time used so far."""
-        assert self.popen is not None
-        fields = Path(f"/proc/{self.popen.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-    def log_text(self) -> str:
-        """Return what the process has logged."""
-        return self.log_path.read_text(errors="replace")
-
-
 @define(eq=False)
 class EntryProcess(Process):
     """An entry and the ports it listens on."""
@@ -157,36 +103,6 @@
     at_s: float
 
 
-class PortAllocator:
-    """Hands out ports below the range from which the system takes ports for connections."""
-
-    def __init__(self) -> None:
-        """Start at a place that differs between test processes."""
-        self._next = FIRST_PORT + (os.getpid() * PORT_STRIDE) % PORT_COUNT
-
-    def take(self, count: int) -> list[int]:
-        """Return ports that nothing listens on."""
-        found: list[int] = []
-        while len(found) < count:
-            self._next = FIRST_PORT + (self._next + 1 - FIRST_PORT) % PORT_COUNT
-            if _is_free(self._next):
-                found.append(self._next)
-        return found
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
-        return True
-
-
-free_ports = PortAllocator().take
-
-
 class Deployment:
     """A running deployment; use it as an asynchronous context manager."""
 
--- /dev/null
+++ b/standins/platform_deployment.py
@@ -0,0 +1,406 @@
+"""A deployment on stand-ins of the users' platform: store, runners, entries and agents.
+
+Callers behave as the platform's do: they choose a job's id, and send it again to any entry some
+time after a loss.
+"""
+
+import json
+import secrets
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import httpcore
+import trio
+from attrs import define, field, frozen
+
+from pistachiohill.platform.const import TOPIC_OPERATORS
+from pistachiohill.platform.store import StoreClient
+
+from .processes import HOST, POLL_S, Process, free_ports
+from .runner_model import PastRun, doubled
+
+READY_TIMEOUT_S = 30.0
+BALANCER_S = 0.5  # half of the platform's, so that tests are short
+MISSES = 2  # answers that must fail before an entry gets no new channels
+RESEND_S = 1.3  # how long callers wait after a loss
+CALLER_HOST = "lofts.example"
+SERVICE = "clocking"
+ROUTE: dict[str, Any] = {
+    "name": "stamp",
+    "host": CALLER_HOST,
+    "pathPrefix": "/stamp/",
+    "service": SERVICE,
+    "priority": 0,
+    "maxAttempts": 3,
+    "slackFactor": 1.6,
+    "targetLatencyMs": 2000,
+}
+
+
+@frozen
+class PlatformSpec:
+    """What to start: a runner in each named failure domain, and entries."""
+
+    domains: tuple[str, ...] = ("bern-a", "solothurn-b", "aarau-c")
+    entries: int = 2
+    cores: int = 4
+    rates: tuple[float, ...] = (1.0,)
+    relay_agents: bool = False
+    routes: tuple[dict[str, Any], ...] = (ROUTE,)
+
+
+@define(eq=False)
+class EntryOnPlatform(Process):
+    """An entry and where it is called."""
+
+    url: str = ""
+    ready_url: str = ""
+    own_url: str = ""
+    domain: str = ""
+    misses: int = 0
+
+
+@define(eq=False)
+class AgentOnPlatform(Process):
+    """An agent, the runner beside it and the relay before it."""
+
+    domain: str = ""
+    own_url: str = ""
+    runner: Process = field(default=None)
+    runner_url: str = ""
+    relay_url: str = ""
+
+
+@frozen
+class Answer:
+    """What a caller got: a status, 0 where the channel broke, and how often it had to send."""
+
+    status: int
+    state: str
+    sent: int
+    elapsed_s: float
+    retry_after: str = ""
+
+
+class PlatformDeployment:
+    """A running deployment; use it as an asynchronous context manager."""
+
+    def __init__(self, spec: PlatformSpec) -> None:
+        """Prepare a deployment; logs go to a directory of their own."""
+        self.spec = spec
+        self.directory = Path(tempfile.mkdtemp(prefix="pistachiohill-platform-"))
+        self.entries: list[EntryOnPlatform] = []
+        self.agents: list[AgentOnPlatform] = []
+        self.store_url = ""
+        self.version = 0
+        self.routes = list(spec.routes)
+        self.submitted: set[str] = set()
+        self._others: list[Process] = []
+        self._pool = httpcore.AsyncConnectionPool(max_connections=200)
+
+    async def __aenter__(self) -> "PlatformDeployment":
+        """Start all processes and wait until jobs can be served."""
+        try:
+            await self._async_start()
+        except BaseException:
+            self.kill_all()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        self.kill_all()
+        with trio.CancelScope(shield=True):
+            await self._pool.aclose()
+
+    # What operators do
+
+    async def async_publish(self) -> None:
+        """Publish a manifest of the present routes."""
+        self.version += 3
+        value = {
+            "version": self.version,
+            "routes": self.routes,
+            "services": [{"name": SERVICE, "healthPath": "/healthz"}],
+            "limits": {},
+        }
+        store = StoreClient(self.store_url)
+        await store.async_append(TOPIC_OPERATORS, "config", json.dumps(value).encode())
+
+    async def async_evacuate(self, domain: str, out: bool) -> None:
+        """Ask that a failure domain gets no more tasks, or take it back."""
+        store = StoreClient(self.store_url)
+        value = b"{}" if out else None
+        await store.async_append(TOPIC_OPERATORS, f"evacuate/{domain}", value)
+
+    async def async_store_faults(self, **faults: Any) -> None:
+        """Change the faults of the store."""
+        await self.async_post(f"{self.store_url}/v1/faults", faults)
+
+    async def async_runner_faults(self, index: int, **faults: Any) -> None:
+        """Change the faults of a runner."""
+        await self.async_post(f"{self.agents[index].runner_url}/v1/faults", faults)
+
+    async def async_relay(self, index: int, **mode: Any) -> None:
+        """Change what the relay before an agent does to bytes."""
+        await self.async_post(f"{self.agents[index].relay_url}/v1/mode", mode)
+
+    async def async_post(self, url: str, value: dict[str, Any]) -> None:
+        """Post JSON to a stand-in."""
+        await self._pool.request("POST", url, content=json.dumps(value).encode())
+
+    # What callers do
+
+    async def async_job(
+        self,
+        tasks: int = 4,
+        run_s: float = 0.1,
+        deadline_s: float = 8.0,
+        entry: int = 0,
+        resend: bool = True,
+    ) -> Answer:
+        """Submit a job and wait for its end, sending it again after a loss."""
+        key = secrets.token_hex(8)
+        self.submitted.add(key)
+        began_s = trio.current_time()
+        sent = 0
+        while True:
+            target = self._balance(entry + sent)
+            sent += 1
+            status, value, retry = await self._async_send(target, key, tasks, run_s, deadline_s)
+            elapsed_s = trio.current_time() - began_s
+            lost = status in (0, 502, 504)
+            if not (lost and resend) or elapsed_s > 2 * deadline_s:
+                return Answer(status, str(value.get("state", "")), sent, elapsed_s, retry)
+            await trio.sleep(RESEND_S)
+
+    def _balance(self, number: int) -> EntryOnPlatform:
+        """Return the entry that the balancer picks for a new channel."""
+        rotation = [entry for entry in self.entries if entry.misses < MISSES] or self.entries
+        return rotation[number % len(rotation)]
+
+    async def async_watch_ready(self) -> None:
+        """Ask entries whether they take callers, as the balancer does, until cancelled."""
+        while True:
+            for index, entry in enumerate(self.entries):
+                with trio.move_on_after(BALANCER_S):
+                    ready = await self.async_ready(index)
+                    entry.misses = 0 if ready else entry.misses + 1
+                    continue
+                entry.misses += 1
+            await trio.sleep(BALANCER_S)
+
+    async def _async_send(
+        self, entry: EntryOnPlatform, key: str, tasks: int, run_s: float, deadline_s: float
+    ) -> tuple[int, dict[str, Any], str]:
+        body = {
+            "spec": json.dumps({"run_s": run_s}),
+            "bestEffort": True,
+            "steps": [
+                {"count": tasks, "cpu": 1000, "memMb": 16, "estDurationMs": int(run_s * 1000)}
+            ],
+        }
+        with trio.move_on_after(deadline_s):
+            return await self.async_call(
+                "POST",
+                f"{entry.url}/stamp/{key}",
+                json.dumps(body).encode(),
+                {"Host": CALLER_HOST, "X-Deadline-Ms": str(int(deadline_s * 1000))},
+            )
+        return 0, {}, ""
+
+    async def async_call(
+        self, method: str, url: str, body: bytes | None, headers: dict[str, str]
+    ) -> tuple[int, dict[str, Any], str]:
+        """Return status, value and Retry-After of a call; status 0 where the channel broke."""
+        timeouts = dict.fromkeys(("connect", "write", "pool"), 2.0) | {"read": 60.0}
+        try:
+            response = await self._pool.request(
+                method,
+                url,
+                headers=list(headers.items()),
+                content=body,
+                extensions={"timeout": timeouts},
+            )
+            value = json.loads(response.content) if response.content else {}
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            return 0, {}, ""
+        retry = dict(response.headers).get(b"retry-after", b"").decode()
+        return response.status, value, retry
+
+    # What is checked
+
+    async def async_histories(self) -> list[list[PastRun]]:
+        """Return all runs of each runner, those of earlier processes included."""
+        found = []
+        for agent in self.agents:
+            rows = [
+                json.loads(line[4:])
+                for line in agent.runner.log_text().splitlines()
+                if line.startswith("run [")
+            ]
+            if agent.runner.popen is not None and agent.runner.popen.poll() is None:
+                response = await self._pool.request("GET", f"{agent.runner_url}/v1/history")
+                live = json.loads(response.content)["runs"]
+                rows += [row for row in live if row not in rows]
+            found.append([PastRun(*row[:3], row[3] or float("inf"), row[4]) for row in rows])
+        return found
+
+    async def async_doubled(self) -> list[tuple[PastRun, PastRun]]:
+        """Return the pairs of runs of one task that were there at the same time."""
+        return doubled(await self.async_histories())
+
+    async def async_starts(self, domain: str, after_s: float) -> list[PastRun]:
+        """Return the runs in a failure domain that began after a time of day."""
+        histories = await self.async_histories()
+        return [
+            run
+            for agent, history in zip(self.agents, histories, strict=True)
+            for run in history
+            if agent.domain == domain and run.began_s > after_s
+        ]
+
+    async def async_until(self, what: str, check: Any, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until an asynchronous check is true."""
+        with trio.move_on_after(timeout_s):
+            while not await check():
+                await trio.sleep(POLL_S)
+            return
+        raise TimeoutError(f"not within {timeout_s:g} s: {what}; logs in {self.directory}")
+
+    async def async_ready(self, index: int) -> bool:
+        """Return whether an entry says that it takes callers."""
+        return (await self.async_call("GET", self.entries[index].ready_url, None, {}))[0] == 200
+
+    async def async_linked(self, index: int) -> bool:
+        """Return whether an agent takes tasks from some entry."""
+        status, value, _ = await self.async_call(
+            "GET", f"{self.agents[index].own_url}/ready", None, {}
+        )
+        return status == 200 and value["links"] >= len(self.entries)
+
+    # Processes
+
+    def kill_all(self) -> None:
+        """End every process that this deployment started."""
+        processes: list[Process] = [*self.entries, *self.agents, *self._others]
+        processes += [agent.runner for agent in self.agents]
+        for process in processes:
+            process.signal(signal.SIGKILL)
+        for process in processes:
+            if process.popen is not None:
+                process.popen.wait()
+
+    async def _async_start(self) -> None:
+        (port,) = free_ports(1)
+        self.store_url = f"http://{HOST}:{port}"
+        self._spawn("store", "standins", "store", f"--port={port}")
+
+        async def async_store() -> bool:
+            return (await self.async_call("GET", f"{self.store_url}/live", None, {}))[0] == 200
+
+        await self.async_until("the store", async_store)
+        await self.async_publish()
+        for index in range(self.spec.entries):
+            self.entries.append(self._new_entry(index))
+        for index, domain in enumerate(self.spec.domains):
+            self.agents.append(self._new_agent(index, domain))
+        for process in (*self.entries, *self.agents):
+            process.start()
+        for agent in self.agents:
+            agent.runner.start()
+        for index in range(len(self.entries)):
+            await self.async_until(f"entry {index}", lambda index=index: self.async_ready(index))
+        for index in range(len(self.agents)):
+            await self.async_until(f"agent {index}", lambda index=index: self.async_linked(index))
+
+    def _new_entry(self, index: int) -> EntryOnPlatform:
+        jobs, ready, own, peer = free_ports(4)
+        domain = self.spec.domains[index % len(self.spec.domains)]
+        process = self._process(
+            f"entry{index}",
+            "pistachiohill",
+            "entry",
+            f"--name=entry{index}",
+            f"--domain={domain}",
+            f"--store_url={self.store_url}",
+            f"--jobs_address={HOST}:{jobs}",
+            f"--ready_address={HOST}:{ready}",
+            f"--http_port={own}",
+            f"--peer_port={peer}",
+            "--silence_s=0.3",
+            "--grace_s=6",
+        )
+        return EntryOnPlatform(
+            process.name,
+            process.args,
+            process.log_path,
+            url=f"http://{HOST}:{jobs}",
+            ready_url=f"http://{HOST}:{ready}/api/ready",
+            own_url=f"http://{HOST}:{own}",
+            domain=domain,
+        )
+
+    def _new_agent(self, index: int, domain: str) -> AgentOnPlatform:
+        control, own, peer, runner_port, relay_port, relay_control = free_ports(6)
+        args = [
+            "agent",
+            f"--name=agent{index}",
+            f"--domain={domain}",
+            f"--store_url={self.store_url}",
+            f"--control_address={HOST}:{control}",
+            f"--http_port={own}",
+            f"--peer_port={peer}",
+            "--announce_first=False",
+            "--report_interval_s=0.01",
+            "--grace_s=6",
+        ]
+        if self.spec.relay_agents:
+            args.append(f"--advertised_port={relay_port}")
+            self._spawn(
+                f"relay{index}",
+                "standins",
+                "relay",
+                f"--port={relay_port}",
+                f"--to_port={peer}",
+                f"--control_port={relay_control}",
+            )
+        process = self._process(f"agent{index}", "pistachiohill", *args)
+        runner = self._process(
+            f"runner{index}",
+            "standins",
+            "runner",
+            f"--port={runner_port}",
+            f"--agent_url=http://{HOST}:{control}",
+            f"--cores={self.spec.cores}",
+            f"--rate={self.spec.rates[index % len(self.spec.rates)]}",
+        )
+        return AgentOnPlatform(
+            process.name,
+            process.args,
+            process.log_path,
+            domain=domain,
+            own_url=f"http://{HOST}:{own}",
+            runner=runner,
+            runner_url=f"http://{HOST}:{runner_port}",
+            relay_url=f"http://{HOST}:{relay_control}",
+        )
+
+    def _spawn(self, name: str, kind: str, *args: str) -> Process:
+        process = self._process(name, kind, *args)
+        self._others.append(process)
+        process.start()
+        return process
+
+    def _process(self, name: str, kind: str, *args: str) -> Process:
+        command = [sys.executable, "-m", kind, *args]
+        return Process(name, command, self.directory / f"{name}.log")
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,10 +1,13 @@
 """Stand-in for a network path: relays TCP bytes and can swallow either direction.
 
 `POST /v1/mode` with `{"forward": "pass"|"swallow", "backward": ..., "delay_s": n, "refuse": bool}`
-applies to the connections open at that time and, with `"new": true`, to later ones as well.
+applies to the connections open at that time and, with `"new": true`, to later ones as well. With
+`"reset": true` open connections are reset.
 """
 
 import json
+import socket
+import struct
 from typing import Any
 
 import trio
@@ -23,6 +26,13 @@
     forward: str = "pass"
     backward: str = "pass"
     delay_s: float = 0.0
+    streams: tuple[trio.SocketStream, ...] = ()
+
+    def reset(self) -> None:
+        """Reset both connections, so that neither end may take it for a planned end."""
+        for stream in self.streams:
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            stream.socket.close()
 
 
 @define
@@ -44,6 +54,7 @@
         self.open_paths.append(mode)
         try:
             other = await trio.open_tcp_stream(self.to_host, self.to_port)
+            mode.streams = (stream, other)
             async with stream, other, trio.open_nursery() as nursery:
                 nursery.start_soon(self._async_pump, stream, other, mode, "forward", nursery)
                 nursery.start_soon(self._async_pump, other, stream, mode, "backward", nursery)
@@ -83,6 +94,9 @@
         """Change the mode of open connections, and of new ones when asked to."""
         value: dict[str, Any] = json.loads(request.body)
         self.refuse = bool(value.pop("refuse", self.refuse))
+        if value.pop("reset", False):
+            for mode in list(self.open_paths):
+                mode.reset()
         modes = list(self.open_paths)
         if value.pop("new", False):
             modes.append(self.default)
--- /dev/null
+++ b/standins/runner.py
@@ -0,0 +1,231 @@
+"""Stand-in for a runner on the users' platform, as a process beside an agent.
+
+A task's spec is JSON such as `{"run_s": 0.2}`. `POST /v1/faults` sets `lose_orders` (orders that
+are still to get no answer), `late_s` (how much later those are carried out), `silent`, `unhealthy`,
+`leaving` and the model's `fail_runs`, `hang_runs` and `slowness`. `GET /v1/history` returns every
+run with its times, by the time of day; each run is printed as well, so that it is still known after
+the process was killed.
+"""
+
+import json
+import os
+import time
+from typing import Any
+
+import httpcore
+import trio
+from attrs import define, field
+
+from pistachiohill.http.models import Request, Response, json_response
+from pistachiohill.http.server import HttpApp, async_serve_http, route
+from pistachiohill.platform.const import (
+    HEADER_TARGET_INSTANCE,
+    PATH_HOLD,
+    PATH_INSTANCE,
+    PATH_RUN_START,
+    PATH_RUN_STOP,
+)
+
+from .runner_model import LiveRun, PastRun, RunnerModel
+
+MAX_ORDER_BYTES = 64 * 1024
+BEAT_S = 0.5
+POLL_S = 0.005
+PRINT_S = 0.02
+
+
+@define
+class Faults:
+    """Faults of the connection to the runner, and what it says of itself."""
+
+    lose_orders: int = 0
+    late_s: float = 0.0
+    silent: bool = False
+    unhealthy: bool = False
+    leaving: bool = False
+
+
+@define(eq=False)
+class RunnerServer:
+    """HTTP interface of the stand-in."""
+
+    runner_id: str
+    service: str
+    address: str
+    cpu_m: int
+    model: RunnerModel
+    nursery: trio.Nursery
+    faults: Faults = field(factory=Faults)
+    sequence: int = 0
+    _printed: int = 0
+
+    def app(self) -> HttpApp:
+        """Return the application."""
+        return HttpApp(
+            [
+                route("POST", PATH_RUN_START, self._async_start),
+                route("POST", PATH_RUN_STOP, self._async_stop),
+                route("POST", PATH_HOLD, self._async_hold),
+                route("POST", "/v1/faults", self._async_faults),
+                route("GET", "/v1/history", self._async_history),
+                route("GET", "/live", self._async_live),
+            ],
+            MAX_ORDER_BYTES,
+        )
+
+    async def _async_start(self, request: Request) -> Response:
+        value = await self._async_order(request, self._start)
+        return self._answer(value)
+
+    def _start(self, value: dict[str, Any]) -> str:
+        spec = json.loads(value["spec"])
+        return self.model.start(
+            value["task"],
+            value["run"],
+            float(spec.get("run_s", 0.05)),
+            value.get("deadlineMs"),
+            value.get("fencingToken", 0),
+            time.time(),
+        )
+
+    async def _async_stop(self, request: Request) -> Response:
+        def stop(value: dict[str, Any]) -> str:
+            token = value.get("fencingToken", 0)
+            return self.model.stop(value["task"], value["run"], token, time.time())
+
+        return self._answer(await self._async_order(request, stop))
+
+    async def _async_hold(self, request: Request) -> Response:
+        def hold(value: dict[str, Any]) -> str:
+            return self.model.hold(
+                value.get("deadlineMs"),
+                value.get("fencingToken", 0),
+                value.get("ackCursor", 0),
+                time.time(),
+            )
+
+        outcome = await self._async_order(request, hold)
+        if outcome != "ok":
+            return self._answer(outcome)
+        wait_until_s = time.time() + json.loads(request.body).get("waitMs", 0) / 1000
+        while not self.model.listed and time.time() < wait_until_s:
+            await trio.sleep(POLL_S)
+            self.model.settle(time.time())
+        return json_response(self._lists())
+
+    def _lists(self) -> dict[str, Any]:
+        now_s = time.time()
+        self.model.settle(now_s)
+        return {
+            "clockMs": self.model.clock_ms(now_s),
+            "born": self.model.born_ms,
+            "running": [[run.task, run.run, "", 10] for run in self.model.running.values()],
+            "finished": [[*row, ""] for row in self.model.listed],
+        }
+
+    async def _async_order(self, request: Request, carry_out: Any) -> str:
+        """Carry an order out, or lose its answer, as the faults say."""
+        if request.headers.get(HEADER_TARGET_INSTANCE.lower(), "") not in ("", self.runner_id):
+            return "boot"
+        value = json.loads(request.body)
+        if self.faults.silent:
+            await trio.sleep_forever()
+        if self.faults.lose_orders > 0:
+            self.faults.lose_orders -= 1
+            self.nursery.start_soon(self._async_late, carry_out, value)
+            await trio.sleep_forever()
+        if self.faults.unhealthy:
+            return "unhealthy"
+        return str(carry_out(value))
+
+    async def _async_late(self, carry_out: Any, value: dict[str, Any]) -> None:
+        await trio.sleep(self.faults.late_s)
+        carry_out(value)
+
+    def _answer(self, outcome: str) -> Response:
+        clock = {"clockMs": self.model.clock_ms(time.time())}
+        if outcome == "ok":
+            return json_response(clock)
+        if outcome == "boot":
+            return json_response(clock, 421)
+        if outcome == "unhealthy":
+            return json_response(clock, 503)
+        return json_response({**clock, "reason": outcome}, 409)
+
+    async def _async_faults(self, request: Request) -> Response:
+        value: dict[str, Any] = json.loads(request.body)
+        for name, setting in value.items():
+            setattr(self.faults if hasattr(self.faults, name) else self.model, name, setting)
+        return json_response({})
+
+    async def _async_history(self, request: Request) -> Response:
+        self.model.settle(time.time())
+        runs = [*map(_past_row, self.model.history), *map(_live_row, self.model.running.values())]
+        return json_response({"runs": runs})
+
+    async def _async_live(self, request: Request) -> Response:
+        return json_response({"runner": self.runner_id})
+
+    async def async_print_runs(self) -> None:
+        """Print each run that has ended, for as long as the process runs."""
+        while True:
+            await trio.sleep(PRINT_S)
+            self.model.settle(time.time())
+            for run in self.model.history[self._printed :]:
+                print("run", json.dumps(_past_row(run)), flush=True)
+            self._printed = len(self.model.history)
+
+    async def async_announce(self, agent_url: str) -> None:
+        """Announce the runner to the agent beside it again and again."""
+        path = PATH_INSTANCE.format(self.runner_id)
+        timeouts = {"connect": 0.5, "read": 1.0, "write": 1.0, "pool": 1.0}
+        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+            while True:
+                self.sequence += 1
+                body = json.dumps(self._beat()).encode()
+                try:
+                    extensions = {"timeout": timeouts}
+                    await pool.request("PUT", agent_url + path, content=body, extensions=extensions)
+                    pause_s = BEAT_S
+                except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+                    pause_s = BEAT_S / 5
+                await trio.sleep(pause_s)
+
+    def _beat(self) -> dict[str, Any]:
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.faults.leaving else "ready",
+            "coldLeftMs": 0,
+            "capacity": {"cpu": self.cpu_m, "memMb": 4096, "gpu": 0},
+            "labels": [],
+            "clockMs": self.model.clock_ms(time.time()),
+            "born": self.model.born_ms,
+            "seq": self.sequence,
+        }
+
+
+def _past_row(run: PastRun) -> list[Any]:
+    return [run.task, run.run, run.began_s, run.ended_s, run.how]
+
+
+def _live_row(run: LiveRun) -> list[Any]:
+    return [run.task, run.run, run.began_s, None, "running"]
+
+
+async def async_run(
+    host: str, port: int, agent_url: str, service: str, cpu_m: int, rate: float
+) -> None:
+    """Serve and announce until cancelled."""
+    now_s = time.time()
+    model = RunnerModel(born_ms=int(now_s * 1000), born_s=now_s, rate=rate)
+    async with trio.open_nursery() as nursery:
+        name = f"i-{os.getpid():x}"
+        address = f"{host}:{port}"
+        server = RunnerServer(name, service, address, cpu_m, model, nursery)
+        await nursery.start(async_serve_http, server.app(), [address], trio.Event(), 0.1)
+        nursery.start_soon(server.async_announce, agent_url)
+        nursery.start_soon(server.async_print_runs)
--- /dev/null
+++ b/tests/failures/test_platform_jobs.py
@@ -0,0 +1,344 @@
+"""Best-effort jobs in real processes on stand-ins of the users' platform, with faults from outside.
+
+Verdicts are taken from the runners' own records of runs and from what callers get.
+"""
+
+import json
+import signal
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import trio
+
+from standins.platform_deployment import (
+    CALLER_HOST,
+    ROUTE,
+    Answer,
+    PlatformDeployment,
+    PlatformSpec,
+)
+
+from ..base import TestCase
+
+CONFIG_BOUND_S = 2.0  # configApplyMs of the users' pages
+EVACUATE_BOUND_S = 5.0  # evacuateMs
+DRAIN_BOUND_S = 2.0  # drainMs
+EARLY_S = 0.05  # clocks of the checker and of a stand-in are read at different moments
+
+
+class Load:
+    """Callers that submit jobs all the while, and what they got."""
+
+    def __init__(self, deployment: PlatformDeployment, nursery: trio.Nursery) -> None:
+        self.answers: list[Answer] = []
+        self.pending = 0
+        self._deployment = deployment
+        self._nursery = nursery
+        self._stopped = False
+
+    async def async_run(self, per_s: float, **job: Any) -> None:
+        number = 0
+        while not self._stopped:
+            number += 1
+            self._nursery.start_soon(self.async_one, number, job)
+            await trio.sleep(1 / per_s)
+
+    async def async_one(self, number: int, job: dict[str, Any]) -> None:
+        self.pending += 1
+        entry = number % len(self._deployment.entries)
+        self.answers.append(await self._deployment.async_job(entry=entry, **job))
+        self.pending -= 1
+
+    async def async_finish(self) -> list[Answer]:
+        self._stopped = True
+        with trio.fail_after(40.0):
+            while self.pending:
+                await trio.sleep(0.05)
+        return self.answers
+
+
+class PlatformJobsTest(TestCase):
+    @asynccontextmanager
+    async def load(
+        self, spec: PlatformSpec, per_s: float = 8.0, **job: Any
+    ) -> AsyncIterator[tuple[PlatformDeployment, Load]]:
+        """Run a deployment under load; in the end no task has run twice at a time."""
+        async with PlatformDeployment(spec) as deployment, trio.open_nursery() as nursery:
+            load = Load(deployment, nursery)
+            nursery.start_soon(deployment.async_watch_ready)
+            nursery.start_soon(lambda: load.async_run(per_s, **job))
+            await trio.sleep(0.5)
+            yield deployment, load
+            await load.async_finish()
+            self.assertEqual([], await deployment.async_doubled(), deployment.directory)
+            nursery.cancel_scope.cancel()
+
+    def assert_completed(self, answers: list[Answer], but: int = 0) -> None:
+        """Check that all jobs, but for some, were completed."""
+        others = [item for item in answers if item.state != "completed"]
+        self.assertGreater(len(answers), but)
+        self.assertLessEqual(len(others), but, others)
+
+    async def test_a_calm_day(self) -> None:
+        """All jobs complete at the first try, each soon after its longest task."""
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (_, load):
+            await trio.sleep(3.0)
+            answers = await load.async_finish()
+            self.assert_completed(answers)
+            self.assertEqual({1}, {answer.sent for answer in answers})
+            times = sorted(answer.elapsed_s for answer in answers)
+            self.assertLess(times[len(times) // 2], 0.1 + 0.06)
+
+    async def test_an_entry_is_killed(self) -> None:
+        """Its callers send their jobs again, and none runs beside its earlier run."""
+        async with self.load(PlatformSpec(), 2.0, tasks=2, run_s=2.0) as (deployment, load):
+            await trio.sleep(1.0)
+            async with trio.open_nursery() as late:
+                for _ in range(2):
+                    late.start_soon(lambda: load.async_one(0, {"tasks": 2, "run_s": 2.0}))
+                    await trio.sleep(0.1)
+                await deployment.entries[0].async_kill()
+            await trio.sleep(1.0)
+            answers = await load.async_finish()
+            self.assert_completed(answers)
+            self.assertIn(2, {answer.sent for answer in answers})
+
+    async def test_an_entry_freezes_while_its_callers_go_elsewhere(self) -> None:
+        """A caller's limit passes during the freeze; the entry wakes while the job runs again."""
+        spec = PlatformSpec(cores=8)
+        async with self.load(spec, 2.0, tasks=2, run_s=2.2, deadline_s=2.5) as (deployment, load):
+            await trio.sleep(1.0)
+            deployment.entries[0].signal(signal.SIGSTOP)
+            await trio.sleep(3.2)
+            deployment.entries[0].signal(signal.SIGCONT)
+            await trio.sleep(1.0)
+            self.assertIn(2, {answer.sent for answer in await load.async_finish()})
+
+    async def test_an_agent_is_killed(self) -> None:
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.4) as (deployment, load):
+            await trio.sleep(1.0)
+            await deployment.agents[0].async_kill()
+            await trio.sleep(1.0)
+            deployment.agents[0].start()
+            await trio.sleep(1.0)
+            answers = await load.async_finish()
+            self.assert_completed(answers)
+            self.assertEqual({1}, {answer.sent for answer in answers})
+
+    async def test_an_agent_freezes(self) -> None:
+        """Its runs end with their lease, and its tasks run elsewhere."""
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.4) as (deployment, load):
+            await trio.sleep(1.0)
+            deployment.agents[0].signal(signal.SIGSTOP)
+            await trio.sleep(2.5)
+            deployment.agents[0].signal(signal.SIGCONT)
+            await trio.sleep(1.0)
+            self.assert_completed(await load.async_finish())
+
+    async def test_links_to_an_agent_fall_silent_for_good(self) -> None:
+        """New connections work; no task is lost and none runs twice."""
+        spec = PlatformSpec(relay_agents=True)
+        async with self.load(spec, tasks=3, run_s=0.4) as (deployment, load):
+            for forward, backward in (("swallow", "pass"), ("pass", "swallow")):
+                await deployment.async_relay(0, forward=forward, backward=backward)
+                await trio.sleep(1.5)
+            answers = await load.async_finish()
+            self.assert_completed(answers)
+            self.assertEqual({1}, {answer.sent for answer in answers})
+
+    async def test_an_agent_is_cut_off_and_lives_on(self) -> None:
+        spec = PlatformSpec(relay_agents=True)
+        async with self.load(spec, 3.0, tasks=3, run_s=1.0) as (deployment, load):
+            cut = {"forward": "swallow", "backward": "swallow", "new": True}
+            await deployment.async_relay(0, **cut)
+            await trio.sleep(2.5)
+            await deployment.async_relay(0, forward="pass", backward="pass", new=True)
+            await trio.sleep(1.0)
+            self.assert_completed(await load.async_finish())
+
+    async def test_an_agent_out_of_reach_lives_on(self) -> None:
+        """Connections are reset and refused, as if its process were dead."""
+        spec = PlatformSpec(relay_agents=True)
+        async with self.load(spec, 4.0, tasks=3, run_s=0.8) as (deployment, load):
+            for _ in range(2):
+                await deployment.async_relay(0, refuse=True, reset=True)
+                await trio.sleep(1.5)
+                await deployment.async_relay(0, refuse=False)
+                await trio.sleep(1.0)
+            self.assert_completed(await load.async_finish())
+
+    async def test_orders_without_answer_are_carried_out_late(self) -> None:
+        async with self.load(PlatformSpec(), 4.0, tasks=3, run_s=0.6) as (deployment, load):
+            for index in range(3):
+                await deployment.async_runner_faults(index, lose_orders=4, late_s=0.4)
+            await trio.sleep(3.0)
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_runner_falls_silent(self) -> None:
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.3) as (deployment, load):
+            await deployment.async_runner_faults(0, silent=True)
+            await trio.sleep(2.5)
+            await deployment.async_runner_faults(0, silent=False)
+            await trio.sleep(0.5)
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_runner_crashes_and_comes_back(self) -> None:
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.3) as (deployment, load):
+            await deployment.agents[0].runner.async_kill()
+            await trio.sleep(1.0)
+            deployment.agents[0].runner.start()
+            await trio.sleep(1.5)
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_runner_fails_runs(self) -> None:
+        """Failed runs are repeated elsewhere, as often as the route allows."""
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
+            await deployment.async_runner_faults(0, fail_runs=6)
+            await trio.sleep(2.0)
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_task_that_always_fails_fails_its_job(self) -> None:
+        async with PlatformDeployment(PlatformSpec()) as deployment:
+            for index in range(3):
+                await deployment.async_runner_faults(index, fail_runs=100)
+            answer = await deployment.async_job(tasks=1)
+            self.assertEqual((200, "failed"), (answer.status, answer.state))
+            runs = sum(map(len, await deployment.async_histories()))
+            self.assertEqual(ROUTE["maxAttempts"], runs)
+
+    async def test_a_caller_that_leaves_ends_its_job(self) -> None:
+        async with PlatformDeployment(PlatformSpec()) as deployment:
+            with trio.move_on_after(0.5):
+                await deployment.async_job(tasks=3, run_s=5.0, resend=False)
+            await trio.sleep(0.5)
+            runs = [run for history in await deployment.async_histories() for run in history]
+            self.assertEqual({"stopped"}, {run.how for run in runs})
+            self.assertEqual(3, len(runs))
+
+    async def test_an_evacuated_domain_gets_no_tasks(self) -> None:
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
+            await deployment.async_evacuate("bern-a", True)
+            out_at_s = time.time()
+            await trio.sleep(3.0)
+            late = await deployment.async_starts("bern-a", out_at_s + 0.5)
+            self.assertEqual([], late)
+            self.assertLess(0.5, EVACUATE_BOUND_S)
+            await deployment.async_evacuate("bern-a", False)
+            back_at_s = time.time()
+            await trio.sleep(2.0)
+            self.assertNotEqual([], await deployment.async_starts("bern-a", back_at_s))
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_leaving_runner_gets_no_tasks(self) -> None:
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
+            await deployment.async_runner_faults(0, leaving=True)
+            left_at_s = time.time()
+            await trio.sleep(DRAIN_BOUND_S + 1.0)
+            late = await deployment.async_starts("bern-a", left_at_s + DRAIN_BOUND_S)
+            self.assertEqual([], late)
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_planned_stop_of_an_entry_cuts_no_job(self) -> None:
+        """Callers on kept channels are served to the end, with a closing answer."""
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.3) as (deployment, load):
+            deployment.entries[0].signal(signal.SIGTERM)
+            self.assertFalse(await deployment.async_ready(0))
+            self.assertEqual(0, await deployment.entries[0].async_wait())
+            deployment.entries[0].start()
+            await trio.sleep(1.0)
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_planned_stop_of_an_agent_cuts_no_run(self) -> None:
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.3) as (deployment, load):
+            deployment.agents[0].signal(signal.SIGTERM)
+            self.assertEqual(0, await deployment.agents[0].async_wait())
+            deployment.agents[0].start()
+            await trio.sleep(1.0)
+            answers = await load.async_finish()
+            self.assert_completed(answers)
+            self.assertEqual({1}, {answer.sent for answer in answers})
+            runs = [run for history in await deployment.async_histories() for run in history]
+            self.assertEqual({"done"}, {run.how for run in runs})
+
+    async def test_work_goes_on_while_the_store_is_down(self) -> None:
+        """Also an agent that is started anew is found, at its address, and used."""
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
+            await deployment.async_store_faults(down=True)
+            await deployment.agents[0].async_kill()
+            deployment.agents[0].start()
+            await trio.sleep(3.0)
+            since_s = time.time() - 1.0
+            self.assertNotEqual([], await deployment.async_starts("bern-a", since_s))
+            self.assert_completed(await load.async_finish())
+
+    async def test_all_processes_die_and_serve_again(self) -> None:
+        async with PlatformDeployment(PlatformSpec()) as deployment:
+            self.assertEqual("completed", (await deployment.async_job()).state)
+            processes = [*deployment.entries, *deployment.agents]
+            for process in processes:
+                process.signal(signal.SIGKILL)
+            for process in processes:
+                await process.async_wait()
+                process.start()
+            for index in range(2):
+                await deployment.async_until(
+                    "ready entries", lambda index=index: deployment.async_ready(index)
+                )
+            self.assertEqual("completed", (await deployment.async_job()).state)
+            self.assertEqual([], await deployment.async_doubled())
+
+    async def test_manifests_are_in_force_in_time_and_dropped_routes_are_gone(self) -> None:
+        async with PlatformDeployment(PlatformSpec()) as deployment:
+            added = {**ROUTE, "name": "rank", "pathPrefix": "/rank/"}
+            for routes, expected in (([ROUTE, added], 200), ([ROUTE], 404)):
+                deployment.routes = list(routes)
+                await deployment.async_publish()
+                await trio.sleep(CONFIG_BOUND_S / 2)
+                for entry in deployment.entries:
+                    status, value, _ = await deployment.async_call(
+                        "GET", f"{entry.url}/rank/", None, {"Host": CALLER_HOST}
+                    )
+                    self.assertEqual(expected, status)
+                    if status == 200:
+                        self.assertEqual({"pending": 0}, value)
+
+    async def test_bad_requests_get_a_clear_error_and_harm_nothing(self) -> None:
+        async with PlatformDeployment(PlatformSpec(entries=1)) as deployment:
+            url = deployment.entries[0].url
+            good = {"spec": "{}", "bestEffort": True, "steps": [{"count": 1, "cpu": 10}]}
+            key = "0123456789abcdef"
+            cases: list[tuple[str, str, Any, int]] = [
+                ("POST", f"/stamp/{key}", b"{", 400),
+                ("POST", f"/stamp/{key}", b"\xff\xfe", 400),
+                ("POST", f"/stamp/{key}", {**good, "spec": 5}, 400),
+                ("POST", f"/stamp/{key}", {**good, "spec": "x" * 4001}, 400),
+                ("POST", f"/stamp/{key}", {**good, "steps": []}, 400),
+                ("POST", f"/stamp/{key}", {**good, "steps": [{"count": 0}]}, 400),
+                ("POST", f"/stamp/{key}", {**good, "steps": [{"count": "1"}]}, 400),
+                ("POST", "/stamp/short", good, 400),
+                ("POST", f"/stamp/{key}", {**good, "steps": [{"count": 1, "cpu": 10**9}]}, 503),
+                ("POST", f"/stamp/{key}", {**good, "bestEffort": False}, 503),
+                ("POST", f"/stamp/{key}", {**good, "steps": good["steps"] * 2}, 503),
+                ("POST", f"/stamp/{key}", {**good, "steps": [{"count": 2, "gang": True}]}, 503),
+                ("POST", f"/other/{key}", good, 404),
+                ("GET", f"/stamp/{key}", None, 410),
+                ("DELETE", f"/stamp/{key}", None, 410),
+                ("PATCH", f"/stamp/{key}", good, 405),
+                ("POST", f"/stamp/{key}", b'{"spec":"' + b"x" * 300_000, 413),
+            ]
+            for method, path, body, expected in cases:
+                data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+                status, value, _ = await deployment.async_call(
+                    method, url + path, data, {"Host": CALLER_HOST}
+                )
+                self.assertEqual(expected, status, (method, path, body, value))
+                self.assertIn("detail", value)
+            host, _, port = url.removeprefix("http://").partition(":")
+            for data in (b"\x00\x01\x02garbage\r\n\r\n", b"POST /stamp/x HTTP/1.1\r\nHost:"):
+                with socket.create_connection((host, int(port))) as stream:
+                    stream.sendall(data)
+            self.assertEqual([[], [], []], await deployment.async_histories())
+            self.assertEqual("completed", (await deployment.async_job()).state)
--- a/tests/platform/test_runner_client.py
+++ b/tests/platform/test_runner_client.py
@@ -27,7 +27,7 @@
 from pistachiohill.http.models import Request, Response, json_response
 from pistachiohill.http.server import HttpApp, async_serve_http, route
 from pistachiohill.platform.runner_client import RunnerClient, task_id_of, task_name
-from standins.deployment import free_ports
+from standins.processes import free_ports
 
 from ..base import TestCase
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,8 +17,8 @@
     StoreFailed,
 )
 from pistachiohill.platform.store import PAGE_HEAD, StoreClient, decode_page, encode_record
-from standins.deployment import free_ports
 from standins.platform_store import NEWEST_PAGE, PlatformStore, StoreServer
+from standins.processes import free_ports
 
 from ..base import TestCase
 
