--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -117,7 +117,7 @@
         """Tell entries when the load of the others has changed, at once where room is short."""
         while True:
             await self._runner.load_changed.wait()
-            await trio.sleep(LOAD_PUSH_S)
+            await trio.sleep(LOAD_PUSH_S * max(1, len(self._runner.links)))
             self._runner.reset_load_changed()
             now_s = clock.boot_s()
             for link in self._runner.links:
--- a/pistachiohill/cli/const.py
+++ b/pistachiohill/cli/const.py
@@ -4,7 +4,6 @@
 from typing import Final
 
 ENV_ENTRIES: Final = "PISTACHIOHILL_ENTRIES"
-ENV_NODE_FILE: Final = "PISTACHIOHILL_NODE_FILE"
 ENV_TOKEN: Final = "PISTACHIOHILL_TOKEN"
 DEFAULT_ENTRIES: Final = "http://127.0.0.1:8080"
 
--- a/pistachiohill/cli/main.py
+++ b/pistachiohill/cli/main.py
@@ -8,21 +8,16 @@
 import os
 import secrets
 import sys
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, TypeVar
 
 import fire
-import trio
 
-from .. import logs
-from ..protocol.link import first_error
+from ..daemon.start import exit_invalid
 from ..settings.const import ROOT_PATH
-from ..settings.daemon import load_daemon_settings
 from ..settings.errors import SettingsError
-from ..settings.models import AGENT_FIELDS, ENTRY_FIELDS, AgentSettings, EntrySettings
 from ..settings.tree import parse_node
-from .const import DEFAULT_ENTRIES, ENV_ENTRIES, ENV_NODE_FILE, ENV_TOKEN, ExitCode
+from .const import DEFAULT_ENTRIES, ENV_ENTRIES, ENV_TOKEN, ExitCode
 from .operator import OperatorClient, exit_code
 
 T = TypeVar("T")
@@ -45,24 +40,6 @@
     sys.exit(exit_code(answer))
 
 
-def _exit_invalid(err: SettingsError) -> None:
-    for problem in err.problems:
-        print(problem, file=sys.stderr)
-    sys.exit(ExitCode.INVALID)
-
-
-def _run_daemon(
-    async_run: Callable[[T], Awaitable[None]], settings: T, name: str, verbosity: int
-) -> None:
-    """Run a daemon; an address that cannot be bound is named in one line, with exit code 1."""
-    logs.setup(name, verbosity)
-    try:
-        trio.run(async_run, settings)
-    except* OSError as group:
-        logs.warning("start_failed", error=repr(first_error(group)))
-        os._exit(ExitCode.FAILED)
-
-
 def _change(expected_version: int, change_id: str, author: str) -> dict[str, Any]:
     """Return the fields that every change carries; a change without an id gets a random one."""
     return {
@@ -83,7 +60,7 @@
             print(err, file=sys.stderr)
             sys.exit(ExitCode.INVALID)
         except SettingsError as err:
-            _exit_invalid(err)
+            exit_invalid(err)
         print("valid")
 
     def publish(
@@ -107,7 +84,7 @@
         try:
             parse_node(path, text, 0)
         except SettingsError as err:
-            _exit_invalid(err)
+            exit_invalid(err)
         value = {
             "path": path,
             "values_toml": text,
@@ -187,29 +164,15 @@
         settings: TOML file; every name of docs/SETTINGS.md can be given as an option as well, for
         example --http_port=8080. All faults are listed at once, with exit code 2.
         """
-        from ..daemon.root import async_run_entry
+        from ..daemon.start import start_entry
 
-        try:
-            loaded = load_daemon_settings(
-                EntrySettings, ENTRY_FIELDS, _settings_file(settings), overrides
-            )
-        except SettingsError as err:
-            _exit_invalid(err)
-            return
-        _run_daemon(async_run_entry, loaded, loaded.name, verbosity)
+        start_entry(settings, overrides, verbosity)
 
     def agent(self, settings: str = "", verbosity: int = 0, **overrides: Any) -> None:
         """Run an agent process beside its target; options as for `entry`."""
-        from ..daemon.root import async_run_agent
+        from ..daemon.start import start_agent
 
-        try:
-            loaded = load_daemon_settings(
-                AgentSettings, AGENT_FIELDS, _settings_file(settings), overrides
-            )
-        except SettingsError as err:
-            _exit_invalid(err)
-            return
-        _run_daemon(async_run_agent, loaded, loaded.name, verbosity)
+        start_agent(settings, overrides, verbosity)
 
     def submit(
         self,
@@ -241,11 +204,6 @@
         _finish(_operator(entries, token), "GET", "/v1/fairness")
 
 
-def _settings_file(path: str) -> str | None:
-    """Return the settings file to read: the one named, else the one that the environment names."""
-    return path or os.environ.get(ENV_NODE_FILE) or None
-
-
 def _payloads(path: str, tasks: int, payload: object) -> list[bytes]:
     if path:
         return Path(path).read_bytes().splitlines()
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -64,6 +64,7 @@
             settings.silence_s,
             settings.agents,
             view,
+            self.peers.incarnations,
             self._view_confirmed_at,
         )
         self.dispatcher = Dispatcher(view, self._view_confirmed_at, self.directory, self.accounting)
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -49,6 +49,7 @@
     RECONNECT_MIN_S,
     REFUSED_CONNECTS_UNTIL_LOST,
 )
+from .shares import is_served
 
 Address = tuple[str, int]
 RUNNER_LEASE_S = LEASE_S * (1.0 + MAX_CLOCK_DRIFT)
@@ -156,11 +157,13 @@
         silence_s: float,
         hints: tuple[str, ...],
         view: ConsortiumView,
+        entries: Callable[[], set[str]],
         view_confirmed_at: Callable[[float], float],
     ) -> None:
         """Start with no agent.
 
-        `hints` are addresses, as host:port, that are tried besides the announced ones.
+        `hints` are addresses, as host:port, that are tried besides the announced ones. `entries`
+        returns the incarnations of the other entries that live.
         `view_confirmed_at` returns, for a boot time, the boot time as of which the view holds.
         """
         self.agents: dict[str, Agent] = {}
@@ -170,8 +173,10 @@
         self._silence_s = silence_s
         self._hints = {_parse_address(text) for text in hints}
         self._view = view
+        self._entries = entries
         self._view_confirmed_at = view_confirmed_at
         self._dialled: set[Address] = set()
+        self._served: set[Address] = set()
         self._ending: list[Agent] = []
 
     def stamp(self, agent: Agent, now_s: float) -> ViewStamp:
@@ -193,7 +198,8 @@
             domains: dict[str, bool] = {}
             while True:
                 state = self._view.state
-                for address in self._addresses():
+                self._served = self._addresses()
+                for address in self._served:
                     if address not in self._dialled:
                         self._dialled.add(address)
                         nursery.start_soon(self._async_keep_link, address, events)
@@ -202,7 +208,18 @@
                 await self._view.async_changed()
 
     def _addresses(self) -> set[Address]:
-        return self._view.processes.addresses(Role.AGENT, clock.wall_s()) | self._hints
+        """Return the addresses of the agents that this entry serves."""
+        known = self._view.processes.addresses(Role.AGENT, clock.wall_s()) | self._hints
+        entries = self._entries()
+        return {item for item in known if is_served(_text(item), self._incarnation, entries)}
+
+    def _release(self, agent: Agent) -> None:
+        """Place nothing more at an agent that other entries serve now, and let its link go."""
+        agent.accepting = False
+        if agent.link is not None and not agent.outstanding:
+            logs.event("agent_released", agent=agent.incarnation)
+            agent.link.close()
+            self.agents.pop(agent.incarnation, None)
 
     def _end_agents(self, events: AgentEvents) -> None:
         for agent in list(self.agents.values()):
@@ -244,7 +261,7 @@
         """Dial an address again and again for as long as an agent may be there."""
         pause_s = RECONNECT_MIN_S
         refused = 0
-        while address in self._addresses():
+        while address in self._served:
             opened_s = clock.boot_s()
             try:
                 await self._async_link(address, events)
@@ -326,7 +343,10 @@
             idle_due = now_s >= idle_due_s
             if idle_due:
                 idle_due_s = now_s + IDLE_WATCH_S
+                self._served = self._addresses()
             for agent in list(self.agents.values()):
+                if agent.address not in self._served:
+                    self._release(agent)
                 if agent.link is not None and (agent.outstanding or idle_due or agent.asked):
                     self._check_silence(agent, agent.link, now_s)
                 if agent.link is None and agent.outstanding and now_s > agent.runs_end_s():
@@ -372,7 +392,7 @@
         if message.accepting and not agent.accepting:
             logs.event("agent_accepting", agent=agent.incarnation, service=agent.service)
             self._end_replaced(agent, events, now_s)
-        agent.accepting = message.accepting
+        agent.accepting = message.accepting and agent.address in self._served
         agent.announce_offset = max(agent.announce_offset, message.announce_offset)
         agent.applied_offset = message.applied_offset
         agent.view_age_s = message.view_age_s
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -248,6 +248,7 @@
                 if pending.link is peer.link:
                     pending.done.set()
             logs.event("peer_unlinked", peer=peer.link.peer_incarnation)
+            self._view.notify()
 
     @singledispatchmethod
     def _handle(self, message: Message, peer: Peer, now_s: float) -> None:
--- /dev/null
+++ b/pistachiohill/entry/shares.py
@@ -0,0 +1,27 @@
+"""Which agents an entry keeps links to.
+
+Each agent is served by a few of the living entries, so that links, and the messages that keep them
+informed, do not grow with entries times agents. The choice is by rendezvous hashing: when an entry
+comes or goes, only its own agents change hands. Entries that see different sets of entries differ
+in a few links, which does no harm.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Final
+
+ENTRIES_PER_AGENT: Final = 4
+
+
+def is_served(agent: str, entry: str, entries: Iterable[str]) -> bool:
+    """Return whether an entry is among those that serve an agent.
+
+    `agent` is the agent's address, `entries` the names of all living entries.
+    """
+    own = _rank(agent, entry)
+    before = sum(_rank(agent, other) > own for other in entries if other != entry)
+    return before < ENTRIES_PER_AGENT
+
+
+def _rank(agent: str, entry: str) -> bytes:
+    return hashlib.blake2b(f"{agent}/{entry}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/tests/entry/test_shares.py
@@ -0,0 +1,37 @@
+"""Every agent is served by a few entries, evenly, and few agents change hands with an entry."""
+
+from pistachiohill.entry.shares import ENTRIES_PER_AGENT, is_served
+
+from ..base import TestCase
+
+ENTRIES = [f"entry{number}" for number in range(10)]
+AGENTS = [f"10.1.0.{number}:7720" for number in range(61)]
+
+
+def served(entries: list[str]) -> dict[str, set[str]]:
+    """Return the agents of each entry."""
+    return {
+        entry: {agent for agent in AGENTS if is_served(agent, entry, entries)} for entry in entries
+    }
+
+
+class SharesTest(TestCase):
+    def test_each_agent_has_its_entries_and_each_entry_a_fair_share(self) -> None:
+        found = served(ENTRIES)
+        for agent in AGENTS:
+            count = sum(agent in agents for agents in found.values())
+            self.assertEqual(ENTRIES_PER_AGENT, count)
+        fair = len(AGENTS) * ENTRIES_PER_AGENT / len(ENTRIES)
+        for agents in found.values():
+            self.assertTrue(fair / 2 < len(agents) < 2 * fair, len(agents))
+
+    def test_few_entries_serve_all_agents(self) -> None:
+        for entries in (ENTRIES[:1], ENTRIES[:ENTRIES_PER_AGENT]):
+            for agents in served(entries).values():
+                self.assertEqual(set(AGENTS), agents)
+
+    def test_an_entry_that_goes_hands_over_its_own_agents_only(self) -> None:
+        before, after = served(ENTRIES), served(ENTRIES[1:])
+        for entry in ENTRIES[1:]:
+            self.assertLessEqual(before[entry], after[entry])
+            self.assertLessEqual(after[entry] - before[entry], before[ENTRIES[0]])
--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -268,9 +268,9 @@
         async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
             await deployment.async_store_faults(down=True)
             await deployment.agents[0].async_kill()
+            since_s = time.time()
             deployment.agents[0].start()
             await trio.sleep(3.0)
-            since_s = time.time() - 1.0
             self.assertNotEqual([], await deployment.async_starts("bern-a", since_s))
             self.assert_completed(await load.async_finish())
 
