--- a/pistachiohill/cli/main.py
+++ b/pistachiohill/cli/main.py
@@ -174,6 +174,34 @@
 
         start_agent(settings, overrides, verbosity)
 
+    @fire.decorators.SetParseFn(str, "job_id")  # type: ignore[untyped-decorator]
+    def explain(self, job_id: str = "", *logs: str, worst: int = 0) -> None:
+        """Say what became of a job and why, from the logs of any number of processes.
+
+        The id is taken as text, since one such as 1234567890123e45 would be read as a number.
+        Give the caller's id or a submission id, then log files: `explain 5c0e7a21d94b36f8 *.log`.
+        With --worst=N only files are given, and the N failed or slowest jobs are shown by cause.
+        Exit code 1 when no line names the job.
+        """
+        from ..explain.reader import read_files
+        from ..explain.report import story_lines, worst_lines
+        from ..explain.story import add_context, build_stories, find_story
+
+        paths = [str(job_id), *map(str, logs)] if worst else [str(path) for path in logs]
+        files = read_files(paths)
+        for problem in files.unreadable:
+            print(problem, file=sys.stderr)
+        stories = build_stories(files.lines)
+        if worst:
+            print("\n".join(worst_lines(stories, files.lines, worst)))
+            return
+        story = find_story(stories, str(job_id))
+        if story is None:
+            print(f"no line of {len(paths)} files names {job_id}", file=sys.stderr)
+            sys.exit(ExitCode.FAILED)
+        add_context(story, files.lines)
+        print("\n".join(story_lines(story)))
+
     def submit(
         self,
         job: str,
--- a/pistachiohill/logs.py
+++ b/pistachiohill/logs.py
@@ -5,6 +5,7 @@
 """
 
 import atexit
+import json
 import logging as std_logging
 import sys
 import time
@@ -17,7 +18,7 @@
 from .log_buffer import LogBuffer
 
 FLUSH_INTERVAL_S: Final = 0.05  # at most this much of a killed process's log is lost
-_QUOTED: Final = frozenset(' "=\n\t\r')
+_QUOTED: Final = frozenset(' "=')
 
 
 class _Output:
@@ -122,7 +123,7 @@
     if isinstance(value, float):
         return f"{value:.6g}"
     text = str(value)
-    if text and not _QUOTED.intersection(text):
+    plain = text.isprintable()
+    if plain and text and not _QUOTED.intersection(text):
         return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
+    return json.dumps(text, ensure_ascii=not plain)
--- a/pistachiohill/platform/entry.py
+++ b/pistachiohill/platform/entry.py
@@ -7,9 +7,10 @@
 from ..entry.agents import AgentDirectory
 from ..entry.best_effort import BestEffortJobs
 from ..entry.routes import RouteTable
+from ..http.direct_server import async_serve_directly
 from ..http.server import HttpApp, async_serve_http, route
 from ..settings.models import EntrySettings
-from .const import PATH_READY
+from .const import MAX_JOB_BODY_BYTES, PATH_READY
 from .jobs_api import JobsApi, ready_route
 from .operators import async_follow_operators
 from .store import StoreClient
@@ -60,9 +61,10 @@
 
         async def async_serve_callers(task_status: trio.TaskStatus[None]) -> None:
             try:
-                await async_serve_http(
+                await async_serve_directly(
                     self._jobs_api,
-                    [settings.jobs_address],
+                    settings.jobs_address,
+                    MAX_JOB_BODY_BYTES,
                     stopped,
                     settings.grace_s,
                     task_status=task_status,
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -77,13 +77,18 @@
 
 @frozen
 class Answer:
-    """What a caller got: a status, 0 where the channel broke, and how often it had to send."""
+    """What a caller got: a status, 0 where the channel broke, and how often it had to send.
+
+    `statuses` are those of all sends of the job named by `key`.
+    """
 
     status: int
     state: str
     sent: int
     elapsed_s: float
     retry_after: str = ""
+    key: str = ""
+    statuses: tuple[int, ...] = ()
 
 
 class PlatformDeployment:
@@ -173,14 +178,17 @@
         self.submitted.add(key)
         began_s = trio.current_time()
         sent = 0
+        statuses: list[int] = []
         while True:
             target = self._balance(entry + sent)
             sent += 1
             status, value, retry = await self._async_send(target, key, tasks, run_s, deadline_s)
+            statuses.append(status)
             elapsed_s = trio.current_time() - began_s
             lost = status in (0, 502, 504)
             if not (lost and resend) or elapsed_s > 2 * deadline_s:
-                return Answer(status, str(value.get("state", "")), sent, elapsed_s, retry)
+                state = str(value.get("state", ""))
+                return Answer(status, state, sent, elapsed_s, retry, key, tuple(statuses))
             await trio.sleep(RESEND_S)
 
     def _balance(self, number: int) -> EntryOnPlatform:
