--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -8,7 +8,7 @@
 
 from .. import clock, logs
 from ..const import TaskState
-from ..errors import RefusalReason
+from ..errors import RefusalReason, Verdict
 from ..protocol.link import Link
 from ..protocol.models import (
     AgentLoad,
@@ -38,7 +38,7 @@
 )
 from .leases import EntryLeases
 from .metrics import AgentMetrics
-from .models import TargetCall, TargetState, TaskTarget
+from .models import TargetAnswer, TargetCall, TargetState, TaskTarget
 from .room import HeldTask, Room, ToldLoad
 from .start_table import StartTable, SubmissionStarts
 from .view import AgentView
@@ -411,7 +411,11 @@
 
     async def _async_run(self, task: QueuedTask) -> None:
         started_s = clock.boot_s()
-        answer = await self._client.async_call(self.target.url, task.call)
+        if task.stop_reason is not None:
+            # Stopped before it was handed over: the target has nothing to stop and must not start.
+            answer = TargetAnswer(Verdict.NOT_RUN, task.stop_reason)
+        else:
+            answer = await self._client.async_call(self.target.url, task.call)
         now_s = clock.boot_s()
         self._running.discard(task)
         self._room.release(task.held)
