--- a/pistachiohill/daemon/start.py
+++ b/pistachiohill/daemon/start.py
@@ -12,33 +12,32 @@
 from ..settings.daemon import load_daemon_settings
 from ..settings.errors import SettingsError
 from ..settings.models import AGENT_FIELDS, ENTRY_FIELDS, AgentSettings, EntrySettings
+from .reloading import async_watch_reload
 from .root import async_run_agent, async_run_entry
 
 ENV_NODE_FILE: Final = "PISTACHIOHILL_NODE_FILE"
 EXIT_FAILED: Final = 1
 EXIT_INVALID: Final = 2
 
-T = TypeVar("T")
+S = TypeVar("S", EntrySettings, AgentSettings)
 
 
 def start_entry(path: str, overrides: Mapping[str, Any], verbosity: int = 0) -> None:
     """Run an entry by a settings file, or the one that the environment names, until it ends."""
-    try:
-        settings = load_daemon_settings(EntrySettings, ENTRY_FIELDS, _file(path), overrides)
-    except SettingsError as err:
-        exit_invalid(err)
-        return
-    _run(async_run_entry, settings, settings.name, verbosity)
+    _run(
+        async_run_entry,
+        lambda: load_daemon_settings(EntrySettings, ENTRY_FIELDS, _file(path), overrides),
+        verbosity,
+    )
 
 
 def start_agent(path: str, overrides: Mapping[str, Any], verbosity: int = 0) -> None:
     """Run an agent by a settings file, or the one that the environment names, until it ends."""
-    try:
-        settings = load_daemon_settings(AgentSettings, AGENT_FIELDS, _file(path), overrides)
-    except SettingsError as err:
-        exit_invalid(err)
-        return
-    _run(async_run_agent, settings, settings.name, verbosity)
+    _run(
+        async_run_agent,
+        lambda: load_daemon_settings(AgentSettings, AGENT_FIELDS, _file(path), overrides),
+        verbosity,
+    )
 
 
 def exit_invalid(err: SettingsError) -> None:
@@ -52,13 +51,19 @@
     return path or os.environ.get(ENV_NODE_FILE) or None
 
 
-def _run(async_run: Callable[[T], Awaitable[None]], settings: T, name: str, verbosity: int) -> None:
+def _run(async_run: Callable[[S], Awaitable[None]], load: Callable[[], S], verbosity: int) -> None:
     """Run a daemon; an address that cannot be bound is named in one line, with exit code 1."""
-    logs.setup(name, verbosity)
+    try:
+        settings = load()
+    except SettingsError as err:
+        exit_invalid(err)
+        return
+    logs.setup(settings.name, verbosity)
 
     async def async_main() -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(logs.async_write)
+            await nursery.start(async_watch_reload, settings, load)
             await async_run(settings)
             nursery.cancel_scope.cancel()
 
--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -251,6 +251,21 @@
             await trio.sleep(1.0)
             self.assert_completed(await load.async_finish())
 
+    async def test_a_hangup_signal_cuts_nothing(self) -> None:
+        """It says that the settings file has changed; processes go on."""
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.3) as (deployment, load):
+            processes = [*deployment.entries, *deployment.agents]
+            for process in processes:
+                process.signal(signal.SIGHUP)
+            await trio.sleep(1.0)
+            for process in processes:
+                assert process.popen is not None
+                self.assertIsNone(process.popen.poll(), process.name)
+                self.assertIn("event=settings_reloaded changed=none", process.log_text())
+            answers = await load.async_finish()
+            self.assert_completed(answers)
+            self.assertEqual({1}, {answer.sent for answer in answers})
+
     async def test_a_planned_stop_of_an_agent_cuts_no_run(self) -> None:
         async with self.load(PlatformSpec(), tasks=3, run_s=0.3) as (deployment, load):
             deployment.agents[0].signal(signal.SIGTERM)
