Log an unreachable agent once an outage, not once a dial

Cause: a restarted entry logged every refused dial to every agent, some 10 lines a second each, and explain drowned in them. The first failure after a success is logged now.

--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -261,16 +261,20 @@
         """Dial an address again and again for as long as an agent may be there."""
         pause_s = RECONNECT_MIN_S
         refused = 0
+        reported = False
         while address in self._served:
             opened_s = clock.boot_s()
             try:
                 await self._async_link(address, events)
                 refused = 0
+                reported = False
             except HandshakeError as err:
                 logs.warning("agent_refused_link", address=_text(address), detail=err)
             except CONNECT_ERRORS as err:
                 refused = refused + 1 if was_refused(err) else 0
-                logs.event("agent_unreachable", address=_text(address), detail=repr(err))
+                if not reported:
+                    logs.event("agent_unreachable", address=_text(address), detail=repr(err))
+                reported = True
             agent = self._at(address)
             if agent is not None and refused >= REFUSED_CONNECTS_UNTIL_LOST and agent.outstanding:
                 agent.dead_at_s = agent.dead_at_s or clock.boot_s()
--- a/pistachiohill/explain/story.py
+++ b/pistachiohill/explain/story.py
@@ -9,7 +9,6 @@
     {
         "agent_lost",
         "agent_released",
-        "agent_unreachable",
         "domain",
         "domain_changed",
         "entry_lease_ended",
