--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -298,6 +298,18 @@
             for process in processes:
                 await process.async_wait()
                 process.start()
+
+            # Callers don't wait for readiness: a job that arrives when the entry knows the manifest
+            # and no agent yet waits there rather than being refused.
+            async def async_knows_manifest() -> bool:
+                url = f"{deployment.entries[0].url}/stamp/"
+                headers = {"Host": CALLER_HOST}
+                return (await deployment.async_call("GET", url, None, headers))[0] == 200
+
+            await deployment.async_until("a manifest", async_knows_manifest)
+            early = await deployment.async_job(deadline_s=8.0)
+            self.assertEqual("completed", early.state, early)
+            self.assertNotIn(503, early.statuses)
             for index in range(2):
                 await deployment.async_until(
                     "ready entries", lambda index=index: deployment.async_ready(index)
