Serve all agents from every entry without the platform; metrics of each hop

Cause, found by reading the diff: shares of agents also applied to the product's own interface. There a recovery asks every agent that may have accepted a submission; with five entries or more an entry lacked links to some, so that a lost owner's job could only end as may_have_run. No test had more than three entries. Change: shares apply on the users' platform only; test_at_most_once_jobs_need_every_agent_at_every_entry was red before.

Metrics: refusals of jobs by reason, placement wait, waiting tasks, link losses, wait at an agent; a test fetches them from real processes.

--- a/pistachiohill/agent/metrics.py
+++ b/pistachiohill/agent/metrics.py
@@ -19,6 +19,12 @@
             buckets=DURATION_BUCKETS_S,
             registry=self.registry,
         )
+        self.wait_s = Histogram(
+            "pistachiohill_task_wait_seconds",
+            "Time that a task waited in this agent's queue.",
+            buckets=DURATION_BUCKETS_S,
+            registry=self.registry,
+        )
         self.reports = Counter(
             "pistachiohill_task_reports",
             "Tasks settled at this agent, by verdict and reason.",
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -444,6 +444,7 @@
     def _observe(self, task: QueuedTask, report: TaskReport, waited_s: float) -> None:
         member, job = self._metrics.labels.pair(task.call.member, task.call.job)
         self._metrics.run_s.labels(member, job).observe(report.run_s)
+        self._metrics.wait_s.observe(waited_s)
         self._metrics.occupied.set(self.occupied)
         if report.reason:
             logs.event(
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -27,6 +27,7 @@
 from ..entry.peers import PeerDirectory
 from ..entry.recovery import Recovery
 from ..entry.routes import RouteTable
+from ..entry.shares import ALL_ENTRIES, ENTRIES_PER_AGENT
 from ..http.server import HttpApp, async_serve_http
 from ..platform.entry import EntryOnPlatform
 from ..platform.store import StoreClient
@@ -65,6 +66,7 @@
             settings.agents,
             view,
             self.peers.incarnations,
+            ENTRIES_PER_AGENT if settings.jobs_address else ALL_ENTRIES,
             self._view_confirmed_at,
         )
         self.dispatcher = Dispatcher(view, self._view_confirmed_at, self.directory, self.accounting)
--- a/pistachiohill/entry/accounting.py
+++ b/pistachiohill/entry/accounting.py
@@ -52,6 +52,18 @@
         if run_s > 0:
             account.started_tasks += 1
 
+    def placed(self, waited_s: float) -> None:
+        """Count a placement, made some time after its job was accepted."""
+        self._metrics.placement_s.observe(waited_s)
+
+    def link_lost(self) -> None:
+        """Count a link to an agent that has ended."""
+        self._metrics.link_losses.inc()
+
+    def waiting(self, tasks: int) -> None:
+        """Show how many tasks wait to be placed."""
+        self._metrics.waiting_tasks.set(tasks)
+
     def task_refused(self, reason: RefusalReason) -> None:
         """Count a task that an agent turned away."""
         self._metrics.task_refusals.labels(reason).inc()
@@ -65,6 +77,7 @@
         refusals = self._account(member).refusals
         refusals[reason] = refusals.get(reason, 0) + 1
         self._metrics.jobs.labels(member, "refused").inc()
+        self._metrics.job_refusals.labels(reason).inc()
 
     def answered(self, submission: Submission, answer: JobAnswer, now_s: float) -> None:
         """Count an answered job."""
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -134,6 +134,10 @@
         """React to an incarnation that is known to have ended; its runs may go on for a while."""
         raise NotImplementedError
 
+    def link_ended(self, agent: Agent) -> None:
+        """React to the end of a link."""
+        raise NotImplementedError
+
     def runs_ended(self, agent: Agent, now_s: float) -> None:
         """React to the end of an agent's leases: best-effort tasks there have surely ended."""
         raise NotImplementedError
@@ -158,12 +162,14 @@
         hints: tuple[str, ...],
         view: ConsortiumView,
         entries: Callable[[], set[str]],
+        entries_per_agent: int,
         view_confirmed_at: Callable[[float], float],
     ) -> None:
         """Start with no agent.
 
         `hints` are addresses, as host:port, that are tried besides the announced ones. `entries`
-        returns the incarnations of the other entries that live.
+        returns the incarnations of the other entries that live, of which `entries_per_agent` serve
+        an agent.
         `view_confirmed_at` returns, for a boot time, the boot time as of which the view holds.
         """
         self.agents: dict[str, Agent] = {}
@@ -174,6 +180,7 @@
         self._hints = {_parse_address(text) for text in hints}
         self._view = view
         self._entries = entries
+        self._entries_per_agent = entries_per_agent
         self._view_confirmed_at = view_confirmed_at
         self._dialled: set[Address] = set()
         self._served: set[Address] = set()
@@ -198,7 +205,7 @@
             domains: dict[str, bool] = {}
             while True:
                 state = self._view.state
-                self._served = self._addresses()
+                self._served = self.served_addresses()
                 for address in self._served:
                     if address not in self._dialled:
                         self._dialled.add(address)
@@ -207,11 +214,12 @@
                 domains = self._tell_domains(state, domains, events)
                 await self._view.async_changed()
 
-    def _addresses(self) -> set[Address]:
+    def served_addresses(self) -> set[Address]:
         """Return the addresses of the agents that this entry serves."""
         known = self._view.processes.addresses(Role.AGENT, clock.wall_s()) | self._hints
         entries = self._entries()
-        return {item for item in known if is_served(_text(item), self._incarnation, entries)}
+        count = self._entries_per_agent
+        return {item for item in known if is_served(_text(item), self._incarnation, entries, count)}
 
     def _release(self, agent: Agent) -> None:
         """Place nothing more at an agent that other entries serve now, and let its link go."""
@@ -333,6 +341,7 @@
             if agent.link is link:
                 agent.link = None
                 agent.accepting = False
+            events.link_ended(agent)
 
     async def _async_watch(self, events: AgentEvents) -> None:
         """Echo the agents' clocks, look for silent links and for leases that have ended.
@@ -347,7 +356,7 @@
             idle_due = now_s >= idle_due_s
             if idle_due:
                 idle_due_s = now_s + IDLE_WATCH_S
-                self._served = self._addresses()
+                self._served = self.served_addresses()
             for agent in list(self.agents.values()):
                 if agent.address not in self._served:
                     self._release(agent)
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -135,10 +135,12 @@
         batches: dict[tuple[str, str], list[Placement]] = {}
         for placement in self.waiting.place(now_s):
             self._assign(placement)
+            self._accounting.placed(now_s - placement.submission.submitted_at_s)
             key = (placement.agent.incarnation, placement.submission.submission_id)
             batches.setdefault(key, []).append(placement)
         for batch in batches.values():
             self._send(batch, now_s)
+        self._accounting.waiting(self.waiting.total())
 
     # Events from agents
 
@@ -164,6 +166,10 @@
         self._quarantine.forget(agent.incarnation)
         self._settle_lost(agent, best_effort=False, now_s=now_s)
 
+    def link_ended(self, agent: Agent) -> None:
+        """Count a lost link."""
+        self._accounting.link_lost()
+
     def runs_ended(self, agent: Agent, now_s: float) -> None:
         """Settle the best-effort tasks at an agent whose leases have ended."""
         self._settle_lost(agent, best_effort=True, now_s=now_s)
--- a/pistachiohill/entry/metrics.py
+++ b/pistachiohill/entry/metrics.py
@@ -26,6 +26,28 @@
             ["member", "outcome"],
             registry=self.registry,
         )
+        self.job_refusals = Counter(
+            "pistachiohill_job_refusals",
+            "Jobs that were turned away, by reason; nothing of them ran.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.placement_s = Histogram(
+            "pistachiohill_task_placement_seconds",
+            "Time from a job's acceptance to each placement of one of its tasks.",
+            buckets=DURATION_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.waiting_tasks = Gauge(
+            "pistachiohill_waiting_tasks",
+            "Tasks that wait at this entry to be placed.",
+            registry=self.registry,
+        )
+        self.link_losses = Counter(
+            "pistachiohill_link_losses",
+            "Links to agents that ended.",
+            registry=self.registry,
+        )
         self.task_refusals = Counter(
             "pistachiohill_task_refusals",
             "Tasks that agents turned away, by reason.",
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -158,7 +158,11 @@
 
     def any(self) -> bool:
         """Return whether any task waits here."""
-        return any(queue.waiting_tasks > 0 for queue in self._queues.values())
+        return self.total() > 0
+
+    def total(self) -> int:
+        """Return how many tasks wait here."""
+        return sum(queue.waiting_tasks for queue in self._queues.values())
 
     def forecast(self, request: JobRequest, settings: JobSettings, now_s: float) -> Forecast:
         """Plan a job that comes now behind what is served before it.
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -247,6 +247,11 @@
 
     # What is checked
 
+    async def async_text(self, url: str) -> str:
+        """Return the body at an address."""
+        response = await self._pool.request("GET", url)
+        return response.content.decode()
+
     async def async_histories(self) -> list[list[PastRun]]:
         """Return all runs of each runner, those of earlier processes included."""
         found = []
--- a/tests/entry/test_shares.py
+++ b/tests/entry/test_shares.py
@@ -1,6 +1,10 @@
 """Every agent is served by a few entries, evenly, and few agents change hands with an entry."""
 
+import trio
+
+from pistachiohill.daemon.entry import Entry
 from pistachiohill.entry.shares import ENTRIES_PER_AGENT, is_served
+from pistachiohill.settings.models import EntrySettings
 
 from ..base import TestCase
 
@@ -35,3 +39,15 @@
         for entry in ENTRIES[1:]:
             self.assertLessEqual(before[entry], after[entry])
             self.assertLessEqual(after[entry] - before[entry], before[ENTRIES[0]])
+
+    async def test_at_most_once_jobs_need_every_agent_at_every_entry(self) -> None:
+        """A recovery asks all agents that may have accepted a submission."""
+        async with trio.open_nursery() as nursery:
+            alone = Entry(EntrySettings(agents=tuple(AGENTS)), nursery)
+            on_platform = Entry(
+                EntrySettings(agents=tuple(AGENTS), jobs_address="127.0.0.1:1"), nursery
+            )
+            for entry in (alone, on_platform):
+                entry.directory._entries = lambda: set(ENTRIES)
+            self.assertEqual(len(AGENTS), len(alone.directory.served_addresses()))
+            self.assertLess(len(on_platform.directory.served_addresses()), len(AGENTS))
--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -92,6 +92,30 @@
             times = sorted(answer.elapsed_s for answer in answers)
             self.assertLess(times[len(times) // 2], 0.1 + 0.06)
 
+    async def test_metrics_tell_of_each_hop(self) -> None:
+        """Entries and agents serve what the pages name; jobs and their tasks are counted."""
+        async with PlatformDeployment(PlatformSpec(entries=1)) as deployment:
+            for _ in range(3):
+                await deployment.async_job(tasks=2)
+            entry = await deployment.async_text(f"{deployment.entries[0].own_url}/metrics")
+            pages = [
+                await deployment.async_text(f"{agent.own_url}/metrics")
+                for agent in deployment.agents
+            ]
+            self.assertIn(
+                'pistachiohill_jobs_total{member="lofts.example",outcome="complete"} 3', entry
+            )
+            self.assertIn("pistachiohill_task_placement_seconds_count 6.0", entry)
+            for name in ("job_refusals", "waiting_tasks", "link_losses_total", "view_age_seconds"):
+                self.assertIn(f"pistachiohill_{name}", entry)
+            counts = [
+                float(line.split()[1])
+                for page in pages
+                for line in page.splitlines()
+                if line.startswith("pistachiohill_task_wait_seconds_count")
+            ]
+            self.assertEqual(6.0, sum(counts))
+
     async def test_an_entry_is_killed(self) -> None:
         """Its callers send their jobs again, and none runs beside its earlier run."""
         async with self.load(PlatformSpec(), 2.0, tasks=2, run_s=2.0) as (deployment, load):
