Log what a 404, a refusal and an adopted state were decided on

Cause: the logs could not tell the hypotheses of the incident apart. A 404 wrote no line; job_refused and state_adopted did not say how old the settings were; the age at which a manifest came was not logged. Change: event route_not_found (host, path, offset and age of the view); job_refused, manifest and state_adopted say the age of the view, job_refused also its offset. Ruled out: a version in force beyond the offset (the offset orders versions; the manifest line relates the two). Measured: tests/platform, tests/entry, tests/explain and test_events pass.

--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -169,5 +169,7 @@
             reason=answer.reason,
             detail=answer.detail,
             retry_after_s=answer.retry_after_s,
+            offset=self._view.state.offset,
+            view_age_s=self._view.age_s(now_s),
         )
         return answer
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -278,6 +278,7 @@
 
     @_handle.register
     def _(self, message: StateReply, peer: Peer, now_s: float) -> None:
+        view_age_s = self._view.age_s(now_s)
         try:
             adopted = self._view.adopt(message.snapshot)
         except SettingsError as err:
@@ -285,7 +286,10 @@
             return
         if adopted:
             logs.event(
-                "state_adopted", peer=peer.link.peer_incarnation, offset=message.snapshot.offset
+                "state_adopted",
+                peer=peer.link.peer_incarnation,
+                offset=message.snapshot.offset,
+                view_age_s=view_age_s,
             )
 
     @_handle.register
--- a/pistachiohill/entry/routes.py
+++ b/pistachiohill/entry/routes.py
@@ -42,6 +42,15 @@
                 return RouteMatch(routed, path[len(prefix) :])
         return None
 
+    @property
+    def offset(self) -> int:
+        """Return the settings offset that the next look-up uses."""
+        return self._view.state.offset
+
+    def view_age_s(self, now_s: float) -> float:
+        """Return the age at a boot time of the view that the next look-up uses."""
+        return self._view.age_s(now_s)
+
     def _refresh(self) -> None:
         state = self._view.state
         if state.offset == self._built_offset:
--- a/pistachiohill/entry/submission_service.py
+++ b/pistachiohill/entry/submission_service.py
@@ -229,6 +229,8 @@
                 member=request.member,
                 job=request.job,
                 reason=answer.reason,
+                offset=self._view.state.offset,
+                view_age_s=self._view.age_s(now_s),
             )
             return answer
         submission = new_submission(message.submission_id, request, settings, now_s)
--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -10,7 +10,7 @@
 import trio
 from attrs import evolve
 
-from .. import logs
+from .. import clock, logs
 from ..const import JobState
 from ..entry.best_effort import BestEffortJobs
 from ..entry.routes import RouteMatch, RouteTable
@@ -129,6 +129,7 @@
         host = headers.get(b"host", "").partition(":")[0]
         match = self._routes.find(host, scope["path"])
         if match is None:
+            self._log_route_not_found(host, scope["path"], clock.boot_s())
             await async_send_response(send, self._close_if_stopping(self._route_not_found()))
             return
         method = scope["method"]
@@ -138,6 +139,15 @@
         response = self._handle_immediate(method, match)
         await async_send_response(send, self._close_if_stopping(response))
 
+    def _log_route_not_found(self, host: str, path: str, now_s: float) -> None:
+        logs.event(
+            "route_not_found",
+            host=host,
+            path=path,
+            offset=self._routes.offset,
+            view_age_s=self._routes.view_age_s(now_s),
+        )
+
     def _route_not_found(self) -> Response:
         if self._manifest_loaded():
             return _problem(404, RefusalReason.UNKNOWN_ID, "no such queue")
--- a/pistachiohill/platform/operators.py
+++ b/pistachiohill/platform/operators.py
@@ -1,6 +1,6 @@
 """Follow the operators' topic, which holds the manifest and the evacuated failure domains."""
 
-from .. import logs
+from .. import clock, logs
 from ..consortium.const import POLL_WAIT_S
 from ..consortium.follow import async_follow_topic
 from ..consortium.view import ConsortiumView
@@ -17,7 +17,7 @@
     """Update the view's settings and failure domains from the operators' topic until cancelled."""
 
     def apply(page: KeyedPage, is_snapshot: bool, requested_at_s: float) -> None:
-        apply_page(view, page, is_snapshot)
+        apply_page(view, page, is_snapshot, clock.boot_s())
         view.confirm(page.end - 1, requested_at_s)
         if page.records or is_snapshot:
             view.notify()
@@ -25,8 +25,8 @@
     await async_follow_topic(store, TOPIC_OPERATORS, lambda: POLL_WAIT_S, apply)
 
 
-def apply_page(view: ConsortiumView, page: KeyedPage, is_snapshot: bool) -> None:
-    """Apply a page of records to the view.
+def apply_page(view: ConsortiumView, page: KeyedPage, is_snapshot: bool, now_s: float) -> None:
+    """Apply a page of records to the view, at a boot time.
 
     A snapshot holds the newest record of each key, so failure domains that are missing from it are
     no longer evacuated.
@@ -37,15 +37,15 @@
         }
         view.state.restore_domains_except(evacuated, page.end - 1)
     for record in page.records:
-        _apply_record(view, record)
+        _apply_record(view, record, now_s)
     view.state.advance_offset(page.end - 1)
 
 
-def _apply_record(view: ConsortiumView, record: KeyedRecord) -> None:
+def _apply_record(view: ConsortiumView, record: KeyedRecord, now_s: float) -> None:
     """Apply a record; a malformed record is skipped with a warning."""
     try:
         if record.key == KEY_MANIFEST and record.value is not None:
-            _apply_manifest(view, record.value, record.offset)
+            _apply_manifest(view, record.value, record.offset, now_s)
         elif record.key.startswith(KEY_PREFIX_EVACUATE):
             domain = DomainRecord(_domain_name(record.key), record.value is not None, record.offset)
             if view.state.set_domain(domain):
@@ -54,11 +54,16 @@
         logs.warning("record_refused", key=record.key, offset=record.offset, detail=err)
 
 
-def _apply_manifest(view: ConsortiumView, body: bytes, offset: int) -> None:
+def _apply_manifest(view: ConsortiumView, body: bytes, offset: int, now_s: float) -> None:
     manifest = decode_manifest(body)
     if view.state.replace_nodes(build_settings_nodes(manifest, offset), offset):
-        routes = len(manifest.routes)
-        logs.event("manifest", version=manifest.version, offset=offset, routes=routes)
+        logs.event(
+            "manifest",
+            version=manifest.version,
+            offset=offset,
+            routes=len(manifest.routes),
+            view_age_s=view.age_s(now_s),
+        )
 
 
 def _domain_name(key: str) -> str:
--- a/tests/platform/test_jobs_api.py
+++ b/tests/platform/test_jobs_api.py
@@ -99,7 +99,7 @@
     view = ConsortiumView()
     if manifest_loaded:
         record = KeyedRecord(0, "config", manifest(1, ROUTE))
-        apply_page(view, KeyedPage((record,), 1), is_snapshot=True)
+        apply_page(view, KeyedPage((record,), 1), is_snapshot=True, now_s=0.0)
     return JobsApi(RouteTable(view), jobs, lambda: manifest_loaded)  # type: ignore[arg-type]
 
 
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -12,6 +12,7 @@
 
 from ..base import TestCase
 
+NOW_S = 100.0
 ROUTE: dict[str, Any] = {
     "name": "r-1",
     "host": "Nony24.example",
@@ -34,7 +35,7 @@
 
 
 def apply(view: ConsortiumView, *records: KeyedRecord, is_snapshot: bool = False) -> None:
-    apply_page(view, KeyedPage(records, records[-1].offset + 1), is_snapshot)
+    apply_page(view, KeyedPage(records, records[-1].offset + 1), is_snapshot, NOW_S)
 
 
 class ManifestTest(TestCase):
