--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -20,6 +20,7 @@
 
 MAX_REQUEST_BYTES = 2 * 1024 * 1024
 NEWEST_PAGE_SIZE = 50
+READ_PAGE_KB = 1024
 RECORD_LENGTH = struct.Struct(">I")
 
 
@@ -151,7 +152,8 @@
             while start >= topic.end:
                 await topic.appended.wait()
         await self._async_apply_faults()
-        records = topic.records[max(0, start - topic.first) :]
+        limit_bytes = 1024 * int(request.query.get("maxKb", READ_PAGE_KB))
+        records = _first_records(topic.records[max(0, start - topic.first) :], limit_bytes)
         body = struct.pack(">QQ", topic.end, topic.first)
         body += b"".join(RECORD_LENGTH.pack(len(record)) + record for record in records)
         return Response(200, body, "application/octet-stream")
@@ -194,6 +196,18 @@
             raise HttpError(Problem(503, RefusalReason.OVERLOAD, Verdict.NOT_RUN, detail))
 
 
+def _first_records(records: list[bytes], limit_bytes: int) -> list[bytes]:
+    """Return the records that fit into a page, at least one if there are any."""
+    page: list[bytes] = []
+    size = 0
+    for record in records:
+        size += RECORD_LENGTH.size + len(record)
+        if page and size > limit_bytes:
+            break
+        page.append(record)
+    return page
+
+
 def _split_records(body: bytes) -> list[bytes]:
     """Split the body of an append into records."""
     records = []
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -93,6 +93,54 @@
         apply(view, record(0, "config", manifest(1, route_with_invalid_names)), is_snapshot=True)
         self.assertIsNotNone(RouteTable(view).find("-x.example", "/lohu930/"))
 
+    def test_routes_whose_names_become_one_node_name_are_all_served(self) -> None:
+        view = ConsortiumView()
+        long_name = "r" * 64
+        routes = [
+            {**ROUTE, "name": name, "pathPrefix": f"/{number}/"}
+            for number, name in enumerate(("R_1", "r_1", "r/1", long_name + "a", long_name + "b"))
+        ]
+        apply(view, record(0, "config", manifest(1, *routes)), is_snapshot=True)
+        table = RouteTable(view)
+        for route in routes:
+            match = table.find("nony24.example", route["pathPrefix"])
+            assert match is not None, route
+            self.assertEqual(route["pathPrefix"], match.routed.settings.path_prefix)
+
+    def test_route_beyond_the_bounds_of_a_setting_does_not_hold_back_the_others(self) -> None:
+        view = ConsortiumView()
+        apply(view, record(0, "config", manifest(1, ROUTE)), is_snapshot=True)
+        for offset, (name, value) in enumerate(
+            (
+                ("slackFactor", 5000.0),
+                ("targetLatencyMs", 10**9),
+                ("service", "s" * 80),
+                ("pathPrefix", "/" + "p" * 2000),
+                ("host", "h" * 300),
+                ("pathPrefix", "/\U0001f426/"),
+            ),
+            start=1,
+        ):
+            added = {**ROUTE, "name": f"added-{offset}", "pathPrefix": f"/added-{offset}/"}
+            beyond = {**ROUTE, "name": "r-beyond", "pathPrefix": "/beyond/", name: value}
+            apply(view, record(offset, "config", manifest(offset + 1, ROUTE, beyond, added)))
+            self.assertIsNotNone(
+                RouteTable(view).find("nony24.example", f"/added-{offset}/"), (name, value)
+            )
+
+    def test_route_beyond_the_bounds_of_a_number_is_served(self) -> None:
+        view = ConsortiumView()
+        beyond = {**ROUTE, "slackFactor": 5000.0, "targetLatencyMs": 10**9}
+        apply(view, record(0, "config", manifest(1, beyond)), is_snapshot=True)
+        self.assertIsNotNone(RouteTable(view).find("nony24.example", "/lohu930/"))
+
+    def test_older_version_that_is_written_later_does_not_replace_a_newer_one(self) -> None:
+        view = ConsortiumView()
+        added = {**ROUTE, "name": "r-2", "pathPrefix": "/pufi791/"}
+        apply(view, record(5, "config", manifest(9, ROUTE, added)), is_snapshot=True)
+        apply(view, record(6, "config", manifest(7, ROUTE)))
+        self.assertIsNotNone(RouteTable(view).find("nony24.example", "/pufi791/"))
+
 
 class EvacuationTest(TestCase):
     def test_domain_is_out_until_its_record_is_deleted(self) -> None:
