Notice silent connections to the store in time for operators' changes

Cause: a read of the operators' topic may wait 10 s and was given 12 s. Class: a time-out longer than the time in which the change has to be in force. Ruled out: plain outages and cuts (the pending read is answered when the path is back). After a time-out the client drops connections that have been idle for a second.

--- a/pistachiohill/platform/const.py
+++ b/pistachiohill/platform/const.py
@@ -26,8 +26,8 @@
 
 CONNECT_TIMEOUT_S: Final = 0.5
 RESPONSE_TIMEOUT_S: Final = 2.0  # the store responds in 4 ms, but can be slow
-READ_TIMEOUT_MARGIN_S: Final = 2.0  # a slow store takes 0.5 s for each part of a response
 MAX_IDLE_S: Final = 30.0  # connections that were idle for longer are not reused
+SUSPECT_IDLE_S: Final = 1.0  # nor those that were idle for so long when a request timed out
 
 MAX_ANNOUNCEMENT_BYTES: Final = 4 * 1024 * 1024
 MAX_JOB_BODY_BYTES: Final = 262144  # limit given in the manifest
--- a/pistachiohill/platform/http_client.py
+++ b/pistachiohill/platform/http_client.py
@@ -11,7 +11,7 @@
 import httptools
 import trio
 
-from .const import CONNECT_TIMEOUT_S, MAX_IDLE_S
+from .const import CONNECT_TIMEOUT_S, MAX_IDLE_S, SUSPECT_IDLE_S
 
 RECEIVE_BUFFER_BYTES: Final = 65536
 MAX_RESPONSE_BODY_BYTES: Final = 8 * 1024 * 1024
@@ -30,11 +30,13 @@
 class NoResponse:
     """A request without a complete response.
 
-    `sent` is False only if the request has certainly not reached the server.
+    `sent` is False only if the request has certainly not reached the server. `timed_out` is True if
+    it was sent and no complete response arrived in time.
     """
 
     sent: bool
     detail: str
+    timed_out: bool = False
 
 
 @dataclass
@@ -107,12 +109,24 @@
                     return NoResponse(False, "timed out while connecting")
                 sent = True
                 return await self._async_exchange(connection, request)
-        return NoResponse(sent, f"no response within {timeout_s:g} s")
+        if sent:
+            await self._async_close_idle(SUSPECT_IDLE_S)
+        return NoResponse(sent, f"no response within {timeout_s:g} s", timed_out=sent)
 
     async def async_close(self) -> None:
         """Close all idle connections."""
-        idle, self._idle = self._idle, []
-        for connection in idle:
+        await self._async_close_idle(0.0)
+
+    async def _async_close_idle(self, min_idle_s: float) -> None:
+        """Close the connections that have been idle for at least `min_idle_s` seconds.
+
+        When one connection has fallen silent without a reset, the others may have as well, unless
+        a response arrived on them just now.
+        """
+        used_before_s = trio.current_time() - min_idle_s
+        closing = [item for item in self._idle if item.last_used_s <= used_before_s]
+        self._idle = [item for item in self._idle if item.last_used_s > used_before_s]
+        for connection in closing:
             await trio.aclose_forcefully(connection.stream)
 
     def _encode_request(
--- a/pistachiohill/platform/models.py
+++ b/pistachiohill/platform/models.py
@@ -37,9 +37,10 @@
 
 @dataclass(frozen=True)
 class ReadFailed:
-    """A read from the store failed."""
+    """A read from the store failed; `timed_out` if it was sent and not answered in time."""
 
     detail: str
+    timed_out: bool = False
 
 
 @dataclass(frozen=True)
--- a/pistachiohill/platform/store.py
+++ b/pistachiohill/platform/store.py
@@ -13,7 +13,6 @@
     PATH_LOG_APPEND,
     PATH_LOG_NEWEST,
     PATH_LOG_READ,
-    READ_TIMEOUT_MARGIN_S,
     RESPONSE_TIMEOUT_S,
 )
 from .errors import WireError
@@ -94,9 +93,16 @@
             query["dependsOn"] = items[-1].key  # the key after which the next page continues
 
     async def async_read(
-        self, topic: str, offset: int, wait_s: float
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+        response_timeout_s: float = RESPONSE_TIMEOUT_S,
     ) -> KeyedPage | OffsetExpired | ReadFailed:
-        """Return the records from an offset, waiting up to `wait_s` seconds if there are none."""
+        """Return the records from an offset, waiting up to `wait_s` seconds if there are none.
+
+        The store then has `response_timeout_s` more seconds to respond.
+        """
         query = {
             "topic": topic,
             "part": PARTITION,
@@ -104,10 +110,10 @@
             "waitMs": int(wait_s * 1000),
         }
         path = f"{PATH_LOG_READ}?{urlencode(query)}"
-        timeout_s = wait_s + READ_TIMEOUT_MARGIN_S
+        timeout_s = wait_s + response_timeout_s
         response = await self._http.async_request("GET", path, timeout_s=timeout_s)
         if isinstance(response, NoResponse):
-            return ReadFailed(response.detail)
+            return ReadFailed(response.detail, response.timed_out)
         try:
             if response.status == 410:
                 return OffsetExpired(read_int(decode_object(response.body), "first"))
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from pistachiohill.platform.const import SUSPECT_IDLE_S
 from pistachiohill.platform.http_client import (
     MAX_RESPONSE_HEADER_BYTES,
     HttpClient,
@@ -24,6 +25,7 @@
 
     def __init__(self, response: bytes, parts: int = 1, closes: bool = False) -> None:
         self.connections = 0
+        self.silent = False
         self.requests: list[bytes] = []
         self._response = response
         self._parts = parts
@@ -34,6 +36,8 @@
         size = max(1, -(-len(self._response) // self._parts))
         async for data in stream:
             self.requests.append(data)
+            if self.silent:
+                continue
             for start in range(0, len(self._response), size):
                 await stream.send_all(self._response[start : start + size])
                 await trio.sleep(0.001)
@@ -116,3 +120,17 @@
         outcome = await HttpClient("http://127.0.0.1:1", 1).async_request("GET", "/")
         assert isinstance(outcome, NoResponse)
         self.assertFalse(outcome.sent)
+
+    async def test_silent_request_closes_connections_that_were_idle_meanwhile(self) -> None:
+        server = Server(OK)
+        async with http_client_of(server) as client:
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(client.async_request, "GET", "/")
+            self.assertEqual(2, server.connections)
+            server.silent = True
+            outcome = await client.async_request("GET", "/", timeout_s=SUSPECT_IDLE_S + 0.1)
+            self.assertEqual(NoResponse(True, "no response within 1.1 s", timed_out=True), outcome)
+            server.silent = False
+            await client.async_request("GET", "/")
+            self.assertEqual(3, server.connections)
