Continue reading after the last record of a page, not at the end of the topic

Callers saw: settings as of a version in the middle of a backlog, until the next change came; added routes 404, removed ones served. Cause: a response holds at most 1,024 KB of records, and the client took the end of the topic in its header for the end of the page. The view then claimed an offset whose changes it did not have, was confirmed as fresh, and peers behind that offset adopted the older manifest from it. Class: a claim (an offset, a freshness) that goes beyond what was read. Change: a page ends after its last record and says whether more follow; a page without progress is an error; a view is confirmed only by a page that reaches the end.

--- a/pistachiohill/consortium/tail.py
+++ b/pistachiohill/consortium/tail.py
@@ -38,7 +38,8 @@
         for record in page.records:
             _apply_change(view, record)
         view.state.advance_offset(page.end - 1)
-        view.confirm(page.end - 1, requested_at_s)
+        if not page.more:
+            view.confirm(page.end - 1, requested_at_s)
         if page.records:
             view.notify()
 
--- a/pistachiohill/platform/models.py
+++ b/pistachiohill/platform/models.py
@@ -19,10 +19,15 @@
 
 @frozen
 class KeyedPage:
-    """Records of a keyed topic, ordered by offset; `end` is the offset after the last record."""
+    """Records of a keyed topic, ordered by offset.
+
+    `end` is the offset at which the next read continues. `more` is True if the topic already holds
+    records from there on, because a response holds a limited number of bytes.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    more: bool = False
 
 
 @dataclass(frozen=True)
--- a/pistachiohill/platform/operators.py
+++ b/pistachiohill/platform/operators.py
@@ -18,7 +18,8 @@
 
     def apply(page: KeyedPage, is_snapshot: bool, requested_at_s: float) -> None:
         apply_page(view, page, is_snapshot, clock.boot_s())
-        view.confirm(page.end - 1, requested_at_s)
+        if not page.more:
+            view.confirm(page.end - 1, requested_at_s)
         if page.records or is_snapshot:
             view.notify()
 
--- a/pistachiohill/platform/store.py
+++ b/pistachiohill/platform/store.py
@@ -136,12 +136,14 @@
 def decode_page(body: bytes, offset: int) -> KeyedPage:
     """Decode a page of records, the first of which has the given offset.
 
-    Raises WireError if the page is truncated. A record without a valid key is skipped, but still
-    takes up an offset.
+    Raises WireError if the page is truncated, or holds no record although the topic has later ones.
+    A record without a valid key is skipped, but still takes up an offset.
     """
     if len(body) < PAGE_HEADER.size:
         raise WireError("page: shorter than its header")
-    end, _first_offset = PAGE_HEADER.unpack_from(body)
+    topic_end, _first_offset = PAGE_HEADER.unpack_from(body)
+    if len(body) == PAGE_HEADER.size and topic_end > offset:
+        raise WireError("page: no record before the end of the topic")
     records = []
     position = PAGE_HEADER.size
     while position < len(body):
@@ -157,7 +159,7 @@
         if record is not None:
             records.append(record)
         offset += 1
-    return KeyedPage(tuple(records), max(end, offset))
+    return KeyedPage(tuple(records), offset, more=topic_end > offset)
 
 
 def _decode_record(data: bytes, offset: int) -> KeyedRecord | None:
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -142,6 +142,22 @@
             current.adopt(behind.snapshot())
             self.assertIsNotNone(RouteTable(current).find("nony24.example", ADDED_PATH))
 
+    async def test_view_is_not_confirmed_by_a_page_of_a_part_of_the_backlog(self) -> None:
+        view = ConsortiumView()
+        async with store_behind_relay() as (store, nursery):
+            store.publish(1, ROUTE)
+            nursery.start_soon(async_follow_operators, StoreClient(store.url), view)
+            await view.async_wait_offset(0)
+            store.model.faults.down = True
+            for version in range(2, 12):
+                store.publish(version, ROUTE, padding=200_000)
+            published_at_s = clock.boot_s()
+            store.model.faults.down = False
+            while view.state.offset < 10:
+                # A view that was confirmed after the last change includes it.
+                self.assertLess(view.confirmed_at_s, published_at_s)
+                await view.async_wait_changed()
+
     async def _async_read_newest(self, client: StoreClient, view: ConsortiumView) -> None:
         page = await client.async_read_newest(TOPIC_OPERATORS)
         assert isinstance(page, KeyedPage)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -55,6 +55,11 @@
         page = decode_page(PAGE_HEADER.pack(3, 0) + body, 0)
         self.assertEqual(KeyedPage((KeyedRecord(2, "k", b"v"),), 3), page)
 
+    def test_page_of_a_part_of_the_backlog_ends_after_its_last_record(self) -> None:
+        page = decode_page(PAGE_HEADER.pack(9, 0) + encode_record("k", b"v"), 4)
+        self.assertEqual(KeyedPage((KeyedRecord(4, "k", b"v"),), 5, more=True), page)
+        self.assertRaises(WireError, decode_page, PAGE_HEADER.pack(9, 0), 4)
+
 
 class StoreClientTest(TestCase):
     async def _async_serve(self, nursery: trio.Nursery) -> tuple[StoreClient, PlatformStore]:
