Serve every route of a manifest, whatever its name and values

Callers would see: 404 for a route whose name becomes another's (longer than 64 characters, other case, other characters); all of a manifest not in force while one of its routes has a value that the settings tree refuses. Cause: a route becomes a node of the settings tree; names were cut and changed without care for others, and one refused node refused the manifest, while its offset counted as applied. Class: a translation that loses what it can't express. Change: a changed name gets a digest of the original; numbers beyond the tree's bounds are cut to them, since more has no effect; a route that no job can represent is left out with a warning.

--- a/pistachiohill/consortium/state.py
+++ b/pistachiohill/consortium/state.py
@@ -61,11 +61,11 @@
         self._resolved.clear()
         return True
 
-    def replace_nodes(self, nodes: list[SettingsNodeRecord], offset: int) -> bool:
+    def replace_nodes(self, nodes: list[Node], offset: int) -> bool:
         """Replace the settings tree if `offset` is newer than the state; return whether it was."""
         if offset <= self.offset:
             return False
-        self.nodes = {item.path: _parse_node_record(item) for item in nodes}
+        self.nodes = {node.path: node for node in nodes}
         self.offset = offset
         self._resolved.clear()
         return True
@@ -164,6 +164,6 @@
 
 
 def _parse_node_record(record: SettingsNodeRecord) -> Node:
-    """Parse a node record of a snapshot or of a whole settings tree."""
+    """Parse a node record of a snapshot."""
     node = parse_node(record.path, record.values_toml, record.version, lenient=True)
     return evolve(node, deleted=record.deleted)
--- a/pistachiohill/platform/manifest.py
+++ b/pistachiohill/platform/manifest.py
@@ -1,12 +1,18 @@
 """Decode the operators' manifest and convert it to nodes of the settings tree."""
 
+import hashlib
 import json
 import re
+from collections.abc import Mapping
+from typing import Final
+
+from attrs import evolve
 
 from .. import logs
 from ..const import MAX_JOB_TASKS
-from ..protocol.models import SettingsNodeRecord
 from ..settings.const import MAX_NAME_CHARS, ROOT_PATH
+from ..settings.errors import SettingsError
+from ..settings.tree import Node, parse_node
 from .errors import WireError
 from .models import JobRoute, Manifest
 from .wire import Fields, decode_object, read_int, read_list, read_number, read_str, require_object
@@ -15,6 +21,12 @@
 # Jobs continue to run while the store is unavailable. Operators accept that a change then takes
 # effect late.
 CONSORTIUM_TOML = "view_max_age_s = 86400.0\n"
+NAME_DIGEST_CHARS: Final = 8
+# Largest values that the settings tree accepts; larger ones of a route have no further effect.
+MAX_PRIORITY: Final = 100
+MAX_RUNS: Final = 100
+MAX_SLACK_FACTOR: Final = 1000.0
+MAX_TARGET_LATENCY_S: Final = 3600.0
 
 
 def decode_manifest(body: bytes) -> Manifest:
@@ -45,24 +57,53 @@
     )
 
 
-def build_settings_nodes(manifest: Manifest, offset: int) -> list[SettingsNodeRecord]:
-    """Convert a manifest to a settings tree.
+def build_settings_nodes(
+    manifest: Manifest, offset: int, previous: Mapping[str, Node]
+) -> list[Node]:
+    """Convert a manifest to a settings tree with the version `offset`.
 
-    Each host becomes a member, and each of its routes a job of this member.
+    Each host becomes a member, and each of its routes a job of this member. Unchanged nodes are
+    taken over from the `previous` tree. A route that no job can represent is skipped with a
+    warning, because the other routes are still valid.
     """
-    nodes = [SettingsNodeRecord(ROOT_PATH, CONSORTIUM_TOML, offset)]
-    for host in sorted({route.host for route in manifest.routes}):
-        nodes.append(SettingsNodeRecord(f"{ROOT_PATH}/{_node_name(host)}", "", offset))
+    nodes = {ROOT_PATH: _build_node(ROOT_PATH, CONSORTIUM_TOML, offset, previous)}
     for route in manifest.routes:
-        path = f"{ROOT_PATH}/{_node_name(route.host)}/{_node_name(route.name)}"
-        nodes.append(SettingsNodeRecord(path, _job_toml(route), offset))
-    return nodes
+        member_path = f"{ROOT_PATH}/{_node_name(route.host)}"
+        path = f"{member_path}/{_node_name(route.name)}"
+        if path in nodes:
+            path = f"{member_path}/{_node_name(f'{route.name} {route.path_prefix}')}"
+        try:
+            job = _build_node(path, _job_toml(route), offset, previous)
+        except SettingsError as err:
+            logs.warning("route_refused", route=route, detail=err)
+            continue
+        nodes[path] = job
+        if member_path not in nodes:
+            nodes[member_path] = _build_node(member_path, "", offset, previous)
+    return list(nodes.values())
+
+
+def _build_node(path: str, text: str, offset: int, previous: Mapping[str, Node]) -> Node:
+    """Return a node with the version `offset`; raise SettingsError if a value is invalid."""
+    known = previous.get(path)
+    if known is not None and known.text == text and not known.deleted:
+        return evolve(known, version=offset)
+    return parse_node(path, text, offset)
 
 
 def _node_name(text: str) -> str:
-    """Convert a name to a valid node name; most names of the platform are already valid."""
-    name = INVALID_NAME_CHARS.sub("_", text.lower())[:MAX_NAME_CHARS]
-    return name if name[:1].isalnum() else "x" + name[: MAX_NAME_CHARS - 1]
+    """Convert a name to a valid node name, a different one for each name.
+
+    Most names of the platform are valid already. Others are changed and get a digest of the
+    original appended.
+    """
+    name = INVALID_NAME_CHARS.sub("_", text.lower())
+    if not name[:1].isalnum():
+        name = "x" + name
+    if name == text and len(name) <= MAX_NAME_CHARS:
+        return name
+    digest = hashlib.sha256(text.encode(errors="surrogatepass")).hexdigest()[:NAME_DIGEST_CHARS]
+    return f"{name[: MAX_NAME_CHARS - NAME_DIGEST_CHARS - 1]}-{digest}"
 
 
 def _job_toml(route: JobRoute) -> str:
@@ -70,10 +111,10 @@
         "host": route.host,
         "path_prefix": route.path_prefix,
         "service": route.service,
-        "priority": min(route.priority, 100),
-        "max_runs": min(route.max_runs, 100),
-        "slack_factor": route.slack_factor,
-        "target_latency_s": route.target_latency_s,
+        "priority": min(route.priority, MAX_PRIORITY),
+        "max_runs": min(route.max_runs, MAX_RUNS),
+        "slack_factor": min(route.slack_factor, MAX_SLACK_FACTOR),
+        "target_latency_s": min(route.target_latency_s, MAX_TARGET_LATENCY_S),
         "best_effort": True,
         "max_tasks": MAX_JOB_TASKS,
     }
