Read the newest records again if one lies beyond their end

Callers would see: a change of the settings that one entry never applies. A record appended while they are read can be on a later page; its offset then counts as applied, and a change between the first page's end and it is passed over when it is read afterwards. Class: a claim beyond what was read. Evidence: test_newest_records_do_not_include_changes_beyond_their_end failed before ("56 not less than 55").

--- a/pistachiohill/platform/store.py
+++ b/pistachiohill/platform/store.py
@@ -34,6 +34,7 @@
 RECORD_LENGTH = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")  # offset of the next record, first offset that is still kept
 MAX_KEY_BYTES = 255
+MAX_NEWEST_READS = 3
 
 
 class StoreClient:
@@ -63,12 +64,19 @@
         return _parse_append_response(response)
 
     async def async_read_newest(self, topic: str) -> KeyedPage | ReadFailed:
-        """Return the newest record of each key, ordered by offset.
+        """Return the newest record of each key, ordered by offset, all from before `end`.
 
-        A key that changes while the pages are read may be returned in its old or its new state.
-        The returned `end` is that of the first page, so a read from that offset returns all such
-        changes.
+        A key that changes while the pages are read may be returned in its old or its new state. The
+        pages are read again if there is a new one, because earlier changes may then be missing.
         """
+        for _ in range(MAX_NEWEST_READS):
+            page = await self._async_read_newest_once(topic)
+            if isinstance(page, ReadFailed) or not page.more:
+                return page
+        return ReadFailed("the topic changes while its newest records are read")
+
+    async def _async_read_newest_once(self, topic: str) -> KeyedPage | ReadFailed:
+        """Return the newest record of each key; `more` if there are records from `end` on."""
         records: list[KeyedRecord] = []
         query: dict[str, object] = {"topic": topic, "part": PARTITION}
         end: int | None = None
@@ -89,7 +97,9 @@
             records += items
             if not more or not items:
                 ordered = sorted(records, key=lambda record: record.offset)
-                return KeyedPage(tuple(ordered), end)
+                return KeyedPage(
+                    tuple(ordered), end, more=bool(ordered) and ordered[-1].offset >= end
+                )
             query["dependsOn"] = items[-1].key  # the key after which the next page continues
 
     async def async_read(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -102,6 +102,25 @@
             self.assertEqual(list(range(count)), [record.offset for record in pages.records])
             nursery.cancel_scope.cancel()
 
+    async def test_newest_records_do_not_include_changes_beyond_their_end(self) -> None:
+        """Otherwise the changes between would count as applied."""
+        async with trio.open_nursery() as nursery:
+            store, model = await self._async_serve(nursery)
+            for number in range(NEWEST_PAGE_SIZE + 5):
+                await store.async_append(TOPIC, f"key{number:03d}", b"v")
+            model.faults.delay_s = 0.1
+
+            async def async_change_both_pages() -> None:
+                await trio.sleep(0.15)
+                for key in ("key000", f"key{NEWEST_PAGE_SIZE:03d}"):
+                    model.topic(TOPIC).append([encode_record(key, b"w")[4:]])
+
+            nursery.start_soon(async_change_both_pages)
+            page = await store.async_read_newest(TOPIC)
+            assert isinstance(page, KeyedPage)
+            self.assertLess(max(record.offset for record in page.records), page.end)
+            nursery.cancel_scope.cancel()
+
     async def test_read_waits_for_a_record(self) -> None:
         async with trio.open_nursery() as nursery:
             store, _ = await self._async_serve(nursery)
