Let no older tree or failure domain replace a newer one

Callers would see: settings that were in force come back older (CONFIG, "regresses"), or a change that one entry ignores for good. Cause: one offset for the whole state decided about the tree and every domain. Ruled out: the version alone as order, since the product's own settings have none and domains neither. Remains: an entry that starts after such a late write knows only the store's newest record.

--- a/pistachiohill/consortium/state.py
+++ b/pistachiohill/consortium/state.py
@@ -2,7 +2,10 @@
 
 Each node of the settings tree and each failure domain has its own key, and the store retains the
 newest record of each key, so a process that starts late reaches the same state as one that read
-every record. Records apply in offset order: one at or below the applied offset is ignored.
+every record. Changes apply in offset order: one at or below the applied offset is ignored.
+
+The settings tree as a whole and each failure domain also have an offset of their own, so that none
+of them is replaced by an older one, even if a peer's snapshot includes later records of the others.
 """
 
 from functools import singledispatchmethod
@@ -19,7 +22,7 @@
     SnapshotRecord,
 )
 from ..settings.models import JobSettings
-from ..settings.tree import Node, parse_node, resolve
+from ..settings.tree import Node, parse_node, resolve, update_node
 from .const import ANY_VERSION, MAX_RETAINED_CHANGES, NO_OFFSET
 
 JOB_PATH_PARTS = 3  # consortium/MEMBER/JOB
@@ -27,9 +30,14 @@
 
 @define
 class ConsortiumState:
-    """Settings tree, failure domains and recent changes, as of an offset."""
+    """Settings tree, failure domains and recent changes, as of an offset.
+
+    `tree_version` is the version that operators gave the whole tree, 0 if they publish its nodes
+    one by one.
+    """
 
     offset: int = NO_OFFSET
+    tree_version: int = 0
     nodes: dict[str, Node] = field(factory=dict)
     domains: dict[str, DomainRecord] = field(factory=dict)
     changes: dict[str, ChangeRecord] = field(factory=dict)
@@ -38,11 +46,12 @@
     def apply(self, record: Message, offset: int) -> ChangeRecord | None:
         """Apply one record and return the result of the change it carries, if any.
 
-        Raises SettingsError for a node that can't be parsed, which then keeps its previous values.
+        A change that is not newer than what it changes is ignored. Raises SettingsError for a node
+        that can't be parsed, which then keeps its previous values.
         """
-        if offset <= self.offset:
+        if offset <= self._known_version(record):
             return None
-        self.offset = offset
+        self.advance_offset(offset)
         self._resolved.clear()
         return self._reduce(record, offset)
 
@@ -50,40 +59,53 @@
         """Advance the applied offset past records that do not change this state."""
         self.offset = max(self.offset, offset)
 
+    @property
+    def tree_offset(self) -> int:
+        """Offset of the latest change of the settings tree."""
+        return max((node.version for node in self.nodes.values()), default=NO_OFFSET)
+
     def adopt(self, snapshot: SnapshotRecord) -> bool:
-        """Replace the state by a snapshot if that is newer; return whether it was."""
+        """Take over a snapshot if its offset is later; return whether it was.
+
+        Parts of the snapshot that are older than those of this state are left out.
+        """
         if snapshot.offset <= self.offset:
             return False
+        nodes = [self._parse_node_record(item) for item in snapshot.settings_nodes]
         self.offset = snapshot.offset
-        self.nodes = {item.path: _parse_node_record(item) for item in snapshot.settings_nodes}
-        self.domains = {item.name: item for item in snapshot.domains}
         self.changes = {item.change_id: item for item in snapshot.changes}
-        self._resolved.clear()
+        for domain in snapshot.domains:
+            self.set_domain(domain)
+        tree_offset = max((node.version for node in nodes), default=NO_OFFSET)
+        self.replace_nodes(nodes, tree_offset, snapshot.tree_version)
         return True
 
-    def replace_nodes(self, nodes: list[Node], offset: int) -> bool:
-        """Replace the settings tree if `offset` is newer than the state; return whether it was."""
-        if offset <= self.offset:
+    def replace_nodes(self, nodes: list[Node], offset: int, tree_version: int) -> bool:
+        """Replace the settings tree by a newer one; return whether it was newer.
+
+        An older version may have a later offset, if the store executed its write late.
+        """
+        if offset <= self.tree_offset or 0 < tree_version < self.tree_version:
             return False
         self.nodes = {node.path: node for node in nodes}
-        self.offset = offset
+        self.tree_version = tree_version
+        self.advance_offset(offset)
         self._resolved.clear()
         return True
 
     def set_domain(self, record: DomainRecord) -> bool:
-        """Set a failure domain if its version is newer than the state; return whether it was."""
-        if record.version <= self.offset:
+        """Set a failure domain if its version is newer than known; return whether it was."""
+        known = self.domains.get(record.name)
+        if known is not None and known.version >= record.version:
             return False
         self.domains[record.name] = record
-        self.offset = record.version
+        self.advance_offset(record.version)
         return True
 
     def restore_domains_except(self, out: set[str], offset: int) -> None:
         """Return failure domains to service, as of an offset, unless they are listed in `out`."""
-        if offset <= self.offset:
-            return
         for name, record in list(self.domains.items()):
-            if record.out and name not in out:
+            if record.out and name not in out and record.version < offset:
                 self.domains[name] = DomainRecord(name, False, offset)
 
     def node_records(self) -> list[SettingsNodeRecord]:
@@ -125,14 +147,23 @@
         return f"not a change: {type(record).__name__}"
 
     @rejection_reason.register
-    def _(self, record: PublishRecord) -> str:
-        version = self.nodes[record.path].version if record.path in self.nodes else 0
-        return _version_mismatch(record.expected_version, version)
+    def _(self, record: PublishRecord | DomainChangeRecord) -> str:
+        return _version_mismatch(record.expected_version, max(0, self._known_version(record)))
 
-    @rejection_reason.register
-    def _(self, record: DomainChangeRecord) -> str:
+    @singledispatchmethod
+    def _known_version(self, record: Message) -> int:
+        """Return the version of what a record changes, NO_OFFSET if that is new."""
+        return self.offset
+
+    @_known_version.register
+    def _(self, record: PublishRecord) -> int:
+        node = self.nodes.get(record.path)
+        return node.version if node is not None else NO_OFFSET
+
+    @_known_version.register
+    def _(self, record: DomainChangeRecord) -> int:
         domain = self.domains.get(record.domain)
-        return _version_mismatch(record.expected_version, domain.version if domain else 0)
+        return domain.version if domain is not None else NO_OFFSET
 
     @singledispatchmethod
     def _reduce(self, record: Message, offset: int) -> ChangeRecord | None:
@@ -150,6 +181,12 @@
         self.domains[record.domain] = DomainRecord(record.domain, record.out, offset)
         return self._record_change(record.change_id, offset)
 
+    def _parse_node_record(self, record: SettingsNodeRecord) -> Node:
+        """Parse a node record of a snapshot."""
+        known = self.nodes.get(record.path)
+        node = update_node(known, record.path, record.values_toml, record.version, lenient=True)
+        return evolve(node, deleted=record.deleted)
+
     def _record_change(self, change_id: str, offset: int) -> ChangeRecord:
         change = self.changes[change_id] = ChangeRecord(change_id, offset, True, "")
         while len(self.changes) > MAX_RETAINED_CHANGES:
@@ -161,9 +198,3 @@
     if expected in (ANY_VERSION, found):
         return ""
     return f"expected version {expected}, found {found}"
-
-
-def _parse_node_record(record: SettingsNodeRecord) -> Node:
-    """Parse a node record of a snapshot."""
-    node = parse_node(record.path, record.values_toml, record.version, lenient=True)
-    return evolve(node, deleted=record.deleted)
--- a/pistachiohill/consortium/view.py
+++ b/pistachiohill/consortium/view.py
@@ -49,6 +49,7 @@
             processes=list(self.processes.records.values()),
             changes=list(self.state.changes.values()),
             process_offset=self.processes.offset,
+            tree_version=self.state.tree_version,
         )
 
     def adopt(self, snapshot: SnapshotRecord) -> bool:
--- a/pistachiohill/platform/manifest.py
+++ b/pistachiohill/platform/manifest.py
@@ -6,13 +6,11 @@
 from collections.abc import Mapping
 from typing import Final
 
-from attrs import evolve
-
 from .. import logs
 from ..const import MAX_JOB_TASKS
 from ..settings.const import MAX_NAME_CHARS, ROOT_PATH
 from ..settings.errors import SettingsError
-from ..settings.tree import Node, parse_node
+from ..settings.tree import Node, update_node
 from .errors import WireError
 from .models import JobRoute, Manifest
 from .wire import Fields, decode_object, read_int, read_list, read_number, read_str, require_object
@@ -66,31 +64,27 @@
     taken over from the `previous` tree. A route that no job can represent is skipped with a
     warning, because the other routes are still valid.
     """
-    nodes = {ROOT_PATH: _build_node(ROOT_PATH, CONSORTIUM_TOML, offset, previous)}
+
+    def build_node(path: str, text: str) -> Node:
+        return update_node(previous.get(path), path, text, offset)
+
+    nodes = {ROOT_PATH: build_node(ROOT_PATH, CONSORTIUM_TOML)}
     for route in manifest.routes:
         member_path = f"{ROOT_PATH}/{_node_name(route.host)}"
         path = f"{member_path}/{_node_name(route.name)}"
         if path in nodes:
             path = f"{member_path}/{_node_name(f'{route.name} {route.path_prefix}')}"
         try:
-            job = _build_node(path, _job_toml(route), offset, previous)
+            job = build_node(path, _job_toml(route))
         except SettingsError as err:
             logs.warning("route_refused", route=route, detail=err)
             continue
         nodes[path] = job
         if member_path not in nodes:
-            nodes[member_path] = _build_node(member_path, "", offset, previous)
+            nodes[member_path] = build_node(member_path, "")
     return list(nodes.values())
 
 
-def _build_node(path: str, text: str, offset: int, previous: Mapping[str, Node]) -> Node:
-    """Return a node with the version `offset`; raise SettingsError if a value is invalid."""
-    known = previous.get(path)
-    if known is not None and known.text == text and not known.deleted:
-        return evolve(known, version=offset)
-    return parse_node(path, text, offset)
-
-
 def _node_name(text: str) -> str:
     """Convert a name to a valid node name, a different one for each name.
 
--- a/pistachiohill/platform/operators.py
+++ b/pistachiohill/platform/operators.py
@@ -58,7 +58,7 @@
 def _apply_manifest(view: ConsortiumView, body: bytes, offset: int, now_s: float) -> None:
     manifest = decode_manifest(body)
     nodes = build_settings_nodes(manifest, offset, view.state.nodes)
-    if view.state.replace_nodes(nodes, offset):
+    if view.state.replace_nodes(nodes, offset, manifest.version):
         logs.event(
             "manifest",
             version=manifest.version,
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -494,6 +494,8 @@
         processes: Announced processes.
         changes: Outcomes of recent changes.
         process_offset: Offset of the processes' topic up to which announcements are included.
+        tree_version: Version that operators gave the whole settings tree, 0 if its nodes are
+            published one by one.
     """
 
     offset: int
@@ -502,6 +504,7 @@
     processes: list[ProcessRecord]
     changes: list[ChangeRecord]
     process_offset: int
+    tree_version: int = 0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
@@ -512,6 +515,7 @@
             [item.to_wire() for item in self.processes],
             [item.to_wire() for item in self.changes],
             self.process_offset,
+            self.tree_version,
         ]
 
     @classmethod
@@ -527,6 +531,7 @@
             processes=[ProcessRecord.from_wire(item) for item in wire.read_list(items[3])],
             changes=[ChangeRecord.from_wire(item) for item in wire.read_list(items[4])],
             process_offset=wire.read_int(items[5]),
+            tree_version=wire.read_int(items[6]) if len(items) > 6 else 0,
         )
 
 
--- a/pistachiohill/settings/tree.py
+++ b/pistachiohill/settings/tree.py
@@ -7,7 +7,7 @@
 import re
 from collections.abc import Mapping
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from .checks import check_values, parse_toml
 from .const import MAX_NAME_CHARS, ROOT_PATH, Level
@@ -77,6 +77,18 @@
     return Node(path, table, text, version)
 
 
+def update_node(
+    known: Node | None, path: str, text: str, version: int, *, lenient: bool = False
+) -> Node:
+    """Return a node with a new version; parse its text only if it differs from the known node's.
+
+    Raises SettingsError like `parse_node`.
+    """
+    if known is not None and known.text == text:
+        return evolve(known, version=version, deleted=False)
+    return parse_node(path, text, version, lenient=lenient)
+
+
 def ancestor_paths(path: str) -> list[str]:
     """Return the paths from the root down to this path, inclusive."""
     parts = path.split("/")
--- a/tests/consortium/test_state.py
+++ b/tests/consortium/test_state.py
@@ -14,12 +14,15 @@
 from pistachiohill.protocol.models import (
     AnnounceRecord,
     DomainChangeRecord,
+    DomainRecord,
     EndRecord,
     Message,
     PublishRecord,
+    SettingsNodeRecord,
     SnapshotRecord,
 )
 from pistachiohill.settings.errors import SettingsError
+from pistachiohill.settings.tree import parse_node
 
 from ..base import TestCase
 
@@ -100,6 +103,50 @@
         self.assertEqual("weight = 2.0", view.state.nodes["consortium"].text)
         self.assertEqual(1, view.state.offset)
 
+    def test_snapshot_with_an_invalid_node_changes_nothing(self) -> None:
+        view, other = ConsortiumView(), ConsortiumView()
+        view.apply(PublishRecord("c1", "consortium", 0, "weight = 2.0", "op", False), 0)
+        other.apply(PublishRecord("c1", "consortium", 0, "weight = 2.0", "op", False), 3)
+        snapshot = other.snapshot()
+        snapshot.settings_nodes[0].values_toml = "weight = -1.0"
+        self.assertRaises(SettingsError, view.adopt, snapshot)
+        self.assertEqual(0, view.state.offset)
+
+    def test_change_is_applied_although_the_snapshot_of_a_peer_passes_over_it(self) -> None:
+        """The peer may have refused it, like an older version of the program."""
+        view = ConsortiumView()
+        node = SettingsNodeRecord("consortium", "weight = 2.0", 3, False)
+        domain = DomainRecord("x", True, 4)
+        view.adopt(SnapshotRecord(9, [node], [domain], [], [], 0))
+        newer = parse_node("consortium", "weight = 3.0", 7)
+        self.assertTrue(view.state.replace_nodes([newer], 7, 0))
+        self.assertTrue(view.state.set_domain(DomainRecord("x", False, 8)))
+        self.assertEqual(9, view.state.offset)
+
+    def test_published_change_is_applied_although_the_snapshot_of_a_peer_passes_over_it(
+        self,
+    ) -> None:
+        view = ConsortiumView()
+        node = SettingsNodeRecord("consortium", "weight = 2.0", 3, False)
+        view.adopt(SnapshotRecord(9, [node], [], [], [], 0))
+        view.apply(PublishRecord("c1", "consortium", 3, "weight = 3.0", "op", False), 7)
+        view.apply(DomainChangeRecord("c2", "x", True, 0, "op"), 8)
+        self.assertEqual("weight = 3.0", view.state.nodes["consortium"].text)
+        self.assertTrue(view.state.domain_is_out("x"))
+        self.assertEqual(9, view.state.offset)
+
+    def test_snapshot_replaces_neither_a_newer_tree_nor_a_newer_domain(self) -> None:
+        view = ConsortiumView()
+        view.state.replace_nodes([parse_node("consortium", "weight = 3.0", 7)], 7, 12)
+        view.state.set_domain(DomainRecord("x", False, 8))
+        old_node = SettingsNodeRecord("consortium", "weight = 2.0", 3, False)
+        old_domain = DomainRecord("x", True, 4)
+        view.adopt(SnapshotRecord(9, [old_node], [old_domain], [], [], 0, 11))
+        self.assertEqual(
+            ("weight = 3.0", 12), (view.state.nodes["consortium"].text, view.state.tree_version)
+        )
+        self.assertFalse(view.state.domain_is_out("x"))
+
     def test_conflicting_changes_are_rejected_by_version(self) -> None:
         view = ConsortiumView()
         view.state.advance_offset(0)
