Start no task of a message that was held up on an old link

The lease is the entry's, and the entry had renewed it on a new link; what the late message echoed, 3 s old, wasn't looked at. Change: a queued best-effort task needs a recent echo on the link on which its entry last named it (start or query); without one it is withdrawn after a lease's time. Why it works: an echo that follows on the same link proves that the entry still keeps that link, and so the placement.

--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -1,5 +1,6 @@
 """Admission, queueing, execution and reporting of tasks at an agent."""
 
+import math
 from bisect import insort
 from collections.abc import Callable
 
@@ -46,8 +47,12 @@
 
 @define(eq=False, slots=True)
 class AdmittedTask:
-    """A task that is queued or running; `deadline_s` is a boot time."""
+    """A task that is queued or running; `deadline_s` is a boot time.
 
+    `link` is the one on which its entry has last named it.
+    """
+
+    link: Link
     record: SubmissionRecord
     ref: TaskRef
     deadline_s: float
@@ -90,6 +95,7 @@
         self.target = TargetState()
         self.table = StartTable(settings.retention_s)
         self.leases = EntryLeases(ENTRY_LEASE_S)
+        self._echoed_at_s: dict[Link, float] = {}
         self.links: set[Link] = set()
         self._sent_loads: dict[Link, SentLoad] = {}
         self.announce_offset = -1
@@ -175,6 +181,7 @@
         """Remove a closed link and its subscriptions."""
         self.links.discard(link)
         self._sent_loads.pop(link, None)
+        self._echoed_at_s.pop(link, None)
         for subscription in self._subscriptions.values():
             subscription.links.discard(link)
 
@@ -182,6 +189,8 @@
         """Merge an entry's view stamp, and renew the entry's lease by the echo in it."""
         self.view.merge(stamp, now_s)
         self.leases.renew(link.peer_incarnation, stamp.echo_s, now_s)
+        if 0.0 <= stamp.echo_s <= now_s:
+            self._echoed_at_s[link] = stamp.echo_s
 
     def start_tasks(self, link: Link, message: StartTasks, now_s: float) -> None:
         """Admit the tasks of a message and start as many as fit."""
@@ -194,9 +203,10 @@
         refusal = self._batch_refusal(message, now_s)
         for task in message.tasks:
             self._admit(record, link, refusal, message, task, now_s)
-        if message.best_effort and self.leases.needs_renewal(link.peer_incarnation, now_s):
-            # The link was idle, so the lease is due for renewal. Request an echo: if the lease
-            # ended, the tasks would not be started or would be stopped.
+        due = self.leases.needs_renewal(link.peer_incarnation, now_s)
+        if message.best_effort and (due or self._echo_age_s(link, now_s) > ENTRY_LEASE_S):
+            # The link was idle. Request an echo, without which the tasks would not be started or
+            # would be stopped.
             link.send(FreshnessRequest(now_s))
         self._start_queued(now_s)
         self._flush_or_schedule(record.submission_id, subscription)
@@ -205,6 +215,9 @@
         """Reply with the state of placements, and fence those that are unknown."""
         record = self.table.get_or_create(message.submission_id, now_s)
         subscription = self._subscribe(message.submission_id, link)
+        for task in self._queue:
+            if task.record is record and task.ref in message.tasks:
+                task.link = link
         reports = self.table.query(record, message.tasks)
         settled = [report for report in reports if report.state != TaskState.QUEUED]
         settled = [report for report in settled if report.state != TaskState.RUNNING]
@@ -280,13 +293,12 @@
         A queued task is kept until it has waited for a lease's time, so that its entry can renew.
         """
         for owner in list(self._resources.by_owner):
-            if self.leases.is_valid(owner, now_s):
-                continue
 
             def is_orphaned(task: AdmittedTask, owner: str = owner) -> bool:
                 admitted_before_s = now_s - ENTRY_LEASE_S
                 past_grace = task in self._running or task.admitted_at_s < admitted_before_s
-                return task.best_effort and task.reservation.owner == owner and past_grace
+                owned = task.reservation.owner == owner and past_grace
+                return owned and not self._has_lease(task, now_s)
 
             count = self._withdraw_queued(is_orphaned, RefusalReason.LEASE_ENDED)
             count += self._stop_running(is_orphaned, RefusalReason.LEASE_ENDED)
@@ -349,6 +361,7 @@
         self._sequence += 1
         reservation = Reservation(link.peer_incarnation, demand, message.priority, task.run_s)
         queued = AdmittedTask(
+            link,
             record,
             ref,
             now_s + message.deadline_in_s,
@@ -386,17 +399,31 @@
         self._metrics.occupied.set(self.occupied)
 
     def _next_startable(self, now_s: float) -> AdmittedTask | None:
-        """Return the first queued task whose entry's lease is valid, if the tasks up to it fit.
-
-        Tasks that are not best-effort need no lease.
-        """
+        """Return the first queued task whose entry's lease is valid, if the tasks up to it fit."""
         for task in self._queue:
             if not self._fits(task):
                 return None
-            if not task.best_effort or self.leases.is_valid(task.reservation.owner, now_s):
+            if self._has_lease(task, now_s):
                 return task
         return None
 
+    def _has_lease(self, task: AdmittedTask, now_s: float) -> bool:
+        """Return whether a task may start or keep running.
+
+        Tasks that are not best-effort need no lease. A queued task also needs a recent echo on its
+        own link: after it was held up there, its entry may have placed it elsewhere and renewed the
+        lease on another link.
+        """
+        if not task.best_effort:
+            return True
+        if not self.leases.is_valid(task.reservation.owner, now_s):
+            return False
+        return task in self._running or self._echo_age_s(task.link, now_s) <= ENTRY_LEASE_S
+
+    def _echo_age_s(self, link: Link, now_s: float) -> float:
+        """Return the age of the latest clock reading that was echoed on a link."""
+        return now_s - self._echoed_at_s.get(link, -math.inf)
+
     def _fits(self, task: AdmittedTask) -> bool:
         return self._resources.fits(task.reservation.demand, self.target.cpu_m, self.target.mem_mb)
 
--- a/tests/agent/test_runner.py
+++ b/tests/agent/test_runner.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from pistachiohill import clock
+from pistachiohill.agent.const import ENTRY_LEASE_S
 from pistachiohill.agent.metrics import AgentMetrics
 from pistachiohill.agent.models import TargetCall, TargetResult, TargetState
 from pistachiohill.agent.runner import TaskRunner
@@ -16,7 +17,9 @@
 from pistachiohill.protocol.models import (
     CancelTasks,
     Message,
+    QueryTasks,
     StartTasks,
+    TaskRef,
     TaskReports,
     TaskStart,
     ViewStamp,
@@ -101,6 +104,46 @@
             cancelled = [(0, Verdict.NOT_RUN, "cancelled"), (1, Verdict.NOT_RUN, "cancelled")]
             self.assertEqual(cancelled, sorted(link.reports()))
 
+    async def test_start_that_was_held_up_on_an_old_link_does_not_run(self) -> None:
+        """Its entry has opened another link since, and may have placed the tasks elsewhere."""
+        async with open_runner() as (runner, target, old_link):
+            now_s = clock.boot_s()
+            message = start_message(now_s - 2 * ENTRY_LEASE_S)
+            new_link = FakeLink()
+            fresh = ViewStamp(1, now_s, 0.0, False, 60.0)
+            runner.start_tasks(old_link, message, now_s)  # type: ignore[arg-type]
+            runner.merge_stamp(new_link, fresh, now_s)  # type: ignore[arg-type]
+            runner.handle_view_update(now_s)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual([], target.called)
+            later_s = now_s + 1.1 * ENTRY_LEASE_S
+            runner.leases.renew("entry-1", later_s, later_s)
+            runner.end_orphaned_tasks(later_s)
+            self.assertEqual(0, runner.occupied)
+
+    async def test_start_on_an_idle_link_runs_once_its_entry_has_answered(self) -> None:
+        async with open_runner() as (runner, target, link):
+            now_s = clock.boot_s()
+            runner.start_tasks(link, start_message(now_s - 2 * ENTRY_LEASE_S), now_s)  # type: ignore[arg-type]
+            fresh = ViewStamp(1, now_s, 0.0, False, 60.0)
+            runner.merge_stamp(link, fresh, now_s)  # type: ignore[arg-type]
+            runner.handle_view_update(now_s)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(2, len(target.called))
+
+    async def test_queued_task_runs_after_its_entry_has_asked_for_it_on_a_new_link(self) -> None:
+        async with open_runner() as (runner, target, old_link):
+            now_s = clock.boot_s()
+            runner.start_tasks(old_link, start_message(now_s - 2 * ENTRY_LEASE_S), now_s)  # type: ignore[arg-type]
+            new_link = FakeLink()
+            fresh = ViewStamp(1, now_s, 0.0, False, 60.0)
+            runner.merge_stamp(new_link, fresh, now_s)  # type: ignore[arg-type]
+            refs = [TaskRef(0, 1), TaskRef(1, 1)]
+            runner.query(new_link, QueryTasks(SUBMISSION_ID, refs), now_s)  # type: ignore[arg-type]
+            runner.handle_view_update(now_s)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(2, len(target.called))
+
     async def test_a_cancel_after_the_start_stops_the_tasks(self) -> None:
         async with open_runner() as (runner, target, link):
             now_s = clock.boot_s()
