Answer 503 until a manifest is known, also if other records were read

Callers would see: 404, "no such queue", from an entry that has read an evacuation but no manifest yet. Found while looking at every use of the state's offset. Cause: any offset counted as a manifest. Class: a claim beyond what was read. Change: a manifest is known when there are settings nodes.

--- a/pistachiohill/platform/entry.py
+++ b/pistachiohill/platform/entry.py
@@ -2,7 +2,6 @@
 
 import trio
 
-from ..consortium.const import NO_OFFSET
 from ..consortium.view import ConsortiumView
 from ..entry.agents import AgentDirectory
 from ..entry.best_effort import BestEffortJobs
@@ -36,13 +35,13 @@
         self.jobs_server_ended = trio.Event()
         self._settings = settings
         self._view = view
-        self._jobs_api = JobsApi(routes, jobs, self._is_manifest_loaded)
+        self.jobs_api = JobsApi(routes, jobs, self._is_manifest_loaded)
         self._directory = directory
         self._store = store
         self._draining = False
 
     def _is_manifest_loaded(self) -> bool:
-        return self._view.state.offset > NO_OFFSET
+        return bool(self._view.state.nodes)
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send new callers: some agent accepts tasks."""
@@ -63,7 +62,7 @@
         async def async_serve_callers(task_status: trio.TaskStatus[None]) -> None:
             try:
                 await async_serve_directly(
-                    self._jobs_api,
+                    self.jobs_api,
                     settings.jobs_address,
                     MAX_JOB_BODY_BYTES,
                     stopped,
