Soak: silent connections to the store, added routes, and a check that every entry serves them

Change: entries reach the store through a relay; up to two times a plan their connections fall silent and a manifest with one more route follows within a second; after the faults every entry has to serve every added route.

--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -60,6 +60,11 @@
     STORE_LOSES = "store_loses"
     EVACUATE = "evacuate"
     PUBLISH = "publish"
+    SILENCE_STORE = "silence_store"
+
+
+# Faults that a plan draws at random; SILENCE_STORE comes with a change of the manifest.
+RANDOM_KINDS: Final = [kind for kind in FaultKind if kind != FaultKind.SILENCE_STORE]
 
 
 @frozen
@@ -98,10 +103,12 @@
     count = agents or rng.randint(3, 6)
     domains = tuple(DOMAINS[number % len(DOMAINS)] for number in range(count))
     clock_rates = tuple(rng.choice((0.98, 1.0, 1.02)) for _ in range(count))
-    spec = PlatformSpec(domains, rng.randint(2, 3), 4, clock_rates, relay_agents=True)
+    spec = PlatformSpec(
+        domains, rng.randint(2, 3), 4, clock_rates, relay_agents=True, relay_store=True
+    )
     faults: list[Fault] = []
     for _ in range(rng.randint(3, 7)):
-        kind = rng.choice(list(FaultKind))
+        kind = rng.choice(RANDOM_KINDS)
         at_s, duration_s = rng.uniform(0.0, fault_period_s * 0.7), rng.uniform(0.2, 3.0)
         index, repeats = rng.randrange(1000), rng.choice((1, 1, 1, 3))
         gap_s = rng.uniform(0.1, 1.5)
@@ -109,9 +116,21 @@
             faults.append(
                 Fault(at_s + repeat * (duration_s + gap_s), duration_s, kind, index + repeat)
             )
+    faults += _make_changes_after_silence(seed, fault_period_s)
     return Plan(seed, spec, tuple(sorted(faults, key=lambda fault: fault.at_s)))
 
 
+def _make_changes_after_silence(seed: int, fault_period_s: float) -> list[Fault]:
+    """Return up to two changes of the manifest right after the entries' connections fall silent."""
+    rng = random.Random(seed + 2)
+    faults = []
+    for _ in range(rng.randint(0, 2)):
+        at_s = rng.uniform(0.0, fault_period_s)
+        faults.append(Fault(at_s, 0.0, FaultKind.SILENCE_STORE, 0))
+        faults.append(Fault(at_s + rng.uniform(0.0, 1.0), 0.0, FaultKind.PUBLISH, 0))
+    return faults
+
+
 class Soak:
     """Runs one plan and checks the guarantees."""
 
@@ -123,6 +142,7 @@
         self._evacuations: list[tuple[str, float, float]] = []
         self._evacuated_domains: set[str] = set()
         self._under_fault: set[str] = set()
+        self._added_routes: list[str] = []
         self._pending = 0
         self._stopped = False
 
@@ -135,6 +155,7 @@
             await self._async_inject_faults()
             await trio.sleep(QUIET_PERIOD_S)
             self._stopped = True
+            await self._async_check_routes(findings)
             await self._async_check_recovery(findings)
             with trio.move_on_after(2 * max(DEADLINES_S) + ANSWER_TOLERANCE_S):
                 while self._pending:
@@ -255,11 +276,27 @@
         self._evacuated_domains.discard(domain)
 
     async def async_publish(self, fault: Fault) -> None:
-        """Publish a new version of the manifest."""
-        await self._deployment.async_publish()
+        """Publish a new version of the manifest, with one more route."""
+        path_prefix = f"/added-{len(self._added_routes)}/"
+        self._added_routes.append(path_prefix)
+        await self._deployment.async_add_route(path_prefix)
+
+    async def async_silence_store(self, fault: Fault) -> None:
+        """Let the entries' open connections to the store fall silent."""
+        await self._deployment.async_silence_store()
 
     # Checks
 
+    async def _async_check_routes(self, findings: Findings) -> None:
+        """Check that every entry serves the added routes once the faults are over.
+
+        The period without faults is longer than the time in which a change has to be in force.
+        """
+        for index in range(len(self._deployment.entries)):
+            for path_prefix in self._added_routes:
+                if not await self._deployment.async_has_route(index, path_prefix):
+                    findings.violations.append(f"entry{index} does not serve {path_prefix}")
+
     async def _async_check_recovery(self, findings: Findings) -> None:
         """Check that a job completes within the recovery limit."""
         with trio.move_on_after(RECOVERY_LIMIT_S):
@@ -382,6 +419,7 @@
     ),
     FaultKind.EVACUATE: Soak.async_evacuate,
     FaultKind.PUBLISH: Soak.async_publish,
+    FaultKind.SILENCE_STORE: Soak.async_silence_store,
 }
 
 
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -51,6 +51,7 @@
         cores: Cores of each runner.
         clock_rates: Speeds of the runners' clocks relative to true time, assigned in rotation.
         relay_agents: Put a relay in front of the peer port of each agent.
+        relay_store: Let the entries reach the store through a relay.
         routes: Routes of the first manifest.
     """
 
@@ -59,6 +60,7 @@
     cores: int = 4
     clock_rates: tuple[float, ...] = (1.0,)
     relay_agents: bool = False
+    relay_store: bool = False
     routes: tuple[dict[str, Any], ...] = (ROUTE,)
 
 
@@ -117,6 +119,8 @@
         self.entries: list[PlatformEntryProcess] = []
         self.agents: list[PlatformAgentProcess] = []
         self.store_url = ""
+        self._entry_store_url = ""
+        self._store_relay_url = ""
         self.version = 0
         self.routes = list(spec.routes)
         self.submitted: set[str] = set()
@@ -157,6 +161,23 @@
         store = StoreClient(self.store_url)
         await store.async_append(TOPIC_OPERATORS, "config", json.dumps(value).encode())
 
+    async def async_add_route(self, path_prefix: str) -> None:
+        """Publish a manifest with one more route."""
+        self.routes.append(
+            {**ROUTE, "name": f"route-{len(self.routes)}", "pathPrefix": path_prefix}
+        )
+        await self.async_publish()
+
+    async def async_has_route(self, entry: int, path_prefix: str) -> bool:
+        """Return whether an entry serves a route."""
+        url = f"{self.entries[entry].url}{path_prefix}"
+        return (await self.async_call("GET", url, None, {"Host": CALLER_HOST}))[0] == 200
+
+    async def async_silence_store(self) -> None:
+        """Drop all bytes on the entries' open connections to the store; new ones work."""
+        mode = {"forward": "swallow", "backward": "swallow"}
+        await self.async_post(f"{self._store_relay_url}/v1/mode", mode)
+
     async def async_evacuate(self, domain: str, out: bool) -> None:
         """Take a failure domain out of service, so that it gets no new tasks, or bring it back."""
         store = StoreClient(self.store_url)
@@ -348,6 +369,9 @@
             return (await self.async_call("GET", f"{self.store_url}/live", None, {}))[0] == 200
 
         await self.async_wait_until("the store", async_store_live)
+        self._entry_store_url = self.store_url
+        if self.spec.relay_store:
+            self._start_store_relay(port)
         await self.async_publish()
         for index in range(self.spec.entries):
             self.entries.append(self._new_entry(index))
@@ -366,6 +390,19 @@
                 f"agent {index}", lambda index=index: self.async_is_linked(index)
             )
 
+    def _start_store_relay(self, store_port: int) -> None:
+        port, control_port = free_ports(2)
+        self._spawn(
+            "relay-store",
+            "standins",
+            "relay",
+            f"--port={port}",
+            f"--to_port={store_port}",
+            f"--control_port={control_port}",
+        )
+        self._entry_store_url = f"http://{HOST}:{port}"
+        self._store_relay_url = f"http://{HOST}:{control_port}"
+
     def _new_entry(self, index: int) -> PlatformEntryProcess:
         jobs_port, ready_port, http_port, peer_port = free_ports(4)
         domain = self.spec.domains[index % len(self.spec.domains)]
@@ -375,7 +412,7 @@
             "entry",
             f"--name=entry{index}",
             f"--domain={domain}",
-            f"--store_url={self.store_url}",
+            f"--store_url={self._entry_store_url}",
             f"--jobs_address={HOST}:{jobs_port}",
             f"--ready_address={HOST}:{ready_port}",
             f"--http_port={http_port}",
