--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -44,6 +44,7 @@
 ANSWER_TESTS = "tests/failures/test_answers.py::AnswerTest::"
 PLATFORM_TESTS = "tests/failures/test_platform_jobs.py::PlatformJobsTest::"
 PEER_TESTS = "tests/failures/test_bad_peers.py::BadPeerTest::"
+OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
 
 MUTANTS = (
     Mutant(
@@ -407,6 +408,76 @@
             ),
         ),
     ),
+    Mutant(
+        "a reader continues at the end of the topic after a part of a backlog",
+        OPERATORS_TESTS + "test_changes_beyond_the_first_page_are_not_passed_over",
+        (
+            Edit(
+                "pistachiohill/platform/store.py",
+                "    return KeyedPage(tuple(records), offset, more=topic_end > offset)\n",
+                "    return KeyedPage(tuple(records), max(topic_end, offset))\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a read may wait longer than a change may take",
+        OPERATORS_TESTS + "test_evacuation_is_not_late_after_all_store_connections_fall_silent",
+        (
+            Edit(
+                "pistachiohill/consortium/const.py",
+                "POLL_WAIT_S: Final = 1.0\n",
+                "POLL_WAIT_S: Final = 10.0\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "idle connections are used after another one has fallen silent",
+        OPERATORS_TESTS + "test_change_is_not_late_after_all_store_connections_fall_silent",
+        (
+            Edit(
+                "pistachiohill/platform/http_client.py",
+                "            await self._async_close_idle(SUSPECT_IDLE_S)\n",
+                "            await trio.lowlevel.checkpoint()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "silent links between entries are kept for longer than a change may take",
+        "tests/entry/test_peers.py::PeersTest::"
+        "test_change_is_not_late_after_the_links_between_entries_fall_silent",
+        (
+            Edit(
+                "pistachiohill/entry/const.py",
+                "PEER_SILENCE_S: Final = 2.2",
+                "PEER_SILENCE_S: Final = 4.0",
+            ),
+        ),
+    ),
+    Mutant(
+        "an older tree replaces a newer one",
+        "tests/consortium/test_state.py::StateTest::"
+        "test_snapshot_replaces_neither_a_newer_tree_nor_a_newer_domain",
+        (
+            Edit(
+                "pistachiohill/consortium/state.py",
+                "        if offset <= self.tree_offset or 0 < tree_version < self.tree_version:\n",
+                "        if offset < 0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a start that was held up on an old link runs",
+        "tests/agent/test_runner.py::TaskRunnerTest::"
+        "test_start_that_was_held_up_on_an_old_link_does_not_run",
+        (
+            Edit(
+                "pistachiohill/agent/runner.py",
+                "        return task in self._running or "
+                "self._echo_age_s(task.link, now_s) <= ENTRY_LEASE_S\n",
+                "        return True\n",
+            ),
+        ),
+    ),
 )
 
 
