--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -199,8 +199,14 @@
         await self.async_post(f"{self.agents[index].relay_control_url}/v1/mode", mode)
 
     async def async_post(self, url: str, value: dict[str, Any]) -> None:
-        """Send a JSON body to a stand-in."""
-        await self._pool.request("POST", url, content=json.dumps(value).encode())
+        """Send a JSON body to a stand-in, which may have been started just before."""
+        with trio.fail_after(READY_TIMEOUT_S):
+            while True:
+                try:
+                    await self._pool.request("POST", url, content=json.dumps(value).encode())
+                    return
+                except httpcore.ConnectError:
+                    await trio.sleep(POLL_INTERVAL_S)
 
     # Callers
 
