Rebuild routes when the tree changes, not when the offset does

Callers would see: an added route 404 although its manifest was applied. Change: the tree has a revision that counts its changes; an evacuation no longer rebuilds the routes. Evidence: test_route_is_served_although_a_peer_had_passed_over_its_manifest failed before.

--- a/pistachiohill/consortium/state.py
+++ b/pistachiohill/consortium/state.py
@@ -33,11 +33,12 @@
     """Settings tree, failure domains and recent changes, as of an offset.
 
     `tree_version` is the version that operators gave the whole tree, 0 if they publish its nodes
-    one by one.
+    one by one. `revision` counts the changes of the tree, which may come without a later offset.
     """
 
     offset: int = NO_OFFSET
     tree_version: int = 0
+    revision: int = 0
     nodes: dict[str, Node] = field(factory=dict)
     domains: dict[str, DomainRecord] = field(factory=dict)
     changes: dict[str, ChangeRecord] = field(factory=dict)
@@ -52,7 +53,7 @@
         if offset <= self._known_version(record):
             return None
         self.advance_offset(offset)
-        self._resolved.clear()
+        self._mark_changed()
         return self._reduce(record, offset)
 
     def advance_offset(self, offset: int) -> None:
@@ -90,7 +91,7 @@
         self.nodes = {node.path: node for node in nodes}
         self.tree_version = tree_version
         self.advance_offset(offset)
-        self._resolved.clear()
+        self._mark_changed()
         return True
 
     def set_domain(self, record: DomainRecord) -> bool:
@@ -187,6 +188,10 @@
         node = update_node(known, record.path, record.values_toml, record.version, lenient=True)
         return evolve(node, deleted=record.deleted)
 
+    def _mark_changed(self) -> None:
+        self.revision += 1
+        self._resolved.clear()
+
     def _record_change(self, change_id: str, offset: int) -> ChangeRecord:
         change = self.changes[change_id] = ChangeRecord(change_id, offset, True, "")
         while len(self.changes) > MAX_RETAINED_CHANGES:
--- a/pistachiohill/entry/routes.py
+++ b/pistachiohill/entry/routes.py
@@ -30,7 +30,7 @@
     """Routes of all jobs, rebuilt when the effective settings change."""
 
     _view: ConsortiumView
-    _built_offset: int = -2  # below NO_OFFSET, so that the first look-up builds the routes
+    _built_revision: int = -1  # the first look-up builds the routes
     _by_host: dict[str, list[RoutedJob]] = field(factory=dict)
 
     def find(self, host: str, path: str) -> RouteMatch | None:
@@ -53,9 +53,9 @@
 
     def _refresh(self) -> None:
         state = self._view.state
-        if state.offset == self._built_offset:
+        if state.revision == self._built_revision:
             return
-        self._built_offset = state.offset
+        self._built_revision = state.revision
         self._by_host = {}
         for routed in _routable_jobs(state.job_settings()):
             self._by_host.setdefault(routed.settings.host.lower(), []).append(routed)
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -89,6 +89,17 @@
         self.assertEqual([4], [call.kwargs["version"] for call in event.call_args_list])
         self.assertEqual(4, view.state.tree_offset)
 
+    def test_route_is_served_although_a_peer_had_passed_over_its_manifest(self) -> None:
+        view, behind = ConsortiumView(), ConsortiumView()
+        table = RouteTable(view)
+        added = {**ROUTE, "name": "r-2", "pathPrefix": "/pufi791/"}
+        apply(behind, record(1, "config", manifest(1, ROUTE)), is_snapshot=True)
+        behind.state.advance_offset(9)
+        view.adopt(behind.snapshot())
+        self.assertIsNone(table.find("nony24.example", "/pufi791/"))
+        apply(view, record(5, "config", manifest(2, ROUTE, added)))
+        self.assertIsNotNone(table.find("nony24.example", "/pufi791/"))
+
     def test_malformed_records_and_routes_are_skipped(self) -> None:
         view = ConsortiumView()
         apply(view, record(0, "config", manifest(1, ROUTE, {"name": "broken"})), is_snapshot=True)
