--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -349,6 +349,10 @@
         """Return whether an entry reports that it accepts callers."""
         return (await self.async_call("GET", self.entries[index].ready_url, None, {}))[0] == 200
 
+    async def async_is_up(self, index: int) -> bool:
+        """Return whether an entry answers requests."""
+        return (await self.async_call("GET", self.entries[index].ready_url, None, {}))[0] != 0
+
     async def async_is_linked(self, index: int) -> bool:
         """Return whether an agent is ready and linked to all entries."""
         status, value, _ = await self.async_call(
