--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -199,12 +199,17 @@
         await self.async_post(f"{self.agents[index].relay_control_url}/v1/mode", mode)
 
     async def async_post(self, url: str, value: dict[str, Any]) -> None:
-        """Send a JSON body to a stand-in, which may have been started just before."""
+        """Send a JSON body to a stand-in."""
+        await self._async_request_stand_in("POST", url, json.dumps(value).encode())
+
+    async def _async_request_stand_in(
+        self, method: str, url: str, body: bytes = b""
+    ) -> httpcore.Response:
+        """Send a request to a stand-in; wait for its port if it has just been started."""
         with trio.fail_after(READY_TIMEOUT_S):
             while True:
                 try:
-                    await self._pool.request("POST", url, content=json.dumps(value).encode())
-                    return
+                    return await self._pool.request(method, url, content=body)
                 except httpcore.ConnectError:
                     await trio.sleep(POLL_INTERVAL_S)
 
@@ -313,7 +318,8 @@
                 if line.startswith("run [")
             ]
             if agent.runner.popen is not None and agent.runner.popen.poll() is None:
-                response = await self._pool.request("GET", f"{agent.runner_url}/v1/history")
+                url = f"{agent.runner_url}/v1/history"
+                response = await self._async_request_stand_in("GET", url)
                 live = json.loads(response.content)["runs"]
                 rows += [row for row in live if row not in rows]
             found.append([PastRun(*row[:3], row[3] or float("inf"), row[4]) for row in rows])
