Count only a target's refusals against a task; let requests with one key wait for one job

A run that lost its lease, or a start that was fenced, counted as one of the task's 8 restarts, and any end after a start was shown as failed, also the deadline. Change: only a target's own refusals count.

--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -24,11 +24,24 @@
 
 @define(eq=False)
 class KeyedJob:
-    """A job in progress and the number of requests waiting for its answer."""
+    """A job and the number of requests waiting for its answer.
 
-    submission: Submission
+    Fields:
+        submission: The accepted job, None while it is neither accepted nor refused, and afterwards
+            if it was refused.
+        refusal: Why it was refused, None if it was not.
+        waiters: Number of requests with the job's key that are not answered.
+    """
+
+    submission: Submission | None = None
+    refusal: JobAnswer | None = None
     waiters: int = 0
 
+    @property
+    def decided(self) -> bool:
+        """Return whether the job was accepted or refused."""
+        return self.submission is not None or self.refusal is not None
+
 
 class BestEffortJobs:
     """Accepts, answers and cancels best-effort jobs."""
@@ -65,8 +78,8 @@
         """Wait for the jobs in progress; cancel those that are left at the scheduled stop."""
         while self._jobs and clock.boot_s() < self._stop_at_s:
             await trio.sleep(DRAIN_POLL_S)
-        for job in list(self._jobs.values()):
-            self._dispatcher.cancel(job.submission, clock.boot_s(), RefusalReason.STOPPING)
+        for submission in self._accepted():
+            self._dispatcher.cancel(submission, clock.boot_s(), RefusalReason.STOPPING)
 
     def find(self, key: str) -> Submission | None:
         """Return the job in progress with a key, None if there is none."""
@@ -76,18 +89,21 @@
     def pending(self, member: str, job: str) -> int:
         """Return how many submissions of a member's job are in progress with no task placed."""
         return sum(
-            item.submission.request.member == member
-            and item.submission.request.job == job
-            and len(item.submission.waiting) == len(item.submission.tasks)
-            for item in self._jobs.values()
+            item.request.member == member
+            and item.request.job == job
+            and len(item.waiting) == len(item.tasks)
+            for item in self._accepted()
         )
 
+    def _accepted(self) -> list[Submission]:
+        return [job.submission for job in self._jobs.values() if job.submission is not None]
+
     def cancel(self, key: str) -> bool:
         """Cancel a job; return whether it was in progress at this entry."""
-        job = self._jobs.get(key)
-        if job is None:
+        submission = self.find(key)
+        if submission is None:
             return False
-        self._dispatcher.cancel(job.submission, clock.boot_s())
+        self._dispatcher.cancel(submission, clock.boot_s())
         return True
 
     async def async_run(self, request: JobRequest, settings: JobSettings) -> JobAnswer:
@@ -96,16 +112,15 @@
         A second request with the same key waits for the same job. The job is cancelled when the
         last waiting request is cancelled.
         """
-        request = await self._async_wait_for_target(request, settings)
-        job = self._jobs.get(request.key)
-        if job is None:
-            now_s = clock.boot_s()
-            answer = self._check_admission(request, settings, now_s)
-            if answer is not None:
-                return answer
-            job = self._accept(request, settings, now_s)
+        job = self._jobs.setdefault(request.key, KeyedJob())
         job.waiters += 1
         try:
+            request = await self._async_wait_for_target(job, request, settings)
+            if not job.decided:
+                self._decide(job, request, settings, clock.boot_s())
+            if job.refusal is not None:
+                return job.refusal
+            assert job.submission is not None
             await job.submission.done.wait()
             return job.submission.progress()
         finally:
@@ -114,7 +129,7 @@
                 self._remove(request.key, job)
 
     async def _async_wait_for_target(
-        self, request: JobRequest, settings: JobSettings
+        self, job: KeyedJob, request: JobRequest, settings: JobSettings
     ) -> JobRequest:
         """Delay a job that arrives shortly after startup, while no target is known yet.
 
@@ -124,7 +139,7 @@
         wait_started_s = now_s = clock.boot_s()
         wait_until_s = now_s + self._admission.max_target_wait_s(request, settings)
         wait_until_s = min(wait_until_s, self._startup_ends_at_s)
-        while now_s < wait_until_s and not self._admission.has_target(settings):
+        while now_s < wait_until_s and not job.decided and not self._admission.has_target(settings):
             await trio.sleep(STARTUP_POLL_S)
             now_s = clock.boot_s()
         waited_s = now_s - wait_started_s
@@ -134,18 +149,27 @@
         left_s = (request.deadline_s or settings.deadline_s) - waited_s
         return evolve(request, deadline_s=max(STARTUP_POLL_S, left_s))
 
-    def _accept(self, request: JobRequest, settings: JobSettings, now_s: float) -> KeyedJob:
+    def _decide(
+        self, job: KeyedJob, request: JobRequest, settings: JobSettings, now_s: float
+    ) -> None:
+        """Accept or refuse a job."""
+        job.refusal = self._check_admission(request, settings, now_s)
+        if job.refusal is None:
+            job.submission = self._accept(request, settings, now_s)
+
+    def _accept(self, request: JobRequest, settings: JobSettings, now_s: float) -> Submission:
         offset = self._view.processes.offset
         submission_id = self._issuer.issue(request.member, offset, clock.wall_s())
         submission = new_submission(submission_id, request, settings, now_s)
-        job = self._jobs[request.key] = KeyedJob(submission)
         self._dispatcher.submit(submission, now_s)
-        return job
+        return submission
 
     def _remove(self, key: str, job: KeyedJob) -> None:
         """Remove a job; if it is unanswered, its caller has disconnected, so cancel it."""
         del self._jobs[key]
         submission = job.submission
+        if submission is None:
+            return
         if submission.answer is None:
             logs.event("caller_left", key=key, submission=submission.submission_id)
             self._dispatcher.cancel(submission, clock.boot_s())
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -53,6 +53,18 @@
         RefusalReason.TARGET_LOST,
     }
 )
+# A task that was stopped or could not start for these reasons is placed again without limit, until
+# its job's deadline: neither the task nor its targets are at fault.
+UNCOUNTED_REASONS = (
+    INTERRUPTED_REASONS
+    | UNAVAILABLE_REASONS
+    | {
+        RefusalReason.BUSY,
+        RefusalReason.FENCED,
+        RefusalReason.STALE_VIEW,
+        RefusalReason.WRONG_INCARNATION,
+    }
+)
 POLL_INTERVAL_S = 0.25
 BUSY_POLL_INTERVAL_S = 0.02  # while tasks wait for capacity that is expected to become free
 MIN_TIMEOUT_S = 0.01
@@ -344,7 +356,7 @@
         if submission.failure is not None or reason in _fatal_reasons(submission):
             self._record_outcome(submission, task, report, now_s)
             return
-        task.restarts += reason != RefusalReason.BUSY
+        task.restarts += reason not in UNCOUNTED_REASONS
         if task.restarts > submission.settings.max_restarts:
             report.reason = RefusalReason.TOO_MANY_RESTARTS
             self._record_outcome(submission, task, report, now_s)
--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -41,6 +41,10 @@
     "fills",
     "mayMiss",
 )
+# Reasons for which a job has failed, rather than this product at running it.
+FINAL_FAILURES = frozenset(
+    {RefusalReason.TARGET_FAILED, RefusalReason.INVALID, RefusalReason.CANCELLED}
+)
 UNSUPPORTED_JOB_FIELDS = ("longRunning", "repeatCount")
 
 Receive = Callable[[], Awaitable[Scope]]
@@ -217,14 +221,14 @@
 def _job_response(answer: JobAnswer) -> Response:
     if answer.state == JobState.COMPLETE:
         return json_response({"state": "completed"})
-    if answer.verdict != Verdict.NOT_RUN and answer.reason == RefusalReason.STOPPING:
-        # Callers retry a job after this status, which is allowed because best-effort jobs may run
-        # more than once.
-        return _problem(502, answer.reason, answer.detail, verdict=answer.verdict)
-    if answer.verdict != Verdict.NOT_RUN:
-        return json_response({"state": "failed", "detail": answer.detail})
     assert answer.reason is not None
-    return _problem(503, answer.reason, answer.detail, answer.retry_after_s)
+    if answer.verdict == Verdict.NOT_RUN:
+        return _problem(503, answer.reason, answer.detail, answer.retry_after_s)
+    if answer.reason in FINAL_FAILURES:
+        return json_response({"state": "failed", "detail": answer.detail})
+    # Callers may send a best-effort job again after these statuses, as it may run more than once.
+    status = 504 if answer.reason == RefusalReason.DEADLINE else 502
+    return _problem(status, answer.reason, answer.detail, verdict=answer.verdict)
 
 
 def _problem(
--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -26,8 +26,8 @@
 CONFIG_LIMIT_S = 2.0  # configApplyMs in the users' requirements
 EVACUATION_LIMIT_S = 5.0  # evacuateMs in the users' requirements
 DRAIN_LIMIT_S = 2.0  # drainMs in the users' requirements
-# The load balancer sends new callers until two checks, one a second, have failed; an entry waits 2.3 s
-# for that.
+# The load balancer sends new callers until two checks, one a second, have failed; an entry waits
+# 2.3 s for that.
 UNREADY_LIMIT_S = 0.3
 CLOCK_TOLERANCE_S = 0.05  # checker and stand-ins read their clocks at different moments
 
--- a/tests/platform/test_jobs_api.py
+++ b/tests/platform/test_jobs_api.py
@@ -161,6 +161,18 @@
                 lambda c: c.value["verdict"],
                 "ran",
             ),
+            (
+                failed_answer(RefusalReason.DEADLINE, Verdict.RAN, "x", 3, 1),
+                504,
+                lambda c: c.value["verdict"],
+                "ran",
+            ),
+            (
+                failed_answer(RefusalReason.TOO_MANY_RESTARTS, Verdict.MAY_HAVE_RUN, "x", 3, 1),
+                502,
+                lambda c: c.value["verdict"],
+                "may_have_run",
+            ),
             (
                 refused_answer(RefusalReason.OVERLOAD, "x", 2.0),
                 503,
