Serve the newest job first in long waits, late ones last; refuse waiting jobs that became useless

Cause: order of arrival keeps the wait at the edge of the goals; tasks bound 0.2 s ahead wait at the agents, where newer ones can't overtake them; a job whose answer had become useless waited on, up to its deadline.

--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -478,6 +478,66 @@
             ),
         ),
     ),
+    Mutant(
+        "an entry that was frozen proves that it is alive with what it knew before",
+        "tests/entry/test_peer_clock.py::PeerClockTest::"
+        "test_a_process_that_was_frozen_proves_nothing_until_it_hears_from_the_agent",
+        (
+            Edit(
+                "pistachiohill/entry/peer_clock.py",
+                "        if self.reading_s < 0.0 or self.received_at_s < running_since_s:\n",
+                "        if self.reading_s < 0.0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "clocks are taken to run at the same rate",
+        "tests/entry/test_peer_clock.py::PeerClockTest::"
+        "test_the_bound_is_never_ahead_of_the_peer",
+        (
+            Edit(
+                "pistachiohill/entry/peer_clock.py",
+                "(now_s - self.received_at_s) * (1.0 - MAX_CLOCK_DRIFT)",
+                "(now_s - self.received_at_s)",
+            ),
+        ),
+    ),
+    Mutant(
+        "runs that the product stopped use up a task's attempts",
+        "tests/entry/test_dispatcher.py::RepeatedRunsTest::"
+        "test_runs_that_the_product_stopped_use_up_no_attempts",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "reason not in UNCOUNTED_REASONS",
+                "reason != RefusalReason.BUSY",
+            ),
+        ),
+    ),
+    Mutant(
+        "jobs that can't end in time hold up those that can",
+        "tests/entry/test_overload.py::OverloadTest::"
+        "test_a_new_job_is_not_refused_for_the_sake_of_late_ones",
+        (
+            Edit(
+                "pistachiohill/scheduling/urgency.py",
+                "    if waited_s + run_s <= goal_s:\n",
+                "    if waited_s >= 0.0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the oldest job goes first in long waits",
+        "tests/entry/test_overload.py::OverloadTest::"
+        "test_an_overload_makes_only_the_excess_late",
+        (
+            Edit(
+                "pistachiohill/scheduling/urgency.py",
+                "    return waited_s > LONG_WAIT_FRACTION * (goal_s - run_s)\n",
+                "    return waited_s > 1e9\n",
+            ),
+        ),
+    ),
 )
 
 
--- a/pistachiohill/entry/admission.py
+++ b/pistachiohill/entry/admission.py
@@ -4,13 +4,13 @@
 import random
 
 from ..errors import RefusalReason
+from ..scheduling.urgency import MAX_LATENCY_FACTOR, Urgency, latency_goal_s
 from ..settings.models import JobSettings
 from ..submissions.models import JobAnswer, JobRequest, refused_answer
 from .const import RETRY_AFTER_S
 from .waiting import WaitingTasks
 
 STOPPING_RETRY_AFTER_S = 0.1  # another entry can accept the job right away
-MAX_LATENCY_FACTOR = 3.0  # later than three times the latency goal, an answer is useless
 
 
 class Admission:
@@ -44,6 +44,9 @@
             return refused_answer(
                 RefusalReason.STOPPING, "this entry is stopping", STOPPING_RETRY_AFTER_S, count
             )
+        if forecast.end_s - now_s > latency_goal_s(settings, forecast.run_s):
+            # A job that will be late waits for all others of its priority.
+            forecast = self._waiting.forecast(request, settings, now_s, Urgency.LATE)
         limit_s = self._time_limit_s(request, settings, forecast.run_s)
         if forecast.end_s - now_s <= limit_s:
             return None
@@ -64,7 +67,4 @@
     def _time_limit_s(self, request: JobRequest, settings: JobSettings, run_s: float) -> float:
         """Return the time from arrival within which a job must finish to be useful."""
         limit_s = request.deadline_s or settings.deadline_s
-        if settings.slack_factor > 0.0:
-            latency_goal_s = settings.slack_factor * run_s + settings.target_latency_s
-            limit_s = min(limit_s, MAX_LATENCY_FACTOR * latency_goal_s)
-        return limit_s
+        return min(limit_s, MAX_LATENCY_FACTOR * latency_goal_s(settings, run_s))
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -1,8 +1,10 @@
 """Dispatcher: sends tasks to agents, processes their reports and answers submissions."""
 
+import random
 from collections.abc import Callable
 
 import trio
+from attrs import evolve
 
 from .. import clock, logs
 from ..consortium.view import ConsortiumView
@@ -23,6 +25,7 @@
 from ..submissions.models import JobAnswer, Submission, Task, failed_answer
 from .accounting import Accounting
 from .agents import Agent, AgentDirectory, AgentListener
+from .const import RETRY_AFTER_S
 from .waiting import Placement, WaitingTasks
 
 FATAL_REASONS = frozenset({RefusalReason.SEALED, RefusalReason.EXPIRED_ID, RefusalReason.INVALID})
@@ -106,6 +109,7 @@
                 await self._wakeup.wait()
             self._wakeup = trio.Event()
             now_s = clock.boot_s()
+            self.refuse_useless(now_s)
             self._expire_overdue(now_s)
             self.place(now_s)
 
@@ -408,6 +412,8 @@
             len(submission.tasks),
             submission.settled_count,
         )
+        if submission.failure == RefusalReason.OVERLOAD:
+            answer = evolve(answer, retry_after_s=RETRY_AFTER_S * random.uniform(0.9, 1.1))
         self._finish(submission, answer, now_s)
 
     def _answer_complete(self, submission: Submission, now_s: float) -> None:
@@ -446,6 +452,12 @@
                 detail = "not answered in time"
                 self._fail(submission, RefusalReason.DEADLINE, detail, now_s)
 
+    def refuse_useless(self, now_s: float) -> None:
+        """Refuse waiting submissions that have not run and whose answers would be useless."""
+        for submission in self.waiting.update_urgency(now_s):
+            detail = "waited so long that its answer would be useless"
+            self._fail(submission, RefusalReason.OVERLOAD, detail, now_s)
+
     def remove_answered(self, before_s: float) -> int:
         """Remove answered submissions received before a boot time; return their number."""
         expired = [
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from attrs import define, field, frozen
 
@@ -12,6 +13,7 @@
 from ..scheduling.models import SLOT_CPU_M, TargetLoad
 from ..scheduling.plan import PlacementPlan, TaskNeeds
 from ..scheduling.policy import ExpectedCompletion, SelectionPolicy, choose_target, make_policy
+from ..scheduling.urgency import Urgency, is_long_wait, latency_goal_s, urgency
 from ..settings.const import ROOT_PATH, Policy
 from ..settings.models import JobSettings
 from ..submissions.models import JobRequest, Submission, Task
@@ -45,24 +47,43 @@
     run_s: float
 
 
+class ServiceClass(NamedTuple):
+    """Waiting submissions that are served together; classes are served in ascending order."""
+
+    priority: int
+    urgency: Urgency
+
+
 @define
 class ServiceQueue:
-    """The waiting submissions of one service by priority, and the number of waiting tasks."""
+    """The waiting submissions of one service by class, and the number of waiting tasks."""
 
-    by_priority: dict[int, FairQueue[Submission]] = field(factory=dict)
+    by_class: dict[ServiceClass, FairQueue[Submission]] = field(factory=dict)
     waiting_tasks: int = 0
 
-    def queue_for(self, priority: int) -> FairQueue[Submission]:
-        """Return the queue of a priority, creating it if needed."""
-        return self.by_priority.setdefault(priority, FairQueue())
+    def queue_for(self, priority: int, waits_as: Urgency) -> FairQueue[Submission]:
+        """Return the queue of a class, creating it if needed."""
+        return self.by_class.setdefault(ServiceClass(priority, waits_as), FairQueue())
+
+    def queue_of(self, submission: Submission) -> FairQueue[Submission]:
+        """Return the queue in which a submission waits or is to wait."""
+        return self.queue_for(submission.settings.priority, submission.urgency)
 
     def nonempty_queues(self) -> list[FairQueue[Submission]]:
-        """Return the queues with submissions in order of priority, the lowest number first."""
-        return [queue for _, queue in sorted(self.by_priority.items()) if queue]
+        """Return the queues with submissions in order of service."""
+        return [queue for _, queue in sorted(self.by_class.items()) if queue]
+
+    def queues_up_to(self, last: ServiceClass) -> list[FairQueue[Submission]]:
+        """Return the queues that are served before or with a class."""
+        return [queue for key, queue in sorted(self.by_class.items()) if key <= last]
+
+    def all_items(self) -> list[Submission]:
+        """Return all waiting submissions."""
+        return [item for queue in self.by_class.values() for item in queue.all_items()]
 
     def items_of(self, member: str) -> list[Submission]:
         """Return all waiting submissions of a member."""
-        return [item for queue in self.by_priority.values() for item in queue.items_of(member)]
+        return [item for queue in self.by_class.values() for item in queue.items_of(member)]
 
 
 class WaitingTasks:
@@ -102,16 +123,65 @@
         queue.waiting_tasks -= len(submission.waiting)
         submission.unsettled_count -= len(submission.waiting)
         submission.waiting.clear()
-        fair_queue = queue.queue_for(submission.settings.priority)
-        fair_queue.remove(submission.request.member, submission)
+        queue.queue_of(submission).remove(submission.request.member, submission)
 
     def _service_queue(self, submission: Submission) -> ServiceQueue:
         return self._queues.setdefault(submission.settings.service, ServiceQueue())
 
     def _enqueue(self, queue: ServiceQueue, submission: Submission, front: bool = False) -> None:
-        settings = submission.settings
-        fair_queue = queue.queue_for(settings.priority)
-        fair_queue.push(submission.request.member, settings.weight, submission, front=front)
+        fair_queue = queue.queue_of(submission)
+        weight = submission.settings.weight
+        fair_queue.push(submission.request.member, weight, submission, front=front)
+
+    def update_urgency(self, now_s: float) -> list[Submission]:
+        """Let submissions that can't meet their goals wait behind the others of their priority.
+
+        Returns those whose answers would be useless although none of their tasks has run.
+        """
+        useless = []
+        for queue in self._queues.values():
+            if not queue.waiting_tasks:
+                continue
+            for submission in queue.all_items():
+                found = self._urgency(submission, now_s)
+                if found == Urgency.USELESS and submission.has_certainly_not_run:
+                    useless.append(submission)
+                if submission.urgency == Urgency.ON_TIME and found != Urgency.ON_TIME:
+                    queue.queue_of(submission).remove(submission.request.member, submission)
+                    submission.urgency = Urgency.LATE
+                    self._enqueue(queue, submission)
+            for key, fair_queue in queue.by_class.items():
+                if key.urgency == Urgency.ON_TIME:
+                    self._sort(fair_queue, now_s)
+        return useless
+
+    def _urgency(self, submission: Submission, now_s: float) -> Urgency:
+        goal_s, waited_s, run_s = self._times(submission, now_s)
+        return urgency(goal_s, waited_s, run_s)
+
+    def _times(self, submission: Submission, now_s: float) -> tuple[float, float, float]:
+        """Return a submission's latency goal, its wait so far and the run time of its next task."""
+        run_s = self._run_s(submission, submission.tasks[0])
+        goal_s = latency_goal_s(submission.settings, run_s)
+        return goal_s, now_s - submission.submitted_at_s, run_s
+
+    def _sort(self, fair_queue: FairQueue[Submission], now_s: float) -> None:
+        """Let the newest submissions go first while waits are long, and the oldest otherwise.
+
+        A submission of which a task has been placed stays ahead, so that it ends soon.
+        """
+        long_wait = any(
+            is_long_wait(*self._times(item, now_s))
+            for item in fair_queue.all_items()
+            if len(item.waiting) == len(item.tasks)
+        )
+        direction = -1.0 if long_wait else 1.0
+
+        def key(item: Submission) -> tuple[bool, float]:
+            untouched = len(item.waiting) == len(item.tasks)
+            return untouched, item.submitted_at_s * (direction if untouched else 1.0)
+
+        fair_queue.sort(key)
 
     def member_task_count(self, member: str) -> int:
         """Return the number of a member's waiting tasks."""
@@ -129,15 +199,15 @@
         queue = self._queues.get(settings.service)
         if not cores or queue is None:
             return 0.0
-        fair_queue = queue.queue_for(settings.priority)
+        fair_queue = queue.queue_for(settings.priority, Urgency.ON_TIME)
         own_s = self._waiting_core_s(fair_queue.items_of(request.member))
         all_others_s = self._waiting_core_s(fair_queue.all_items()) - own_s
         weights = fair_queue.total_weight(request.member, settings.weight)
         others_s = min(all_others_s, own_s * (weights - settings.weight) / settings.weight)
         higher_priority_s = sum(
             self._waiting_core_s(other.all_items())
-            for priority, other in queue.by_priority.items()
-            if priority < settings.priority
+            for key, other in queue.by_class.items()
+            if key.priority < settings.priority
         )
         return (higher_priority_s + own_s + others_s) / cores
 
@@ -165,16 +235,22 @@
         """Return the number of waiting tasks."""
         return sum(queue.waiting_tasks for queue in self._queues.values())
 
-    def forecast(self, request: JobRequest, settings: JobSettings, now_s: float) -> Forecast:
-        """Return the expected completion of a job that arrives now.
-
-        Waiting tasks of the same or a higher priority are planned ahead of it.
+    def forecast(
+        self,
+        request: JobRequest,
+        settings: JobSettings,
+        now_s: float,
+        waits_as: Urgency = Urgency.ON_TIME,
+    ) -> Forecast:
+        """Return the expected completion of a job that arrives now and waits with an urgency.
+
+        Waiting tasks that are served before or with its class are planned ahead of it.
         """
         root = self._view.state.settings(ROOT_PATH)
         mean_s = self.estimates.expected_run_s(request.path)
         targets = self._eligible_targets(settings.service, now_s)
         plan = PlacementPlan(targets, now_s, 0.0, root.ramp_s, mean_s, max_queued=math.inf)
-        for needs in self._needs_ahead(settings):
+        for needs in self._needs_ahead(settings, waits_as):
             plan.assign_slot(needs)
         end_s = now_s
         for spec in request.tasks:
@@ -188,14 +264,13 @@
         path = request.path
         return max(self.estimates.expected_run_s(path, spec.declared_s) for spec in request.tasks)
 
-    def _needs_ahead(self, settings: JobSettings) -> list[TaskNeeds]:
+    def _needs_ahead(self, settings: JobSettings, waits_as: Urgency) -> list[TaskNeeds]:
         queue = self._queues.get(settings.service)
         if queue is None:
             return []
         return [
             self.task_needs(submission, task)
-            for priority, fair_queue in sorted(queue.by_priority.items())
-            if priority <= settings.priority
+            for fair_queue in queue.queues_up_to(ServiceClass(settings.priority, waits_as))
             for submission in fair_queue.all_items()
             for task in submission.waiting
         ]
--- a/pistachiohill/scheduling/fair_queue.py
+++ b/pistachiohill/scheduling/fair_queue.py
@@ -7,7 +7,8 @@
 
 import heapq
 from collections import deque
-from typing import Generic, TypeVar
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar
 
 from attrs import define, field
 
@@ -55,6 +56,12 @@
         if queue is not None and item in queue.items:
             queue.items.remove(item)
 
+    def sort(self, key: Callable[[T], tuple[Any, ...]]) -> None:
+        """Sort the items of each member."""
+        for queue in self._members.values():
+            if len(queue.items) > 1:
+                queue.items = deque(sorted(queue.items, key=key))
+
     def items_of(self, member: str) -> tuple[T, ...]:
         """Return the items of a member in queue order."""
         queue = self._members.get(member)
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -9,6 +9,7 @@
 from ..errors import RefusalReason, Verdict
 from ..protocol.models import ForwardReply, TaskReport
 from ..scheduling.models import Demand
+from ..scheduling.urgency import Urgency
 from ..settings.models import JobSettings
 from .identifiers import parse_submission_id
 
@@ -136,6 +137,7 @@
         unsettled_count: Number of tasks without a final report.
         repeated_verdict: Verdict on ended runs whose tasks were started again.
         outstanding: Number of tasks that are placed at agents.
+        urgency: Whether the waiting tasks can still end in time.
     """
 
     submission_id: str
@@ -149,11 +151,18 @@
     unsettled_count: int
     repeated_verdict: Verdict = Verdict.NOT_RUN
     outstanding: int = 0
+    urgency: Urgency = Urgency.ON_TIME
     failure: RefusalReason | None = None
     failure_detail: str = ""
     answer: JobAnswer | None = None
     done: trio.Event = field(factory=trio.Event)
 
+    @property
+    def has_certainly_not_run(self) -> bool:
+        """Return whether all tasks wait, and no start of any of them is unaccounted for."""
+        waiting = len(self.waiting) == len(self.tasks)
+        return waiting and self.verdict() == Verdict.NOT_RUN
+
     @property
     def settled_count(self) -> int:
         """Return the number of settled tasks."""
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -2,7 +2,8 @@
 
 from attrs import define
 
-from pistachiohill.entry.admission import MAX_LATENCY_FACTOR, Admission
+from pistachiohill.entry.admission import Admission
+from pistachiohill.scheduling.urgency import MAX_LATENCY_FACTOR
 from pistachiohill.settings.models import JobSettings
 from pistachiohill.submissions.models import JobRequest, TaskSpec
 
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -12,6 +12,8 @@
 from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.entry.peer_clock import StallDetector
 from pistachiohill.errors import RefusalReason, Verdict
+from pistachiohill.platform.manifest import build_settings_nodes
+from pistachiohill.platform.models import Manifest
 from pistachiohill.protocol.models import AgentLoad, Message, StartTasks, TaskReport, TaskReports
 from pistachiohill.scheduling.models import TargetLoad
 from pistachiohill.settings.models import JobSettings
@@ -45,6 +47,7 @@
 
     def __init__(self, agents: int) -> None:
         view = ConsortiumView()
+        view.state.replace_nodes(build_settings_nodes(Manifest(1, ()), 0, {}), 0, 1)
         self.directory = AgentDirectory("e", "", 0.3, (), view, ("e", 1), 4, lambda now_s: now_s)
         self.agents: list[Agent] = []
         self.links: list[Any] = []
@@ -74,11 +77,21 @@
                 report = TaskReport(
                     task.index, task.attempt, TaskState.SETTLED, verdict, reason=reason, run_s=0.1
                 )
-                message = TaskReports(submission.submission_id, 0.0, NO_LOAD, [report])
-                self.directory._handle_answer(message, agent, self.dispatcher, now_s)
+                self._receive(agent, submission.submission_id, report, now_s)
                 count += 1
         return count
 
+    def report(
+        self, agent: int, submission_id: str, index: int, attempt: int, run_s: float, now_s: float
+    ) -> None:
+        """Report a task as run successfully."""
+        report = TaskReport(index, attempt, TaskState.SETTLED, Verdict.RAN, run_s=run_s)
+        self._receive(self.agents[agent], submission_id, report, now_s)
+
+    def _receive(self, agent: Agent, submission_id: str, report: TaskReport, now_s: float) -> None:
+        message = TaskReports(submission_id, 0.0, NO_LOAD, [report])
+        self.directory._handle_answer(message, agent, self.dispatcher, now_s)
+
 
 class RepeatedRunsTest(TestCase):
     def run_interrupted(self, verdict: Verdict, reason: RefusalReason) -> Submission:
