--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -40,6 +40,7 @@
 from .leases import EntryLeases
 from .metrics import AgentMetrics
 from .models import TargetCall, TargetResult, TargetState, TaskTarget
+from .reports import ReportSender
 from .resources import Reservation, ResourceTracker, SentLoad
 from .start_table import StartTable, SubmissionRecord
 from .view import AgentView
@@ -69,17 +70,6 @@
         return self.reservation.priority, self.sequence
 
 
-@define(slots=True)
-class Subscription:
-    """Links that receive the reports of a submission, and the reports not sent yet."""
-
-    links: set[Link]
-    pending: list[TaskReport]
-    report_immediately: bool = False
-    flush_scheduled: bool = False
-    unsettled: int = 0
-
-
 class TaskRunner:
     """Manages the start table, the queue and the running tasks of one agent."""
 
@@ -107,7 +97,9 @@
         self._resources = ResourceTracker()
         self._queue: list[AdmittedTask] = []
         self._running: set[AdmittedTask] = set()
-        self._subscriptions: dict[str, Subscription] = {}
+        self._reports = ReportSender(
+            settings.report_interval_s, nursery, metrics, self.record_sent_load
+        )
         self._refresh_pending = False
         self._idle = trio.Event()
         self._sequence = 0
@@ -182,8 +174,7 @@
         self.links.discard(link)
         self._sent_loads.pop(link, None)
         self._echoed_at_s.pop(link, None)
-        for subscription in self._subscriptions.values():
-            subscription.links.discard(link)
+        self._reports.remove_link(link)
 
     def merge_stamp(self, link: Link, stamp: ViewStamp, now_s: float) -> None:
         """Merge an entry's view stamp, and renew the entry's lease by the echo in it."""
@@ -199,7 +190,7 @@
         record.member = message.member
         record.task_count = message.task_count
         record.best_effort = message.best_effort
-        subscription = self._subscribe(message.submission_id, link)
+        self._reports.subscribe(message.submission_id, link)
         refusal = self._batch_refusal(message, now_s)
         for task in message.tasks:
             self._admit(record, link, refusal, message, task, now_s)
@@ -209,19 +200,18 @@
             # would be stopped.
             link.send(FreshnessRequest(now_s))
         self._start_queued(now_s)
-        self._flush_or_schedule(record.submission_id, subscription)
+        self._reports.flush_or_schedule(record.submission_id)
 
     def query(self, link: Link, message: QueryTasks, now_s: float) -> None:
         """Reply with the state of placements, and fence those that are unknown."""
         record = self.table.get_or_create(message.submission_id, now_s)
-        subscription = self._subscribe(message.submission_id, link)
+        self._reports.subscribe(message.submission_id, link, immediately=True)
         for task in self._queue:
             if task.record is record and task.ref in message.tasks:
                 task.link = link
         reports = self.table.query(record, message.tasks)
         settled = [report for report in reports if report.state != TaskState.QUEUED]
         settled = [report for report in settled if report.state != TaskState.RUNNING]
-        subscription.report_immediately = True
         load = self.record_sent_load(link, now_s)
         link.send(TaskReports(message.submission_id, now_s, load, settled))
 
@@ -244,7 +234,7 @@
             record = self.table.get_or_create(submission_id, now_s)
             self._withdraw_submission(record, RefusalReason.SEALED)
             sealed.append(self.table.seal(submission_id, now_s))
-            self._subscribe(submission_id, link).report_immediately = True
+            self._reports.subscribe(submission_id, link, immediately=True)
         link.send(SealReply(message.request_id, self.announce_offset, sealed))
 
     def shed(self, reason: RefusalReason, now_s: float) -> int:
@@ -276,9 +266,7 @@
             now_s = clock.boot_s()
             self.table.expire(now_s)
             self.leases.expire(now_s)
-            expired = [key for key in self._subscriptions if self.table.find(key) is None]
-            for submission_id in expired:
-                del self._subscriptions[submission_id]
+            self._reports.expire(lambda key: self.table.find(key) is not None)
 
     async def async_watch_leases(self) -> None:
         """Check the leases of entries periodically until cancelled."""
@@ -306,13 +294,6 @@
                 age_s = self.leases.age_s(owner, now_s)
                 logs.warning("entry_lease_ended", entry=owner, tasks=count, age_s=age_s)
 
-    def _subscribe(self, submission_id: str, link: Link) -> Subscription:
-        subscription = self._subscriptions.get(submission_id)
-        if subscription is None:
-            subscription = self._subscriptions[submission_id] = Subscription(set(), [])
-        subscription.links.add(link)
-        return subscription
-
     def _batch_refusal(self, message: StartTasks, now_s: float) -> RefusalReason | None:
         """Return why all tasks of a message must be refused, or None."""
         if not message.best_effort:
@@ -352,11 +333,11 @@
                 view_age_s=self.view.age_s(now_s),
                 queued=len(self._queue),
             )
-            self._report(record, self.table.refuse(record, ref, refusal))
+            self._reports.report(record.submission_id, self.table.refuse(record, ref, refusal))
             return
         known = self.table.admit(record, ref)
         if known is not None:
-            self._report(record, known)
+            self._reports.report(record.submission_id, known)
             return
         self._sequence += 1
         reservation = Reservation(link.peer_incarnation, demand, message.priority, task.run_s)
@@ -371,7 +352,7 @@
             self._sequence,
             now_s,
         )
-        self._subscriptions[record.submission_id].unsettled += 1
+        self._reports.task_admitted(record.submission_id)
         self._resources.admit(reservation)
         insort(self._queue, queued, key=lambda item: item.sort_key)
         self._signal_load_changed()
@@ -470,9 +451,9 @@
         )
         self.table.settle(task.record, report)
         self._record_outcome(task, report, started_s - task.admitted_at_s)
-        self._subscriptions[task.record.submission_id].unsettled -= 1
+        self._reports.task_settled(task.record.submission_id)
         self._start_queued(now_s)
-        self._report(task.record, report)
+        self._reports.report(task.record.submission_id, report)
         self._signal_load_changed()
         if not self.occupied:
             self._idle.set()
@@ -542,10 +523,10 @@
             reason=reason,
         )
         report = self.table.withdraw(task.record, task.ref, reason)
-        self._subscriptions[task.record.submission_id].unsettled -= 1
+        self._reports.task_settled(task.record.submission_id)
         if report is None:
             return False
-        self._report(task.record, report)
+        self._reports.report(task.record.submission_id, report)
         if not self.occupied:
             self._idle.set()
         return True
@@ -557,39 +538,6 @@
         """Create a new event for the next load change."""
         self._load_changed = trio.Event()
 
-    def _report(self, record: SubmissionRecord, report: TaskReport) -> None:
-        if report.state in (TaskState.QUEUED, TaskState.RUNNING):
-            return
-        self._metrics.reports.labels(report.verdict, report.reason or "none").inc()
-        subscription = self._subscriptions.get(record.submission_id)
-        if subscription is None:
-            return
-        subscription.pending.append(report)
-        self._flush_or_schedule(record.submission_id, subscription)
-
-    def _flush_or_schedule(self, submission_id: str, subscription: Subscription) -> None:
-        if not subscription.pending:
-            return
-        if subscription.unsettled <= 0 or subscription.report_immediately:
-            self._flush(submission_id, subscription)
-        elif not subscription.flush_scheduled:
-            subscription.flush_scheduled = True
-            self._nursery.start_soon(self._async_flush_later, submission_id, subscription)
-
-    async def _async_flush_later(self, submission_id: str, subscription: Subscription) -> None:
-        await trio.sleep(self._settings.report_interval_s)
-        subscription.flush_scheduled = False
-        self._flush(submission_id, subscription)
-
-    def _flush(self, submission_id: str, subscription: Subscription) -> None:
-        if not subscription.pending:
-            return
-        now_s = clock.boot_s()
-        reports, subscription.pending = subscription.pending, []
-        for link in subscription.links:
-            load = self.record_sent_load(link, now_s)
-            link.send(TaskReports(submission_id, now_s, load, reports))
-
 
 def _target_call(message: StartTasks, task: TaskStart, demand: Demand) -> TargetCall:
     name = message.job_key or message.submission_id
