--- a/pistachiohill/explain/cause.py
+++ b/pistachiohill/explain/cause.py
@@ -20,6 +20,8 @@
         return Diagnosis(Outcome.CALLER_LEFT, "caller left", detail, waited_s)
     if answered is None or (accepted is not None and accepted.at_s > answered.at_s):
         return _diagnose_unanswered(timeline)
+    if answered.text("verdict") == "not_run":
+        return _diagnose_refused(answered)
     if answered.text("state") != "complete":
         return _diagnose_failed(timeline, answered)
     return _diagnose_complete(timeline, answered)
--- a/tests/explain/test_cause.py
+++ b/tests/explain/test_cause.py
@@ -56,6 +56,13 @@
         )
         self.assertIn("nothing ran", diagnosis.detail)
 
+    def test_a_job_that_waited_until_it_was_useless_is_a_refusal(self) -> None:
+        end = answered(2.0, "failed", verdict="not_run", reason="overload", detail="waited")
+        diagnosis = diagnose(accepted(), end)
+        self.assertEqual(
+            (Outcome.REFUSED, "refused: overload"), (diagnosis.outcome, diagnosis.cause)
+        )
+
     def test_run_time_is_the_cause_of_a_normal_job(self) -> None:
         diagnosis = diagnose(accepted(), placed(1.01), ran(1.2, 0, 0.0, 0.18), answered(1.21))
         self.assertEqual((Outcome.COMPLETE, "run time"), (diagnosis.outcome, diagnosis.cause))
