--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -360,7 +360,7 @@
         PLATFORM_TESTS + "test_an_unreachable_agent_keeps_running",
         (
             Edit(
-                "pistachiohill/entry/agents.py",
+                "pistachiohill/entry/agent.py",
                 "        return end_s + RUNNER_LEASE_S + LEASE_MARGIN_S",
                 "        return 0.0",
             ),
--- /dev/null
+++ b/pistachiohill/entry/agent.py
@@ -0,0 +1,105 @@
+"""State of an agent as seen by one entry, and the interface of those who follow its changes."""
+
+from attrs import define, field
+
+from ..agent.const import ENTRY_LEASE_S, LEASE_S, MAX_CLOCK_DRIFT
+from ..consortium.const import NO_OFFSET
+from ..protocol.link import Link
+from ..protocol.models import AgentLoad, SealReply, TaskReports
+from ..scheduling.models import TargetLoad
+from ..submissions.models import Submission, Task
+from .agent_assignment import Address
+from .const import LEASE_MARGIN_S
+from .peer_clock import PeerClock
+
+RUNNER_LEASE_S = LEASE_S * (1.0 + MAX_CLOCK_DRIFT)
+
+
+@define(eq=False)
+class Agent:
+    """State of one agent incarnation as seen by this entry.
+
+    Fields:
+        incarnation, address, domain: Identity, address and failure domain of the agent.
+        load: Scheduling state of its target.
+        link: The open link, None while disconnected.
+        service: Service of its target.
+        accepting: Whether it accepts tasks.
+        announce_offset: Offset of its announcement, NO_OFFSET while unknown.
+        applied_offset, view_age_s: Settings offset and view age that it last reported.
+        clock: What is known of the agent's clock.
+        last_sent_at_s: When the last message was sent on the most recently closed link.
+        dead_at_s: When the process was found to be dead, None while it may be alive.
+        lost: Whether the incarnation is known to have ended.
+        awaited_since_s: When the oldest unanswered view stamp or request was sent, None if none is.
+        outstanding: Tasks that are placed there and not settled.
+    """
+
+    incarnation: str
+    address: Address
+    domain: str
+    load: TargetLoad
+    link: Link | None = None
+    service: str = ""
+    accepting: bool = False
+    announce_offset: int = NO_OFFSET
+    applied_offset: int = NO_OFFSET
+    view_age_s: float = 0.0
+    clock: PeerClock = field(factory=PeerClock)
+    last_sent_at_s: float = 0.0
+    dead_at_s: float | None = None
+    lost: bool = False
+    awaited_since_s: float | None = None
+    outstanding: dict[tuple[str, int], tuple[Submission, Task]] = field(factory=dict)
+
+    def record_load(self, load: AgentLoad, now_s: float) -> None:
+        """Store the load that other entries have placed at the agent."""
+        self.load.others = load.others
+        self.load.others_cpu_m = load.others_cpu_m
+        self.load.others_mem_mb = load.others_mem_mb
+        self.load.waits_s = tuple(load.waits_s)
+        self.load.reported_at_s = now_s
+
+    def runs_end_s(self) -> float:
+        """Return when best-effort runs have certainly ended, if nothing more is sent to the agent.
+
+        The agent stops them when this entry's lease expires. If the agent dies before that, they
+        end with the agent's own lease at the runner.
+        """
+        sent_at_s = self.link.sent_at_s if self.link is not None else self.last_sent_at_s
+        end_s = sent_at_s + ENTRY_LEASE_S
+        if self.dead_at_s is not None:
+            end_s = min(end_s, self.dead_at_s)
+        return end_s + RUNNER_LEASE_S + LEASE_MARGIN_S
+
+
+class AgentListener:
+    """Interface for receivers of agent events, such as the dispatcher."""
+
+    def link_opened(self, agent: Agent, now_s: float) -> None:
+        """Handle a newly opened link."""
+        raise NotImplementedError
+
+    def agent_changed(self, agent: Agent, now_s: float) -> None:
+        """Handle a change of an agent's state, capacity or domain."""
+        raise NotImplementedError
+
+    def agent_lost(self, agent: Agent, now_s: float) -> None:
+        """Handle an incarnation that is known to have ended; its runs may continue for a while."""
+        raise NotImplementedError
+
+    def link_closed(self, agent: Agent) -> None:
+        """Handle the end of a link."""
+        raise NotImplementedError
+
+    def runs_ended(self, agent: Agent, now_s: float) -> None:
+        """Handle the expiry of an agent's leases: its best-effort runs have certainly ended."""
+        raise NotImplementedError
+
+    def tasks_reported(self, agent: Agent, message: TaskReports, now_s: float) -> None:
+        """Handle task reports of an agent."""
+        raise NotImplementedError
+
+    def seal_replied(self, agent: Agent, message: SealReply, now_s: float) -> None:
+        """Handle an agent's reply to a seal request."""
+        raise NotImplementedError
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -24,50 +24,19 @@
 from ..settings.const import ROOT_PATH
 from ..submissions.models import JobAnswer, Submission, Task, failed_answer
 from .accounting import Accounting
-from .agents import Agent, AgentDirectory, AgentListener
+from .agent import Agent, AgentListener
+from .agents import AgentDirectory
 from .const import RETRY_AFTER_S
+from .retry_rules import (
+    AVOID_AGENT_REASONS,
+    TARGET_FAULT_REASONS,
+    UNAVAILABLE_REASONS,
+    UNCOUNTED_REASONS,
+    fatal_reasons,
+    may_run_again,
+)
 from .waiting import Placement, WaitingTasks
 
-FATAL_REASONS = frozenset({RefusalReason.SEALED, RefusalReason.EXPIRED_ID, RefusalReason.INVALID})
-UNAVAILABLE_REASONS = frozenset(
-    {RefusalReason.LEAVING, RefusalReason.DOMAIN_OUT, RefusalReason.STOPPING}
-)
-AVOID_AGENT_REASONS = frozenset(
-    {
-        RefusalReason.WRONG_INCARNATION,
-        RefusalReason.TARGET_FAILED,
-        RefusalReason.TARGET_LOST,
-        RefusalReason.TARGET_REFUSED,
-    }
-)
-TARGET_FAULT_REASONS = frozenset(
-    {
-        RefusalReason.TARGET_FAILED,
-        RefusalReason.TARGET_LOST,
-        RefusalReason.TARGET_REFUSED,
-        RefusalReason.TARGET_TIMEOUT,
-    }
-)
-INTERRUPTED_REASONS = frozenset(
-    {
-        RefusalReason.CANCELLED,
-        RefusalReason.LEASE_ENDED,
-        RefusalReason.LOST_AGENT,
-        RefusalReason.TARGET_LOST,
-    }
-)
-# A task that was stopped or could not start for these reasons is placed again without limit, until
-# its job's deadline: neither the task nor its targets are at fault.
-UNCOUNTED_REASONS = (
-    INTERRUPTED_REASONS
-    | UNAVAILABLE_REASONS
-    | {
-        RefusalReason.BUSY,
-        RefusalReason.FENCED,
-        RefusalReason.STALE_VIEW,
-        RefusalReason.WRONG_INCARNATION,
-    }
-)
 POLL_INTERVAL_S = 0.25
 BUSY_POLL_INTERVAL_S = 0.02  # while tasks wait for capacity that is expected to become free
 MIN_TIMEOUT_S = 0.01
@@ -307,7 +276,7 @@
             self._accounting.record_wasted("refused")
             self._retry_task(agent, submission, task, report, now_s)
             return
-        if submission.settings.best_effort and _may_run_again(submission, task, report):
+        if submission.settings.best_effort and may_run_again(submission, task, report):
             self._accounting.record_wasted("run_again")
             submission.repeated_verdict = Verdict(report.verdict)
             self._retry_task(agent, submission, task, report, now_s)
@@ -357,7 +326,7 @@
             agent.accepting = False
         if reason in AVOID_AGENT_REASONS:
             task.refused_by.add(agent.incarnation)
-        if submission.failure is not None or reason in _fatal_reasons(submission):
+        if submission.failure is not None or reason in fatal_reasons(submission):
             self._record_outcome(submission, task, report, now_s)
             return
         task.restarts += reason not in UNCOUNTED_REASONS
@@ -468,24 +437,3 @@
         for submission_id in expired:
             del self.submissions[submission_id]
         return len(expired)
-
-
-def _fatal_reasons(submission: Submission) -> frozenset[RefusalReason]:
-    """Return the refusal reasons after which a task must not be placed at another agent."""
-    if submission.settings.best_effort:
-        return frozenset({RefusalReason.INVALID})
-    return FATAL_REASONS
-
-
-def _may_run_again(submission: Submission, task: Task, report: TaskReport) -> bool:
-    """Return whether to run a best-effort task again after its run has ended.
-
-    An interrupted run does not count against the job's `max_runs`; a failed run does, and is
-    counted here.
-    """
-    if report.reason in INTERRUPTED_REASONS:
-        return True
-    if report.reason != RefusalReason.TARGET_FAILED:
-        return False
-    task.failed_runs += 1
-    return task.failed_runs < submission.settings.max_runs
--- a/pistachiohill/entry/recovery.py
+++ b/pistachiohill/entry/recovery.py
@@ -11,7 +11,8 @@
 from ..submissions.identifiers import SubmissionId
 from ..submissions.models import JobAnswer, failed_answer
 from ..submissions.recovery import SealReports, decide_answer
-from .agents import Agent, AgentDirectory, AgentListener
+from .agent import Agent, AgentListener
+from .agents import AgentDirectory
 from .const import SEAL_BATCH_DELAY_S, SEAL_TIMEOUT_S
 
 CATCH_UP_TIMEOUT_S = 2.0
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -2,9 +2,8 @@
 
 import math
 from collections.abc import Iterable
-from typing import NamedTuple
 
-from attrs import define, field, frozen
+from attrs import define, frozen
 
 from ..consortium.const import NO_OFFSET
 from ..consortium.view import ConsortiumView
@@ -18,8 +17,10 @@
 from ..settings.models import JobSettings
 from ..submissions.models import JobRequest, Submission, Task
 from .accounting import Accounting
-from .agents import Agent, AgentDirectory
+from .agent import Agent
+from .agents import AgentDirectory
 from .const import SUSPECT_SILENCE_S
+from .service_queue import ServiceClass, ServiceQueue
 
 MAX_PLANNED_TASKS = 2000  # bounds the duration of one planning round
 SIMPLE_POLICY_QUEUE_TASKS = 8  # queued at an agent beyond its target's capacity
@@ -47,45 +48,6 @@
     run_s: float
 
 
-class ServiceClass(NamedTuple):
-    """Waiting submissions that are served together; classes are served in ascending order."""
-
-    priority: int
-    urgency: Urgency
-
-
-@define
-class ServiceQueue:
-    """The waiting submissions of one service by class, and the number of waiting tasks."""
-
-    by_class: dict[ServiceClass, FairQueue[Submission]] = field(factory=dict)
-    waiting_tasks: int = 0
-
-    def queue_for(self, priority: int, waits_as: Urgency) -> FairQueue[Submission]:
-        """Return the queue of a class, creating it if needed."""
-        return self.by_class.setdefault(ServiceClass(priority, waits_as), FairQueue())
-
-    def queue_of(self, submission: Submission) -> FairQueue[Submission]:
-        """Return the queue in which a submission waits or is to wait."""
-        return self.queue_for(submission.settings.priority, submission.urgency)
-
-    def nonempty_queues(self) -> list[FairQueue[Submission]]:
-        """Return the queues with submissions in order of service."""
-        return [queue for _, queue in sorted(self.by_class.items()) if queue]
-
-    def queues_up_to(self, last: ServiceClass) -> list[FairQueue[Submission]]:
-        """Return the queues that are served before or with a class."""
-        return [queue for key, queue in sorted(self.by_class.items()) if key <= last]
-
-    def all_items(self) -> list[Submission]:
-        """Return all waiting submissions."""
-        return [item for queue in self.by_class.values() for item in queue.all_items()]
-
-    def items_of(self, member: str) -> list[Submission]:
-        """Return all waiting submissions of a member."""
-        return [item for queue in self.by_class.values() for item in queue.items_of(member)]
-
-
 class WaitingTasks:
     """Fair queues for each service, and the placement policy that takes tasks from them."""
 
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -7,7 +7,8 @@
 from pistachiohill.consortium.view import ConsortiumView
 from pistachiohill.const import JobState, TaskState
 from pistachiohill.entry.accounting import Accounting
-from pistachiohill.entry.agents import Agent, AgentDirectory
+from pistachiohill.entry.agent import Agent
+from pistachiohill.entry.agents import AgentDirectory
 from pistachiohill.entry.dispatcher import Dispatcher
 from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.entry.peer_clock import StallDetector
