Keep the median factor of a service's targets at 1; wait during startup while agents are being linked

The factors of its targets had grown from 1.3 to 7.2 on average within 36 s, and the means of its jobs had shrunk as much: runs fix only the products, and runs that spread against declarations that are wrong push the factors up. Goals follow from the means, so they shrank too; an entry that runs for an hour would refuse nearly everything. Ruled out: few agents at that entry (7 to 10 of 11 were in use). Change: every 32 runs the estimates of the service are scaled so that the median factor is 1. During the first 4 s a job that would be refused waits while agents are still being linked, up to its limit.

--- a/pistachiohill/entry/admission.py
+++ b/pistachiohill/entry/admission.py
@@ -59,6 +59,18 @@
         """Return whether any target accepts tasks of a job's service."""
         return self._waiting.has_target(settings.service)
 
+    def should_wait(self, request: JobRequest, settings: JobSettings, now_s: float) -> bool:
+        """Return whether a job that arrives during startup has better prospects a little later.
+
+        After a restart the first agents are linked before the others, and they alone can't serve
+        all callers that come back.
+        """
+        if not self.has_target(settings):
+            return True
+        if not self._waiting.expects_more_targets():
+            return False
+        return self.check(request, settings, now_s) is not None
+
     def max_target_wait_s(self, request: JobRequest, settings: JobSettings) -> float:
         """Return how long a job may wait for a first target and still finish in time."""
         run_s = self._waiting.longest_run_s(request)
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -131,6 +131,11 @@
         count = self._entries_per_agent
         return {item for item in agents if is_served(format_address(item), own_name, names, count)}
 
+    def is_linking(self) -> bool:
+        """Return whether some of the agents that this entry serves are not linked."""
+        linked = {agent.address for agent in self.agents.values() if agent.link is not None}
+        return not self._served <= linked
+
     def _release_agent(self, agent: Agent) -> None:
         """Stop using an agent that this entry no longer serves; close its link once it is idle."""
         agent.accepting = False
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -18,7 +18,7 @@
 from ..submissions.models import JobAnswer, JobRequest, Submission, new_submission
 from .accounting import Accounting
 from .admission import Admission
-from .const import DRAIN_POLL_S, STARTUP_GRACE_S, STARTUP_POLL_S
+from .const import DRAIN_POLL_S, STARTUP_GRACE_S, STARTUP_POLL_S, STARTUP_RECHECK_S
 from .dispatcher import Dispatcher
 
 
--- a/pistachiohill/entry/const.py
+++ b/pistachiohill/entry/const.py
@@ -22,6 +22,7 @@
 OWNER_LINK_GRACE_S: Final = 0.5
 STARTUP_GRACE_S: Final = 4.0  # covers a runner's heartbeat interval plus connecting to its agent
 STARTUP_POLL_S: Final = 0.02
+STARTUP_RECHECK_S: Final = 0.1  # a check plans the job, which takes about a millisecond
 DRAIN_POLL_S: Final = 0.05
 RETRY_AFTER_S: Final = 1.0
 MAX_IDS_PER_REQUEST: Final = 1000
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -284,9 +284,7 @@
         if submission.failure is not None and report.verdict == Verdict.RAN:
             self._accounting.record_wasted("cancelled_after_start")
         if report.verdict == Verdict.RAN and not report.reason:
-            self.waiting.estimates.record_run(
-                submission.request.path, agent.load.mean_factor, report.run_s, task.spec.declared_s
-            )
+            self.waiting.record_run(agent, submission, task, report.run_s)
             agent.load.factor_updated_at_s = now_s
         self._record_outcome(submission, task, report, now_s)
 
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -23,6 +23,7 @@
 from .service_queue import ServiceClass, ServiceQueue
 
 MAX_PLANNED_TASKS = 2000  # bounds the duration of one planning round
+ANCHOR_INTERVAL_RUNS = 32  # the factors drift by a few thousandths in a run
 SIMPLE_POLICY_QUEUE_TASKS = 8  # queued at an agent beyond its target's capacity
 
 
@@ -56,6 +57,7 @@
     ) -> None:
         """Initialize without tasks."""
         self.estimates = RunEstimates()
+        self._runs_until_anchor = ANCHOR_INTERVAL_RUNS
         self._view = view
         self._directory = directory
         self._accounting = accounting
@@ -184,6 +186,17 @@
     def _run_s(self, submission: Submission, task: Task) -> float:
         return self.estimates.expected_run_s(submission.request.path, task.spec.declared_s)
 
+    def record_run(self, agent: Agent, submission: Submission, task: Task, run_s: float) -> None:
+        """Learn from the run time of a task that an agent has run."""
+        path, service = submission.request.path, submission.settings.service
+        factor = agent.load.mean_factor
+        self.estimates.record_run(path, factor, run_s, task.spec.declared_s, service)
+        self._runs_until_anchor -= 1
+        if self._runs_until_anchor <= 0:
+            self._runs_until_anchor = ANCHOR_INTERVAL_RUNS
+            targets = [item.load.mean_factor for item in self.agents_of(service)]
+            self.estimates.anchor(service, targets)
+
     def task_needs(self, submission: Submission, task: Task) -> TaskNeeds:
         """Return a task's resource needs for planning."""
         run_s = self._run_s(submission, task)
@@ -241,6 +254,10 @@
         """Return whether any connected agent of a service accepts tasks."""
         return bool(self.agents_of(service))
 
+    def expects_more_targets(self) -> bool:
+        """Return whether some of the agents of this entry are not connected yet."""
+        return self._directory.is_linking()
+
     def place(self, now_s: float) -> list[Placement]:
         """Remove and return the tasks to place now, in fair-queue order up to capacity."""
         self._refresh_policy()
--- a/pistachiohill/scheduling/estimates.py
+++ b/pistachiohill/scheduling/estimates.py
@@ -3,9 +3,16 @@
 The expected run time of a task at a target is the mean of its job times the factor of the target. A
 target's factor is shared by all jobs. Declared run times are only rough: a task that is declared
 longer than the other tasks of its job is expected to take longer, but by less than declared.
+
+Runs determine only the products of means and factors. With run times that spread and declarations
+that are wrong, the factors of all targets would grow, and the means of all jobs shrink, without
+bound. The median factor of a service's targets is therefore kept at 1: a job's mean is its run time
+at a target of median speed.
 """
 
 import math
+from collections.abc import Sequence
+from statistics import median
 
 from attrs import define, field
 
@@ -37,10 +44,11 @@
 
 @define
 class JobRunTimes:
-    """Mean actual and mean declared run time of a job's tasks, in seconds."""
+    """Mean actual and mean declared run time of a job's tasks in seconds, and its service."""
 
     actual: RunningMean
     declared: RunningMean
+    service: str = ""
 
 
 @define
@@ -63,15 +71,31 @@
             declared_s / run_times.declared.value, DECLARED_EXPONENT
         )
 
+    def anchor(self, service: str, factors: Sequence[RunningMean]) -> None:
+        """Scale the estimates of a service so that the median factor of its targets is 1."""
+        if not factors:
+            return
+        scale = median(factor.value for factor in factors)
+        for factor in factors:
+            factor.value /= scale
+        for job in self._jobs.values():
+            if job.service == service:
+                job.actual.value *= scale
+
     def record_run(
-        self, job_path: str, factor: RunningMean, run_s: float, declared_s: float = 0.0
+        self,
+        job_path: str,
+        factor: RunningMean,
+        run_s: float,
+        declared_s: float = 0.0,
+        service: str = "",
     ) -> None:
         """Update the mean of a job and the factor of a target with the run time of one task."""
         job = self._jobs.get(job_path)
         if job is None:
             self._evict_oldest()
             run = RunningMean(run_s / factor.value, samples=1)
-            self._jobs[job_path] = JobRunTimes(run, RunningMean(declared_s, samples=1))
+            self._jobs[job_path] = JobRunTimes(run, RunningMean(declared_s, samples=1), service)
             return
         expected_s = max(self.expected_run_s(job_path, declared_s), MIN_RUN_S)
         factor.update(min(MAX_FACTOR, max(MIN_FACTOR, run_s / expected_s)), FACTOR_MIN_WEIGHT)
--- a/tests/entry/test_best_effort.py
+++ b/tests/entry/test_best_effort.py
@@ -36,14 +36,21 @@
 
 @define
 class StubAdmission:
-    """Refuses jobs while there is no target; a job may wait up to `wait_s` for a target."""
+    """Refuses jobs while there is no target; a job may wait up to `wait_s` for a target.
+
+    While `linking`, the targets that are known can't serve the job.
+    """
 
     wait_s: float
     target: bool = False
+    linking: bool = False
 
     def has_target(self, settings: JobSettings) -> bool:
         return self.target
 
+    def should_wait(self, request: JobRequest, settings: JobSettings, now_s: float) -> bool:
+        return not self.target or self.linking
+
     def max_target_wait_s(self, request: JobRequest, settings: JobSettings) -> float:
         return self.wait_s
 
@@ -97,6 +104,16 @@
         self.assertEqual([COMPLETE, COMPLETE], answers)
         self.assertEqual(1, len(dispatcher.submitted))
 
+    async def test_job_waits_while_too_few_targets_are_linked(self) -> None:
+        admission = StubAdmission(wait_s=2.0, target=True, linking=True)
+        jobs, dispatcher = make_jobs(admission, age_s=0.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(jobs.async_run, REQUEST, SETTINGS)
+            await trio.sleep(0.2)
+            self.assertEqual([], dispatcher.submitted)
+            admission.linking = False
+        self.assertEqual(1, len(dispatcher.submitted))
+
     async def test_wait_counts_towards_the_deadline(self) -> None:
         admission = StubAdmission(wait_s=2.0)
         jobs, dispatcher = make_jobs(admission, age_s=0.0)
--- a/tests/entry/test_overload.py
+++ b/tests/entry/test_overload.py
@@ -122,3 +122,17 @@
             dispatcher.refuse_useless(now_s)
             refusal = admission.check(request, SETTINGS, now_s)
             self.assertEqual(now_s == 0.0, refusal is not None, now_s)
+
+    def test_a_job_waits_only_while_more_agents_are_being_linked(self) -> None:
+        fixture = DispatcherFixture(AGENTS)
+        dispatcher = fixture.dispatcher
+        admission = Admission(dispatcher.waiting)
+        issuer = IdIssuer("0011223344556677")
+        request = JobRequest("lofts", "stamp", (TaskSpec(b"", declared_s=RUN_S),), 8.0, "k")
+        self.assertFalse(admission.should_wait(request, SETTINGS, 0.0))
+        for _ in range(AGENTS * 12):
+            submission_id = issuer.issue("lofts", 0, 0.0)
+            dispatcher.submit(new_submission(submission_id, request, SETTINGS, 0.0), 0.0)
+        self.assertFalse(admission.should_wait(request, SETTINGS, 0.0))
+        fixture.directory._served = {("a", number) for number in range(2 * AGENTS)}
+        self.assertTrue(admission.should_wait(request, SETTINGS, 0.0))
