--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -131,7 +131,7 @@
     async def _async_wait_for_target(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings
     ) -> JobRequest:
-        """Delay a job that arrives shortly after startup, while no target is known yet.
+        """Delay a job that arrives shortly after startup, while too few targets are known.
 
         After a full outage, callers connect as soon as the port is open, and most of them don't
         retry. Returns the request with its deadline reduced by the time waited.
@@ -139,8 +139,13 @@
         wait_started_s = now_s = clock.boot_s()
         wait_until_s = now_s + self._admission.max_target_wait_s(request, settings)
         wait_until_s = min(wait_until_s, self._startup_ends_at_s)
-        while now_s < wait_until_s and not job.decided and not self._admission.has_target(settings):
-            await trio.sleep(STARTUP_POLL_S)
+        while (
+            now_s < wait_until_s
+            and not job.decided
+            and self._admission.should_wait(request, settings, now_s)
+        ):
+            has_target = self._admission.has_target(settings)
+            await trio.sleep(STARTUP_RECHECK_S if has_target else STARTUP_POLL_S)
             now_s = clock.boot_s()
         waited_s = now_s - wait_started_s
         if waited_s <= 0.0:
