--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -21,8 +21,8 @@
         path_prefix: Path prefix at which callers address the job directly.
         max_tasks: Maximum number of tasks in one submission.
         max_payload_bytes: Maximum payload size of one task.
-        max_restarts: Maximum number of times that one task is placed again after it was refused
-            without having run.
+        max_restarts: Maximum number of times that one task is placed again after a target
+            refused it.
         best_effort: Whether a task may run again, from the start, once an earlier run is known
             to have ended.
         max_runs: Maximum number of runs of one task of a best-effort job before the job fails.
@@ -146,7 +146,7 @@
     FieldSpec(
         "max_restarts",
         "int",
-        "Maximum number of times that one task is placed again after it was refused without having run.",
+        "Maximum number of times that one task is placed again after a target refused it.",
         0.0,
         100.0,
         ("consortium", "member", "job"),
