--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -267,7 +267,7 @@
             listener.link_closed(agent)
 
     async def _async_monitor_links(self, listener: AgentListener) -> None:
-        """Echo the agents' clocks and detect silent links and expired leases.
+        """Renew this entry's leases at the agents, and detect silent links and expired leases.
 
         One Trio task monitors all agents: a timer per agent would account for most of the CPU time
         of an idle entry.
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -23,7 +23,7 @@
 from .service_queue import ServiceClass, ServiceQueue
 
 MAX_PLANNED_TASKS = 2000  # bounds the duration of one planning round
-ANCHOR_INTERVAL_RUNS = 32  # the factors drift by a few thousandths in a run
+ANCHOR_INTERVAL_RUNS = 32
 SIMPLE_POLICY_QUEUE_TASKS = 8  # queued at an agent beyond its target's capacity
 
 
--- a/pistachiohill/http/server.py
+++ b/pistachiohill/http/server.py
@@ -1,7 +1,7 @@
 """HTTP server for ASGI applications, based on hypercorn.
 
-Processes on the users' platform use `direct_server` and do not load this module, which would double
-the time that a process takes to load its HTTP code.
+Processes on the users' platform use `direct_server` and do not load this module, to save memory and
+time to start.
 """
 
 from collections.abc import Sequence
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -165,9 +165,9 @@
 
     Fields:
         offset: Log offset up to which the view has been applied.
-        echo_s: Latest boot-clock reading received from the peer, returned unchanged; -1 if
-            there is none.
-        age_s: Age of the view in seconds when that reading was received.
+        echo_s: A time that the receiver's boot clock has certainly reached when the stamp is
+            made, from a reading that it sent; -1 if there is none.
+        age_s: Age of the view in seconds when the stamp is made.
         domain_out: Whether operators have taken the receiver's failure domain out of service.
         max_age_s: Age of the view in seconds beyond which the receiver must refuse to start
             tasks.
@@ -975,7 +975,7 @@
 
 @define(slots=True)
 class FreshnessRequest:
-    """Requests a view stamp from an entry, which echoes the agent's clock reading.
+    """Requests a view stamp from an entry, or any message from an agent; carries the sender's clock reading.
 
     Fields:
         stamp_s: Reading of the sender's boot clock in seconds.
--- a/pistachiohill/protocol/websocket.py
+++ b/pistachiohill/protocol/websocket.py
@@ -1,8 +1,7 @@
 """WebSocket connections on plain sockets, with a single Trio task switch for each read.
 
-The protocol itself is the websockets library's implementation without I/O. Its connection class for
-Trio takes three task switches and a lock for each message, which is most of the processor time that
-an entry spends on its links.
+The protocol itself is the websockets library's implementation without I/O. The library's connection
+class for Trio has a receiving task and a queue of its own, which takes more task switches.
 """
 
 import socket
--- a/pistachiohill/scheduling/urgency.py
+++ b/pistachiohill/scheduling/urgency.py
@@ -1,9 +1,9 @@
 """Order of service, and the end of waiting, while more arrives than can be served.
 
 Served in order of arrival, each job of an overload waits for those before it, until all of them
-miss their latency goals: a quarter more than the capacity for four seconds makes most jobs of these
-seconds late. Jobs that can still meet their goals therefore go first within a priority. A job that
-can't is served with the capacity that is left, and refused once its answer would be useless.
+miss their latency goals. Jobs that can still meet their goals therefore go first within a priority.
+A job that can't is served with the capacity that is left, and refused once its answer would be
+useless.
 
 Among the jobs that can, the oldest goes first while waits are short. Once they have used up a good
 part of what the goals allow, the oldest would end just before its goal at best, and after it if a
@@ -31,8 +31,8 @@
     USELESS = 2
 
 
-# Fraction of the wait that a goal allows, from which the newest job goes first. Run times spread by
-# about as much as the rest.
+# Fraction of the wait that a goal allows, from which the newest job goes first. The rest is left
+# for runs that take longer than expected.
 LONG_WAIT_FRACTION: Final = 0.4
 
 
--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -120,8 +120,12 @@
             self.assertEqual(6.0, sum(counts))
 
     async def test_an_entry_is_killed(self) -> None:
-        """Its callers resubmit their jobs, and no task runs concurrently with its earlier run."""
-        async with self.load(PlatformSpec(), 2.0, tasks=2, run_s=2.0) as (deployment, load):
+        """Its callers resubmit their jobs, and no task runs concurrently with its earlier run.
+
+        The targets have capacity left, so that a resubmitted task need not wait for an earlier run.
+        """
+        spec = PlatformSpec(cores=16)
+        async with self.load(spec, 2.0, tasks=2, run_s=2.0) as (deployment, load):
             await trio.sleep(1.0)
             async with trio.open_nursery() as late_jobs:
                 for _ in range(2):
