--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -315,6 +315,12 @@
         if 0.0 <= message.echo_s <= now_s:
             self._view.confirm(message.offset, message.echo_s - max(0.0, message.age_s))
         if message.offset > self._view.state.offset:
+            logs.event(
+                "peer_ahead",
+                peer=peer.link.peer_incarnation,
+                offset=message.offset,
+                known=self._view.state.offset,
+            )
             self._last_request_id += 1
             peer.link.send(StateRequest(self._last_request_id))
 
@@ -336,6 +342,7 @@
                 "state_adopted",
                 peer=peer.link.peer_incarnation,
                 offset=message.snapshot.offset,
+                version=self._view.state.tree_version,
                 view_age_s=view_age_s,
             )
 
