--- /dev/null
+++ b/tests/consortium/test_follow.py
@@ -0,0 +1,199 @@
+"""Followers of a topic after an outage of the store, in virtual time."""
+
+import random
+import struct
+from enum import StrEnum
+from itertools import product
+from urllib.parse import parse_qs, urlsplit
+
+import trio
+import trio.testing
+from attrs import define, field, frozen
+
+from pistachiohill.consortium.follow import async_follow_topic
+from pistachiohill.platform.const import CONNECT_TIMEOUT_S, PATH_LOG_NEWEST
+from pistachiohill.platform.http_client import HttpResponse, NoResponse
+from pistachiohill.platform.models import KeyedPage
+from pistachiohill.platform.store import StoreClient, encode_record
+from standins.platform_store import RECORD_LENGTH, Topic
+
+from ..base import TestCase
+
+TOPIC = "keyed.test"
+POLL_WAIT_S = 1.0
+RESPONSE_S = 0.01
+SLOW_RESPONSE_S = 3.0
+CHANGE_LIMIT_S = 2.0  # time in which a confirmed change has to be in force
+REGAIN_LIMIT_S = 2.0  # time after the store's return in which it has to be followed again
+FIRST_OUTAGE_AT_S = 2.0
+CYCLE_PHASES = 11
+PHASE_S = 0.1
+OUTAGES_S = (0.3, 1.1, 1.9, 2.6, 4.2, 5.6, 6.6, 8.1, 11.2, 13.3)
+CHANGES_AFTER_RETURN_S = (0.0, 0.4, 1.3)
+
+
+class Failure(StrEnum):
+    """How the store or the path to it fails; one that is cut in one direction is silent as well."""
+
+    SILENT = "silent"
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    RESET = "reset"
+    BUSY = "busy"
+    SLOW = "slow"
+
+
+@frozen
+class Outage:
+    """A failure from one time to another, by trio's clock."""
+
+    failure: Failure
+    start_s: float
+    end_s: float
+
+
+@define
+class FailingStore:
+    """HTTP client of a simulated store with one topic and with outages."""
+
+    outages: list[Outage]
+    topic: Topic = field(factory=Topic)
+    calls: int = 0
+
+    async def async_request(
+        self, method: str, path: str, timeout_s: float, **_options: object
+    ) -> HttpResponse | NoResponse:
+        """Respond like the product's HTTP client."""
+        self.calls += 1
+        query = {name: values[0] for name, values in parse_qs(urlsplit(path).query).items()}
+        with trio.move_on_after(timeout_s):
+            return await self._async_respond(urlsplit(path).path, query)
+        return NoResponse(True, f"no response within {timeout_s:g} s", timed_out=True)
+
+    async def _async_respond(self, path: str, query: dict[str, str]) -> HttpResponse | NoResponse:
+        if self._failure() is Failure.UNREACHABLE:
+            await trio.sleep(CONNECT_TIMEOUT_S)
+            return NoResponse(False, "timed out while connecting")
+        failed = await self._async_fail()
+        if failed is not None:
+            return failed
+        if path == PATH_LOG_NEWEST:
+            return HttpResponse(200, b'{"items": [], "end": %d}' % self.topic.end)
+        start = int(query["from"])
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while start >= self.topic.end:
+                await self.topic.appended.wait()
+        await trio.sleep(RESPONSE_S)
+        failed = await self._async_fail()
+        return failed or HttpResponse(200, self._page(start))
+
+    def _failure(self) -> Failure | None:
+        now_s = trio.current_time()
+        for outage in self.outages:
+            if outage.start_s <= now_s < outage.end_s:
+                return outage.failure
+        return None
+
+    async def _async_fail(self) -> HttpResponse | NoResponse | None:
+        """Fail as the outage says; None if there is none, or the store is only slow."""
+        failure = self._failure()
+        if failure in (Failure.SILENT, Failure.UNREACHABLE):
+            await trio.sleep_forever()
+        if failure is Failure.SLOW:
+            await trio.sleep(SLOW_RESPONSE_S)
+        if failure is Failure.REFUSED:
+            return NoResponse(False, "refused")
+        if failure is Failure.RESET:
+            return NoResponse(True, "reset")
+        if failure is Failure.BUSY:
+            return HttpResponse(503, b"")
+        return None
+
+    def _page(self, start: int) -> bytes:
+        records = self.topic.records[start:]
+        body = struct.pack(">QQ", self.topic.end, 0)
+        return body + b"".join(RECORD_LENGTH.pack(len(item)) + item for item in records)
+
+
+@frozen
+class Delays:
+    """Times from the store's return to a response, and from then or a change to its effect."""
+
+    regain_s: float
+    change_s: float
+
+
+async def async_measure(outages: list[Outage], change_after_s: float) -> Delays:
+    """Return how late a follower is after the last outage."""
+    http = FailingStore(outages)
+    store = StoreClient("http://127.0.0.1:1")
+    store._http = http  # type: ignore[assignment]
+    returned_at_s = outages[-1].end_s
+    applied_at_s: list[float] = []
+    in_force = trio.Event()
+
+    def apply(page: KeyedPage, complete: bool, requested_at_s: float) -> None:
+        applied_at_s.append(trio.current_time())
+        if page.records:
+            in_force.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(async_follow_topic, store, TOPIC, lambda: POLL_WAIT_S, apply)
+        changed_at_s = returned_at_s + change_after_s
+        await trio.sleep_until(changed_at_s)
+        http.topic.append([encode_record("key", b"value")[RECORD_LENGTH.size :]])
+        await in_force.wait()
+        change_s = trio.current_time() - changed_at_s
+        nursery.cancel_scope.cancel()
+    regained_at_s = next(at_s for at_s in applied_at_s if at_s >= returned_at_s)
+    return Delays(regained_at_s - returned_at_s, change_s)
+
+
+def outages_in_a_row(failures: tuple[Failure, ...], start_s: float, total_s: float) -> list[Outage]:
+    """Return one outage for each failure, of equal length."""
+    part_s = total_s / len(failures)
+    return [
+        Outage(failure, start_s + index * part_s, start_s + (index + 1) * part_s)
+        for index, failure in enumerate(failures)
+    ]
+
+
+class FollowAfterOutageTest(TestCase):
+    def _assert_in_time(self, *failures: Failure) -> None:
+        """Check outages of several lengths that begin at every phase of the read's cycle.
+
+        Several failures follow each other within each outage.
+        """
+        random.seed(20261204)
+        starts_s = [FIRST_OUTAGE_AT_S + phase * PHASE_S for phase in range(CYCLE_PHASES)]
+        for case in product(starts_s, OUTAGES_S, CHANGES_AFTER_RETURN_S):
+            start_s, outage_s, change_after_s = case
+            outages = outages_in_a_row(failures, start_s, outage_s)
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            delays = trio.run(async_measure, outages, change_after_s, clock=clock)
+            self.assertLessEqual(delays.change_s, CHANGE_LIMIT_S, case)
+            self.assertLessEqual(delays.regain_s, REGAIN_LIMIT_S, case)
+
+    def test_change_is_not_late_after_the_store_was_silent(self) -> None:
+        self._assert_in_time(Failure.SILENT)
+
+    def test_change_is_not_late_after_the_store_was_unreachable(self) -> None:
+        self._assert_in_time(Failure.UNREACHABLE)
+
+    def test_change_is_not_late_after_the_store_refused_connections(self) -> None:
+        self._assert_in_time(Failure.REFUSED)
+
+    def test_change_is_not_late_after_the_store_reset_connections(self) -> None:
+        self._assert_in_time(Failure.RESET)
+
+    def test_change_is_not_late_after_the_store_was_busy(self) -> None:
+        self._assert_in_time(Failure.BUSY)
+
+    def test_change_is_not_late_after_the_store_was_slow(self) -> None:
+        self._assert_in_time(Failure.SLOW)
+
+    def test_change_is_not_late_after_the_store_reset_connections_and_was_silent(self) -> None:
+        self._assert_in_time(Failure.RESET, Failure.SILENT)
+
+    def test_change_is_not_late_after_the_store_was_silent_slow_and_busy(self) -> None:
+        self._assert_in_time(Failure.SILENT, Failure.SLOW, Failure.BUSY)
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -22,6 +22,7 @@
 
 IN_TOUCH_S = 3.0  # contactMs in the users' requirements
 CONFIG_LIMIT_S = 2.0  # configApplyMs in the users' requirements
+SILENCE_S = 5.8
 CATCH_UP_LIMIT_S = 4.0  # catchUpS in the users' requirements
 ADDED_ROUTE = {**ROUTE, "name": "r-2", "pathPrefix": "/pufi791/"}
 ADDED_PATH = "/pufi791/5c0e7a21d94b36f8"
@@ -49,6 +50,15 @@
         for mode in self.relay.open_modes:
             mode.forward = mode.backward = "swallow"
 
+    def start_silence(self) -> None:
+        """Drop all bytes on the open connections and on later ones."""
+        self.silence()
+        self.relay.default.forward = self.relay.default.backward = "swallow"
+
+    def end_silence(self) -> None:
+        """Let later connections work again; those opened before stay silent."""
+        self.relay.default.forward = self.relay.default.backward = "pass"
+
     def _append(self, key: str, value: bytes | None) -> None:
         self.model.topic(TOPIC_OPERATORS).append([encode_record(key, value)[4:]])
 
@@ -99,6 +109,20 @@
             limit_s = max(CONFIG_LIMIT_S, silent_at_s + IN_TOUCH_S - clock.boot_s())
             await self.async_assert_in_force(view, limit_s)
 
+    async def test_change_is_not_late_after_the_store_was_silent_for_seconds(self) -> None:
+        view = ConsortiumView()
+        async with store_behind_relay() as (store, nursery):
+            store.publish(1, ROUTE)
+            nursery.start_soon(async_follow_operators, StoreClient(store.url), view)
+            await view.async_wait_offset(0)
+            await trio.sleep(0.3)
+            store.start_silence()
+            await trio.sleep(SILENCE_S)
+            store.end_silence()
+            await trio.sleep(0.4)
+            store.publish(2, ROUTE, ADDED_ROUTE)
+            await self.async_assert_in_force(view, CONFIG_LIMIT_S)
+
     async def test_evacuation_is_not_late_after_all_store_connections_fall_silent(self) -> None:
         view = ConsortiumView()
         async with store_behind_relay() as (store, nursery):
