Send a second read beside one that has had no response, instead of waiting longer for it

What callers saw: 404 on an added route, seconds after the store had confirmed it, at several entries at once. Cause: the response timeout of a follower's reads doubled with each timeout, so the last read of an outage was waited for up to 5 s after it, and 1 s more could pass until the next one. Entries read in step, because a record answers all their reads at once, so all were late together. Class: a delay whose length grows with an outage and is carried over into the time after it. Ruled out: a lower limit of the timeout alone (a store that takes seconds to respond would not be read); the route table and the peers (`state_adopted` milliseconds after the first entry's `manifest`). Change: a read that has had no response 0.5 s after its wait stays for 4 s, and others are sent beside it on new connections, one after the other, each for 1 s; the first response counts. Reads don't wait for records while the store is lost. The delay after a failed read stays at 1 s at most. No time of the follower depends on the outage's length: back within 1.5 s of the store's return, a sum of constants for each way to fail (design page).

--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -44,6 +44,8 @@
 ANSWER_TESTS = "tests/failures/test_answers.py::AnswerTest::"
 PLATFORM_TESTS = "tests/failures/test_platform_jobs.py::PlatformJobsTest::"
 PEER_TESTS = "tests/failures/test_bad_peers.py::BadPeerTest::"
+FOLLOW_TESTS = "tests/consortium/test_follow.py::FollowAfterOutageTest::"
+HTTP_CLIENT_TESTS = "tests/platform/test_http_client.py::HttpClientTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
 
 MUTANTS = (
@@ -195,8 +197,10 @@
         (
             Edit(
                 "pistachiohill/consortium/follow.py",
-                "            page = await store.async_read_newest(topic)\n",
-                "            page = await store.async_read(topic, 0, 0.0)\n",
+                "            outcome = await self.store.async_read_newest(\n"
+                "                self.topic, response_timeout_s, new_connection=new_connection\n"
+                "            )\n",
+                "            outcome = await self.store.async_read(self.topic, 0, 0.0)\n",
             ),
         ),
     ),
@@ -425,19 +429,75 @@
         (
             Edit(
                 "pistachiohill/consortium/const.py",
-                "POLL_WAIT_S: Final = 1.0\n",
-                "POLL_WAIT_S: Final = 10.0\n",
+                "POLL_WAIT_S: Final = 1.0 ",
+                "POLL_WAIT_S: Final = 10.0 ",
             ),
         ),
     ),
     Mutant(
         "idle connections are used after another one has fallen silent",
-        OPERATORS_TESTS + "test_change_is_not_late_after_all_store_connections_fall_silent",
+        HTTP_CLIENT_TESTS + "test_silent_request_closes_connections_that_were_idle_meanwhile",
         (
             Edit(
                 "pistachiohill/platform/http_client.py",
-                "            await self._async_close_idle(SUSPECT_IDLE_S)\n",
-                "            await trio.lowlevel.checkpoint()\n",
+                "        if sent:\n            await self._async_close_idle(SUSPECT_IDLE_S)\n",
+                "        if sent:\n            await trio.lowlevel.checkpoint()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "idle connections are used after a read was overdue",
+        HTTP_CLIENT_TESTS
+        + "test_request_on_a_new_connection_uses_none_that_may_have_fallen_silent",
+        (
+            Edit(
+                "pistachiohill/platform/http_client.py",
+                "                        await self._async_close_idle(SUSPECT_IDLE_S)\n",
+                "                        await trio.lowlevel.checkpoint()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a read on a silent connection is repeated on one that may be silent as well",
+        OPERATORS_TESTS + "test_change_is_not_late_if_store_connections_fall_silent_just_before",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "self._async_read_once(0.0, SECOND_READ_TIMEOUT_S, new_connection=True)",
+                "self._async_read_once(0.0, SECOND_READ_TIMEOUT_S)",
+            ),
+        ),
+    ),
+    Mutant(
+        "no second read is sent beside one that has had no response",
+        FOLLOW_TESTS + "test_change_is_not_late_after_the_store_was_silent",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "            await trio.sleep(wait_s + RESPONSE_OVERDUE_S)\n",
+                "            await trio.sleep_forever()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the second read is waited for as long as the first",
+        FOLLOW_TESTS + "test_change_is_not_late_after_the_store_was_slow",
+        (
+            Edit(
+                "pistachiohill/consortium/const.py",
+                "SECOND_READ_TIMEOUT_S: Final = 1.0\n",
+                "SECOND_READ_TIMEOUT_S: Final = 4.0\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the delay between refused reads grows with the outage",
+        FOLLOW_TESTS + "test_change_is_not_late_after_the_store_refused_connections",
+        (
+            Edit(
+                "pistachiohill/consortium/const.py",
+                "RETRY_MAX_S: Final = 1.0\n",
+                "RETRY_MAX_S: Final = 60.0\n",
             ),
         ),
     ),
--- a/pistachiohill/consortium/const.py
+++ b/pistachiohill/consortium/const.py
@@ -12,14 +12,15 @@
 TOPIC_SETTINGS: Final = "keyed.pistachiohill-settings"
 TOPIC_PROCESSES: Final = "keyed.pistachiohill"
 
-# Long-poll timeout. A connection that has fallen silent is noticed after this time and the response
-# timeout, and a process has to follow changes again 3 s after its connections were lost.
-POLL_WAIT_S: Final = 1.0
+POLL_WAIT_S: Final = 1.0  # long-poll timeout
 POLL_AGE_FRACTION: Final = 0.25  # fraction of a view's maximum age that one read may take
+# The longest time from the store's return until it is followed again is a sum of the following; see
+# docs/design/users-platform.md, "Manifest and evacuation".
+RESPONSE_OVERDUE_S: Final = 0.5  # beyond the wait; then another read is sent beside the first
+SECOND_READ_TIMEOUT_S: Final = 1.0
+RESPONSE_TIMEOUT_S: Final = 4.0  # beyond the wait; for a store that takes seconds to respond
 RETRY_MIN_S: Final = 0.1
 RETRY_MAX_S: Final = 1.0
-RESPONSE_TIMEOUT_MIN_S: Final = 1.0
-RESPONSE_TIMEOUT_MAX_S: Final = 4.0  # for a store that takes seconds to respond
 ANNOUNCE_RETRY_S: Final = 0.5
 WITHDRAW_TIMEOUT_S: Final = 2.0
 PURGE_INTERVAL_S: Final = 600.0
--- a/pistachiohill/platform/http_client.py
+++ b/pistachiohill/platform/http_client.py
@@ -95,14 +95,24 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout_s: float = 1.0,
+        *,
+        new_connection: bool = False,
     ) -> HttpResponse | NoResponse:
-        """Send a request and return its response, within `timeout_s` seconds."""
+        """Send a request and return its response, within `timeout_s` seconds.
+
+        With `new_connection`, idle connections are not used, and those that may have fallen silent
+        are closed.
+        """
         request = self._encode_request(method, path, body, headers or {})
         sent = False
         with trio.move_on_after(timeout_s):
             async with self._connection_limiter:
                 try:
-                    connection = await self._async_acquire_connection()
+                    if new_connection:
+                        await self._async_close_idle(SUSPECT_IDLE_S)
+                        connection = await self._async_connect()
+                    else:
+                        connection = await self._async_acquire_connection()
                 except OSError as err:
                     return NoResponse(False, repr(err))
                 if connection is None:
@@ -149,6 +159,10 @@
             if now_s - connection.last_used_s < MAX_IDLE_S and not _is_readable(connection.stream):
                 return connection
             await trio.aclose_forcefully(connection.stream)
+        return await self._async_connect()
+
+    async def _async_connect(self) -> _Connection | None:
+        """Return a new connection; None if connecting times out."""
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             return _Connection(await trio.open_tcp_stream(self._host, self._port))
         return None
--- a/pistachiohill/platform/store.py
+++ b/pistachiohill/platform/store.py
@@ -30,7 +30,7 @@
 )
 from .wire import Fields, decode_object, read_bool, read_int, read_list, read_str, require_object
 
-MAX_CONNECTIONS = 6
+MAX_CONNECTIONS = 6  # two for each of two topics that are followed, two for appends
 RECORD_LENGTH = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")  # offset of the next record, first offset that is still kept
 MAX_KEY_BYTES = 255
@@ -63,28 +63,41 @@
             )
         return _parse_append_response(response)
 
-    async def async_read_newest(self, topic: str) -> KeyedPage | ReadFailed:
+    async def async_read_newest(
+        self,
+        topic: str,
+        response_timeout_s: float = RESPONSE_TIMEOUT_S,
+        *,
+        new_connection: bool = False,
+    ) -> KeyedPage | ReadFailed:
         """Return the newest record of each key, ordered by offset, all from before `end`.
 
+        The store has `response_timeout_s` seconds for each page of them.
+
         A key that changes while the pages are read may be returned in its old or its new state. The
         pages are read again if there is a new one, because earlier changes may then be missing.
         """
         for _ in range(MAX_NEWEST_READS):
-            page = await self._async_read_newest_once(topic)
+            page = await self._async_read_newest_once(topic, response_timeout_s, new_connection)
             if isinstance(page, ReadFailed) or not page.more:
                 return page
         return ReadFailed("the topic changes while its newest records are read")
 
-    async def _async_read_newest_once(self, topic: str) -> KeyedPage | ReadFailed:
+    async def _async_read_newest_once(
+        self, topic: str, response_timeout_s: float, new_connection: bool
+    ) -> KeyedPage | ReadFailed:
         """Return the newest record of each key; `more` if there are records from `end` on."""
         records: list[KeyedRecord] = []
         query: dict[str, object] = {"topic": topic, "part": PARTITION}
         end: int | None = None
         while True:
             path = f"{PATH_LOG_NEWEST}?{urlencode(query)}"
-            response = await self._http.async_request("GET", path, timeout_s=RESPONSE_TIMEOUT_S)
+            response = await self._http.async_request(
+                "GET", path, timeout_s=response_timeout_s, new_connection=new_connection
+            )
             if isinstance(response, NoResponse):
-                return ReadFailed(response.detail)
+                return ReadFailed(response.detail, response.timed_out)
+            new_connection = False  # the one that has just been used is idle now
             if response.status != 200:
                 return ReadFailed(f"status {response.status}")
             try:
@@ -108,10 +121,13 @@
         offset: int,
         wait_s: float,
         response_timeout_s: float = RESPONSE_TIMEOUT_S,
+        *,
+        new_connection: bool = False,
     ) -> KeyedPage | OffsetExpired | ReadFailed:
         """Return the records from an offset, waiting up to `wait_s` seconds if there are none.
 
-        The store then has `response_timeout_s` more seconds to respond.
+        The store then has `response_timeout_s` more seconds to respond. With `new_connection`, the
+        read does not depend on connections that were opened before.
         """
         query = {
             "topic": topic,
@@ -121,7 +137,9 @@
         }
         path = f"{PATH_LOG_READ}?{urlencode(query)}"
         timeout_s = wait_s + response_timeout_s
-        response = await self._http.async_request("GET", path, timeout_s=timeout_s)
+        response = await self._http.async_request(
+            "GET", path, timeout_s=timeout_s, new_connection=new_connection
+        )
         if isinstance(response, NoResponse):
             return ReadFailed(response.detail, response.timed_out)
         try:
--- a/tests/consortium/test_follow.py
+++ b/tests/consortium/test_follow.py
@@ -10,6 +10,12 @@
 import trio.testing
 from attrs import define, field, frozen
 
+from pistachiohill.consortium.const import (
+    POLL_WAIT_S,
+    RESPONSE_OVERDUE_S,
+    RETRY_MAX_S,
+    SECOND_READ_TIMEOUT_S,
+)
 from pistachiohill.consortium.follow import async_follow_topic
 from pistachiohill.platform.const import CONNECT_TIMEOUT_S, PATH_LOG_NEWEST
 from pistachiohill.platform.http_client import HttpResponse, NoResponse
@@ -20,7 +26,6 @@
 from ..base import TestCase
 
 TOPIC = "keyed.test"
-POLL_WAIT_S = 1.0
 RESPONSE_S = 0.01
 SLOW_RESPONSE_S = 3.0
 CHANGE_LIMIT_S = 2.0  # time in which a confirmed change has to be in force
@@ -43,6 +48,18 @@
     SLOW = "slow"
 
 
+# A read that was sent just before the failure began shows it only when it is overdue.
+UNANSWERED_S = max(POLL_WAIT_S + RESPONSE_OVERDUE_S, SECOND_READ_TIMEOUT_S)
+LONGEST_REGAIN_S = {
+    Failure.SILENT: UNANSWERED_S,
+    Failure.SLOW: UNANSWERED_S,
+    Failure.UNREACHABLE: max(UNANSWERED_S, CONNECT_TIMEOUT_S + RETRY_MAX_S),
+    Failure.REFUSED: RETRY_MAX_S,
+    Failure.RESET: RETRY_MAX_S,
+    Failure.BUSY: RETRY_MAX_S,
+}
+
+
 @frozen
 class Outage:
     """A failure from one time to another, by trio's clock."""
@@ -173,6 +190,12 @@
             delays = trio.run(async_measure, outages, change_after_s, clock=clock)
             self.assertLessEqual(delays.change_s, CHANGE_LIMIT_S, case)
             self.assertLessEqual(delays.regain_s, REGAIN_LIMIT_S, case)
+            longest_s = max(LONGEST_REGAIN_S[failure] for failure in failures)
+            self.assertLessEqual(delays.regain_s, longest_s + 2 * RESPONSE_S, case)
+
+    def test_longest_time_until_the_store_is_followed_again_is_within_the_target(self) -> None:
+        for failure in Failure:
+            self.assertLessEqual(LONGEST_REGAIN_S[failure], REGAIN_LIMIT_S - 2 * RESPONSE_S)
 
     def test_change_is_not_late_after_the_store_was_silent(self) -> None:
         self._assert_in_time(Failure.SILENT)
--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -134,3 +134,15 @@
             server.silent = False
             await client.async_request("GET", "/")
             self.assertEqual(3, server.connections)
+
+    async def test_request_on_a_new_connection_uses_none_that_may_have_fallen_silent(self) -> None:
+        server = Server(OK)
+        async with http_client_of(server) as client:
+            await client.async_request("GET", "/")
+            await trio.sleep(SUSPECT_IDLE_S + 0.1)
+            await client.async_request("GET", "/", new_connection=True)
+            self.assertEqual(2, server.connections)
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(client.async_request, "GET", "/")
+            self.assertEqual(3, server.connections)
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -109,6 +109,19 @@
             limit_s = max(CONFIG_LIMIT_S, silent_at_s + IN_TOUCH_S - clock.boot_s())
             await self.async_assert_in_force(view, limit_s)
 
+    async def test_change_is_not_late_if_store_connections_fall_silent_just_before(self) -> None:
+        view = ConsortiumView()
+        async with store_behind_relay() as (store, nursery):
+            store.publish(1, ROUTE)
+            client = StoreClient(store.url)
+            nursery.start_soon(async_follow_operators, client, view)
+            await view.async_wait_offset(0)
+            # A connection that was in use just now is not suspected.
+            await client.async_append("keyed.other", "key", b"value")
+            store.silence()
+            store.publish(2, ROUTE, ADDED_ROUTE)
+            await self.async_assert_in_force(view, CONFIG_LIMIT_S)
+
     async def test_change_is_not_late_after_the_store_was_silent_for_seconds(self) -> None:
         view = ConsortiumView()
         async with store_behind_relay() as (store, nursery):
