Wait 1 s at most for another entry's handshake, and 0.5 s for an agent's reply to Hello

What callers see: an entry that can't reach the store itself learns a change late; an agent gets no tasks of that entry. Change: PEER_CONNECT_TIMEOUT_S (1 s) for connecting and again for the reply; the reply of an agent has the time that connecting to it has (0.5 s). The accepting side keeps 3 s, since that delays nobody. Evidence: two new tests fail without the change (not linked 2 s after the path's return) and pass with it; both mutants detected.

--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -501,6 +501,30 @@
             ),
         ),
     ),
+    Mutant(
+        "an entry waits for seconds for the Hello of another one",
+        "tests/entry/test_peers.py::PeersTest::"
+        "test_change_is_not_late_after_new_links_between_entries_were_silent",
+        (
+            Edit(
+                "pistachiohill/entry/const.py",
+                "PEER_CONNECT_TIMEOUT_S: Final = 1.0\n",
+                "PEER_CONNECT_TIMEOUT_S: Final = 3.0\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "an entry waits for seconds for the Hello of an agent",
+        "tests/entry/test_agents.py::AgentsTest::"
+        "test_agent_is_linked_soon_after_its_link_fell_silent_before_the_reply",
+        (
+            Edit(
+                "pistachiohill/entry/agents.py",
+                "async_send_hello(connection, hello, AGENT_CONNECT_TIMEOUT_S)",
+                "async_send_hello(connection, hello, 3.0)",
+            ),
+        ),
+    ),
     Mutant(
         "silent links between entries are kept for longer than a change may take",
         "tests/entry/test_peers.py::PeersTest::"
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -222,7 +222,7 @@
             async with async_connect(*address, AGENT_CONNECT_TIMEOUT_S) as connection:
                 now_s = clock.boot_s()
                 hello = Hello(PROTOCOL_VERSION, self._incarnation, "", self._secret, now_s)
-                reply = await async_send_hello(connection, hello)
+                reply = await async_send_hello(connection, hello, AGENT_CONNECT_TIMEOUT_S)
                 now_s = clock.boot_s()
                 agent = self._register_agent(address, reply, listener)
                 link = Link(connection, agent.incarnation, now_s, self.counters)
--- a/pistachiohill/entry/const.py
+++ b/pistachiohill/entry/const.py
@@ -13,6 +13,9 @@
 CHANGE_DELAY_S: Final = 0.03  # changes of the view within this time are handled together
 IDLE_SILENCE_TIMEOUT_S: Final = 30.0
 IDLE_CHECK_INTERVAL_S: Final = 5.0
+# For opening a connection, and once more for the reply to Hello: after an outage of the path, an
+# attempt that began during it must not keep the entries apart for longer than a change may take.
+PEER_CONNECT_TIMEOUT_S: Final = 1.0
 PEER_SILENCE_S: Final = 2.2  # two views in a row are missing
 PEER_CHECK_INTERVAL_S: Final = 0.2
 UNREACHABLE_ENTRY_S: Final = 600.0  # far longer than a restart; its agents then get another entry
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -36,13 +36,14 @@
     StateReply,
     StateRequest,
 )
-from ..protocol.websocket import HANDSHAKE_TIMEOUT_S, WebSocket, async_connect, async_serve
+from ..protocol.websocket import WebSocket, async_connect, async_serve
 from ..settings.errors import SettingsError
 from ..settings.models import EntrySettings
 from .agent_assignment import ALL_ENTRIES, Address, dialed_entries, parse_address
 from .const import (
     CHANGE_DELAY_S,
     PEER_CHECK_INTERVAL_S,
+    PEER_CONNECT_TIMEOUT_S,
     PEER_SILENCE_S,
     RECONNECT_MAX_S,
     RECONNECT_MIN_S,
@@ -265,11 +266,11 @@
 
     async def _async_dial(self, host: str, port: int) -> None:
         try:
-            async with async_connect(host, port, HANDSHAKE_TIMEOUT_S) as connection:
+            async with async_connect(host, port, PEER_CONNECT_TIMEOUT_S) as connection:
                 now_s = clock.boot_s()
                 secret = self._settings.secret
                 hello = Hello(PROTOCOL_VERSION, self._incarnation, "", secret, now_s)
-                reply = await async_send_hello(connection, hello)
+                reply = await async_send_hello(connection, hello, PEER_CONNECT_TIMEOUT_S)
                 now_s = clock.boot_s()
                 link = Link(connection, reply.incarnation, now_s, self.counters)
                 await self._async_run_link(Peer(link, reply.stamp_s, now_s))
--- a/pistachiohill/protocol/link.py
+++ b/pistachiohill/protocol/link.py
@@ -128,9 +128,12 @@
             self._connection.close(CLOSE_PROTOCOL_ERROR, "frame refused")
 
 
-async def async_send_hello(connection: WebSocket, hello: Hello) -> HelloReply:
-    """Send Hello and return the peer's reply; raise HandshakeError if there is no valid reply."""
-    with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
+async def async_send_hello(connection: WebSocket, hello: Hello, timeout_s: float) -> HelloReply:
+    """Send Hello and return the peer's reply.
+
+    Raises HandshakeError if there is no valid reply within `timeout_s` seconds.
+    """
+    with trio.move_on_after(timeout_s):
         await connection.async_send(encode_frame([hello]))
         reply = await _async_receive_one(connection)
         if not isinstance(reply, HelloReply):
