Read again soon after records have come, since the store may not notice a read that arrives during an append

Cause: a record answers the waiting reads of all processes at once, their next reads arrive together while the store appends the second record, and that does not end their wait; a read that waits 0.1 s has the record 0.02 s after it. Change: the read after one with records waits 0.1 s at most.

--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -490,6 +490,17 @@
             ),
         ),
     ),
+    Mutant(
+        "the read after one with records waits like any other",
+        FOLLOW_TESTS + "test_second_of_two_changes_is_not_late_if_the_store_does_not_notice_it",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "        if self.records_received:\n",
+                "        if False:\n",
+            ),
+        ),
+    ),
     Mutant(
         "the delay between refused reads grows with the outage",
         FOLLOW_TESTS + "test_change_is_not_late_after_the_store_refused_connections",
--- a/pistachiohill/consortium/const.py
+++ b/pistachiohill/consortium/const.py
@@ -13,6 +13,7 @@
 TOPIC_PROCESSES: Final = "keyed.pistachiohill"
 
 POLL_WAIT_S: Final = 1.0  # long-poll timeout
+AFTER_RECORDS_WAIT_S: Final = 0.1  # of the read that follows one with records
 POLL_AGE_FRACTION: Final = 0.25  # fraction of a view's maximum age that one read may take
 # The longest time from the store's return until it is followed again is a sum of the following; see
 # docs/design/users-platform.md, "Manifest and evacuation".
--- a/pistachiohill/consortium/follow.py
+++ b/pistachiohill/consortium/follow.py
@@ -16,6 +16,7 @@
 from ..platform.models import KeyedPage, OffsetExpired, ReadFailed
 from ..platform.store import StoreClient
 from .const import (
+    AFTER_RECORDS_WAIT_S,
     RESPONSE_OVERDUE_S,
     RESPONSE_TIMEOUT_S,
     RETRY_MAX_S,
@@ -55,8 +56,19 @@
     topic: str
     offset: int | None = None
     lost: bool = False
+    records_received: bool = False
     answered_at_s: float = 0.0
 
+    def next_wait_s(self, wait_s: float) -> float:
+        """Return how long the next read waits for records, at most `wait_s` seconds."""
+        if self.lost or self.offset is None:
+            return 0.0  # a read that waits would show only after its wait that the store is back
+        if self.records_received:
+            # Changes often come in pairs, and the store may not end the wait of a read that
+            # arrives while it appends a record.
+            return min(wait_s, AFTER_RECORDS_WAIT_S)
+        return wait_s
+
     async def async_read(self, wait_s: float) -> Read:
         """Read once and return the first response.
 
@@ -64,8 +76,6 @@
         failure only if this read failed, whatever became of those that were sent beside it.
         """
         responses: list[Read] = []
-        if self.offset is None:
-            wait_s = 0.0
 
         async def async_read_beside() -> None:
             await trio.sleep(wait_s + RESPONSE_OVERDUE_S)
@@ -136,6 +146,7 @@
                 read_s=read_s,
             )
         self.lost = False
+        self.records_received = bool(page.records)
         self.answered_at_s = now_s
         self.offset = page.end
 
@@ -151,8 +162,7 @@
     reader = TopicReader(store, topic, answered_at_s=clock.boot_s())
     delay = RetryDelay()
     while True:
-        # A read that waits for records would show only after its wait that the store is back.
-        read = await reader.async_read(0.0 if reader.lost else wait_s())
+        read = await reader.async_read(reader.next_wait_s(wait_s()))
         now_s = clock.boot_s()
         if isinstance(read.outcome, OffsetExpired):
             first = read.outcome.first
--- a/tests/consortium/test_follow.py
+++ b/tests/consortium/test_follow.py
@@ -11,6 +11,7 @@
 from attrs import define, field, frozen
 
 from pistachiohill.consortium.const import (
+    AFTER_RECORDS_WAIT_S,
     POLL_WAIT_S,
     RESPONSE_OVERDUE_S,
     RETRY_MAX_S,
@@ -71,9 +72,13 @@
 
 @define
 class FailingStore:
-    """HTTP client of a simulated store with one topic and with outages."""
+    """HTTP client of a simulated store with one topic and with outages.
+
+    An append does not end the wait of reads that arrived in the `unnoticed_s` seconds before it.
+    """
 
     outages: list[Outage]
+    unnoticed_s: float = 0.0
     topic: Topic = field(factory=Topic)
     calls: int = 0
 
@@ -98,8 +103,11 @@
             return HttpResponse(200, b'{"items": [], "end": %d}' % self.topic.end)
         start = int(query["from"])
         with trio.move_on_after(int(query["waitMs"]) / 1000):
+            arrived_at_s = trio.current_time()
             while start >= self.topic.end:
                 await self.topic.appended.wait()
+            if trio.current_time() - arrived_at_s < self.unnoticed_s:
+                await trio.sleep_forever()
         await trio.sleep(RESPONSE_S)
         failed = await self._async_fail()
         return failed or HttpResponse(200, self._page(start))
@@ -140,6 +148,32 @@
     change_s: float
 
 
+async def async_measure_pair() -> float:
+    """Return how late the second of two changes is that the store does not notice for a read."""
+    http = FailingStore([], unnoticed_s=2 * RESPONSE_S)
+    store = StoreClient("http://127.0.0.1:1")
+    store._http = http  # type: ignore[assignment]
+    received = 0
+    all_received = trio.Event()
+
+    def apply(page: KeyedPage, complete: bool, requested_at_s: float) -> None:
+        nonlocal received
+        received += len(page.records)
+        if received == 2:
+            all_received.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(async_follow_topic, store, TOPIC, lambda: POLL_WAIT_S, apply)
+        for delay_s in (5 * RESPONSE_S, 1.5 * RESPONSE_S):
+            await trio.sleep(delay_s)
+            http.topic.append([encode_record("key", b"value")[RECORD_LENGTH.size :]])
+        changed_at_s = trio.current_time()
+        await all_received.wait()
+        change_s = trio.current_time() - changed_at_s
+        nursery.cancel_scope.cancel()
+    return change_s
+
+
 async def async_measure(outages: list[Outage], change_after_s: float) -> Delays:
     """Return how late a follower is after the last outage."""
     http = FailingStore(outages)
@@ -220,3 +254,8 @@
 
     def test_change_is_not_late_after_the_store_was_silent_slow_and_busy(self) -> None:
         self._assert_in_time(Failure.SILENT, Failure.SLOW, Failure.BUSY)
+
+    def test_second_of_two_changes_is_not_late_if_the_store_does_not_notice_it(self) -> None:
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        delay_s = trio.run(async_measure_pair, clock=clock)
+        self.assertLess(delay_s, AFTER_RECORDS_WAIT_S + 2 * RESPONSE_S)
