Limit the rate of reads while records expire faster than they are read

Cause: after an expired offset the newest records were read at once, and their end again; a store whose first kept offset stays ahead of what it returns would be asked in a loop without a delay. Evidence: the test fails without the change (mutant detected): more than readsPerS allows 14 machines with two topics.

--- a/experiments/broken.py
+++ b/experiments/broken.py
@@ -490,6 +490,18 @@
             ),
         ),
     ),
+    Mutant(
+        "expired records are read again without a delay",
+        FOLLOW_TESTS
+        + "test_calls_are_limited_while_the_store_drops_records_faster_than_they_are_read",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "            reader.offset = None\n            await trio.sleep(delay.advance())\n",
+                "            reader.offset = None\n",
+            ),
+        ),
+    ),
     Mutant(
         "the read after one with records waits like any other",
         FOLLOW_TESTS + "test_second_of_two_changes_is_not_late_if_the_store_does_not_notice_it",
--- a/pistachiohill/consortium/follow.py
+++ b/pistachiohill/consortium/follow.py
@@ -168,6 +168,7 @@
             first = read.outcome.first
             logs.event("offset_expired", topic=topic, offset=reader.offset, first=first)
             reader.offset = None
+            await trio.sleep(delay.advance())
             continue
         if isinstance(read.outcome, ReadFailed):
             retry_s = delay.advance()
--- a/tests/consortium/test_follow.py
+++ b/tests/consortium/test_follow.py
@@ -33,6 +33,8 @@
 REGAIN_LIMIT_S = 2.0  # time after the store's return in which it has to be followed again
 FIRST_OUTAGE_AT_S = 2.0
 CYCLE_PHASES = 11
+EXPIRED_S = 10.0
+MAX_CALLS_PER_S = 2000 / 28  # readsPerS of the first sites; two topics on each of their machines
 PHASE_S = 0.1
 OUTAGES_S = (0.3, 1.1, 1.9, 2.6, 4.2, 5.6, 6.6, 8.1, 11.2, 13.3)
 CHANGES_AFTER_RETURN_S = (0.0, 0.4, 1.3)
@@ -75,10 +77,12 @@
     """HTTP client of a simulated store with one topic and with outages.
 
     An append does not end the wait of reads that arrived in the `unnoticed_s` seconds before it.
+    If `expired` is set, the records after any offset have been deleted.
     """
 
     outages: list[Outage]
     unnoticed_s: float = 0.0
+    expired: bool = False
     topic: Topic = field(factory=Topic)
     calls: int = 0
 
@@ -102,6 +106,9 @@
         if path == PATH_LOG_NEWEST:
             return HttpResponse(200, b'{"items": [], "end": %d}' % self.topic.end)
         start = int(query["from"])
+        if self.expired:
+            await trio.sleep(RESPONSE_S)
+            return HttpResponse(410, b'{"first": %d}' % (start + 1))
         with trio.move_on_after(int(query["waitMs"]) / 1000):
             arrived_at_s = trio.current_time()
             while start >= self.topic.end:
@@ -259,3 +266,18 @@
         clock = trio.testing.MockClock(autojump_threshold=0)
         delay_s = trio.run(async_measure_pair, clock=clock)
         self.assertLess(delay_s, AFTER_RECORDS_WAIT_S + 2 * RESPONSE_S)
+
+    def test_calls_are_limited_while_the_store_drops_records_faster_than_they_are_read(
+        self,
+    ) -> None:
+        async def async_count_calls() -> int:
+            http = FailingStore([], expired=True)
+            store = StoreClient("http://127.0.0.1:1")
+            store._http = http  # type: ignore[assignment]
+            with trio.move_on_after(EXPIRED_S):
+                await async_follow_topic(store, TOPIC, lambda: POLL_WAIT_S, lambda *_: None)
+            return http.calls
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        calls = trio.run(async_count_calls, clock=clock)
+        self.assertLessEqual(calls, EXPIRED_S * MAX_CALLS_PER_S)
