Soak: end with an outage of the store and a change after its return

Purpose: no soak asked for a change after an outage; routes were checked 4 s after the last fault, when any read had been answered again, and the store was down with 503 only, never silent on new connections. Change: when all other faults are over, the store or the path to it fails in one of seven ways for 0.3 to 12 s, a route is published up to 1.5 s after its return, and every entry has to serve it 2 s later, 3 s after the return.

--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -25,6 +25,8 @@
 )
 from standins.processes import Process
 
+from .store_outage import StoreOutage, async_check_change, make_outage
+
 FAULT_PERIOD_S: Final = 12.0
 JOBS_PER_S: Final = 10.0
 QUIET_PERIOD_S: Final = 4.0  # between the last fault and the recovery check
@@ -80,11 +82,12 @@
 
 @frozen
 class Plan:
-    """The deployment and the faults that a seed determines."""
+    """The deployment, the faults and the closing outage that a seed determines."""
 
     seed: int
     spec: PlatformSpec
     faults: tuple[Fault, ...]
+    store_outage: StoreOutage
 
 
 @define
@@ -118,7 +121,8 @@
                 Fault(at_s + repeat * (duration_s + gap_s), duration_s, kind, index + repeat)
             )
     faults += _make_changes_after_silence(seed, fault_period_s)
-    return Plan(seed, spec, tuple(sorted(faults, key=lambda fault: fault.at_s)))
+    ordered = tuple(sorted(faults, key=lambda fault: fault.at_s))
+    return Plan(seed, spec, ordered, make_outage(seed + 3))
 
 
 def _make_changes_after_silence(seed: int, fault_period_s: float) -> list[Fault]:
@@ -158,6 +162,7 @@
             await trio.sleep(QUIET_PERIOD_S)
             self._stopped = True
             await self._async_check_routes(findings)
+            findings.violations += await async_check_change(deployment, self._plan.store_outage)
             await self._async_check_recovery(findings)
             with trio.move_on_after(2 * max(DEADLINES_S) + ANSWER_TOLERANCE_S):
                 while self._pending:
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -177,7 +177,10 @@
 
     async def async_silence_store(self) -> None:
         """Drop all bytes on the entries' open connections to the store; new ones work."""
-        mode = {"forward": "swallow", "backward": "swallow"}
+        await self.async_set_store_path(forward="swallow", backward="swallow")
+
+    async def async_set_store_path(self, **mode: Any) -> None:
+        """Set the mode of the relay between the entries and the store."""
         await self.async_post(f"{self._store_relay_url}/v1/mode", mode)
 
     async def async_evacuate(self, domain: str, out: bool) -> None:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,9 +1,10 @@
 """Stand-in for a network path: a TCP proxy that can delay, drop, refuse and reset.
 
 `POST /v1/mode` with `{"forward": "pass"|"swallow", "backward": ..., "delay_s": n, "refuse": bool}`
-applies to the open connections and, with `"new": true`, also to later ones. `swallow` drops the
-bytes of a direction while the connection stays open. `refuse` closes new connections at once, and
-`"reset": true` resets the open ones.
+applies to the open connections and, with `"new": true`, also to later ones; with
+`"default_only": true` it applies to later ones only. `swallow` drops the bytes of a direction while
+the connection stays open. `refuse` closes new connections at once, and `"reset": true` resets the
+open ones.
 """
 
 import json
@@ -102,6 +103,8 @@
         modes = list(self.open_modes)
         if value.pop("new", False):
             modes.append(self.default)
+        if value.pop("default_only", False):
+            modes = [self.default]
         for mode in modes:
             for name, setting in value.items():
                 setattr(mode, name, setting)
