--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -34,7 +34,7 @@
     def __init__(self, model: PlatformStore, relay: RelayModel, port: int) -> None:
         self.model = model
         self.relay = relay
-        self.url = f"http://{HOST}:{port}"
+        self.client = StoreClient(f"http://{HOST}:{port}")
 
     def publish(self, version: int, *routes: dict[str, object], padding: int = 0) -> None:
         """Append a manifest, with a number of bytes of white space."""
@@ -80,6 +80,17 @@
         nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def followed_store() -> AsyncIterator[tuple[StoreBehindRelay, ConsortiumView]]:
+    """Serve a store with one manifest, and yield a view that follows it."""
+    view = ConsortiumView()
+    async with store_behind_relay() as (store, nursery):
+        store.publish(1, ROUTE)
+        nursery.start_soon(async_follow_operators, store.client, view)
+        await view.async_wait_offset(0)
+        yield store, view
+
+
 async def async_wait_for_route(view: ConsortiumView, path: str = ADDED_PATH) -> None:
     table = RouteTable(view)
     while table.find("nony24.example", path) is None:
@@ -93,14 +104,9 @@
         self.assertFalse(waiting.cancelled_caught, f"not in force after {limit_s:g} s")
 
     async def test_change_is_not_late_after_all_store_connections_fall_silent(self) -> None:
-        view = ConsortiumView()
-        async with store_behind_relay() as (store, nursery):
-            store.publish(1, ROUTE)
-            client = StoreClient(store.url)
-            nursery.start_soon(async_follow_operators, client, view)
-            await view.async_wait_offset(0)
+        async with followed_store() as (store, view):
             # Idle connections fall silent like those in use.
-            await client.async_append("keyed.other", "key", b"value")
+            await store.client.async_append("keyed.other", "key", b"value")
             await trio.sleep(0.3)
             silent_at_s = clock.boot_s()
             store.silence()
@@ -110,24 +116,15 @@
             await self.async_assert_in_force(view, limit_s)
 
     async def test_change_is_not_late_if_store_connections_fall_silent_just_before(self) -> None:
-        view = ConsortiumView()
-        async with store_behind_relay() as (store, nursery):
-            store.publish(1, ROUTE)
-            client = StoreClient(store.url)
-            nursery.start_soon(async_follow_operators, client, view)
-            await view.async_wait_offset(0)
+        async with followed_store() as (store, view):
             # A connection that was in use just now is not suspected.
-            await client.async_append("keyed.other", "key", b"value")
+            await store.client.async_append("keyed.other", "key", b"value")
             store.silence()
             store.publish(2, ROUTE, ADDED_ROUTE)
             await self.async_assert_in_force(view, CONFIG_LIMIT_S)
 
     async def test_change_is_not_late_after_the_store_was_silent_for_seconds(self) -> None:
-        view = ConsortiumView()
-        async with store_behind_relay() as (store, nursery):
-            store.publish(1, ROUTE)
-            nursery.start_soon(async_follow_operators, StoreClient(store.url), view)
-            await view.async_wait_offset(0)
+        async with followed_store() as (store, view):
             await trio.sleep(0.3)
             store.start_silence()
             await trio.sleep(SILENCE_S)
@@ -137,11 +134,7 @@
             await self.async_assert_in_force(view, CONFIG_LIMIT_S)
 
     async def test_evacuation_is_not_late_after_all_store_connections_fall_silent(self) -> None:
-        view = ConsortiumView()
-        async with store_behind_relay() as (store, nursery):
-            store.publish(1, ROUTE)
-            nursery.start_soon(async_follow_operators, StoreClient(store.url), view)
-            await view.async_wait_offset(0)
+        async with followed_store() as (store, view):
             await trio.sleep(0.3)
             store.silence()
             store.evacuate("bern-a")
@@ -150,11 +143,7 @@
             self.assertTrue(view.state.domain_is_out("bern-a"))
 
     async def test_changes_beyond_the_first_page_are_not_passed_over(self) -> None:
-        view = ConsortiumView()
-        async with store_behind_relay() as (store, nursery):
-            store.publish(1, ROUTE)
-            nursery.start_soon(async_follow_operators, StoreClient(store.url), view)
-            await view.async_wait_offset(0)
+        async with followed_store() as (store, view):
             store.model.faults.down = True
             for version in range(2, 12):
                 store.publish(version, ROUTE, padding=200_000)
@@ -165,7 +154,7 @@
     async def test_peer_with_a_backlog_does_not_bring_back_an_older_manifest(self) -> None:
         current, behind = ConsortiumView(), ConsortiumView()
         async with store_behind_relay() as (store, _):
-            client = StoreClient(store.url)
+            client = store.client
             store.publish(1, ROUTE)
             await self._async_read_newest(client, behind)
             for version in range(2, 12):
@@ -180,11 +169,7 @@
             self.assertIsNotNone(RouteTable(current).find("nony24.example", ADDED_PATH))
 
     async def test_view_is_not_confirmed_by_a_page_of_a_part_of_the_backlog(self) -> None:
-        view = ConsortiumView()
-        async with store_behind_relay() as (store, nursery):
-            store.publish(1, ROUTE)
-            nursery.start_soon(async_follow_operators, StoreClient(store.url), view)
-            await view.async_wait_offset(0)
+        async with followed_store() as (store, view):
             store.model.faults.down = True
             for version in range(2, 12):
                 store.publish(version, ROUTE, padding=200_000)
