--- a/pistachiohill/consortium/const.py
+++ b/pistachiohill/consortium/const.py
@@ -19,7 +19,7 @@
 # docs/design/users-platform.md, "Manifest and evacuation".
 RESPONSE_OVERDUE_S: Final = 0.5  # beyond the wait; then another read is sent beside the first
 SECOND_READ_TIMEOUT_S: Final = 1.0
-RESPONSE_TIMEOUT_S: Final = 4.0  # beyond the wait; for a store that takes seconds to respond
+FIRST_READ_TIMEOUT_S: Final = 4.0  # beyond the wait; for a store that takes seconds to respond
 RETRY_MIN_S: Final = 0.1
 RETRY_MAX_S: Final = 1.0
 ANNOUNCE_RETRY_S: Final = 0.5
--- a/pistachiohill/consortium/follow.py
+++ b/pistachiohill/consortium/follow.py
@@ -17,8 +17,8 @@
 from ..platform.store import StoreClient
 from .const import (
     AFTER_RECORDS_WAIT_S,
+    FIRST_READ_TIMEOUT_S,
     RESPONSE_OVERDUE_S,
-    RESPONSE_TIMEOUT_S,
     RETRY_MAX_S,
     RETRY_MIN_S,
     SECOND_READ_TIMEOUT_S,
@@ -85,7 +85,7 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(async_read_beside)
-            responses.append(await self._async_read_once(wait_s, RESPONSE_TIMEOUT_S))
+            responses.append(await self._async_read_once(wait_s, FIRST_READ_TIMEOUT_S))
             nursery.cancel_scope.cancel()
         return responses[0]
 
@@ -97,7 +97,7 @@
             if not isinstance(read.outcome, ReadFailed):
                 return read
             retry_s = 0.0 if read.outcome.timed_out else delay.advance()
-            self.record_failure(read, read.outcome, retry_s, clock.boot_s())
+            self.record_failure(read.outcome, clock.boot_s() - read.requested_at_s, retry_s)
             await trio.sleep(retry_s)
 
     async def _async_read_once(
@@ -115,17 +115,23 @@
             )
         return Read(outcome, requested_at_s)
 
-    def record_failure(self, read: Read, failure: ReadFailed, retry_s: float, now_s: float) -> None:
-        """Log a failed read, and the loss of the store if it is the first one."""
-        read_s = now_s - read.requested_at_s
-        detail = failure.detail
+    def record_failure(self, failure: ReadFailed, read_s: float, retry_s: float) -> None:
+        """Log a read that failed after `read_s` seconds, and the loss of the store if it is new."""
         if not self.lost:
             logs.warning(
-                "store_lost", topic=self.topic, offset=self.offset, detail=detail, read_s=read_s
+                "store_lost",
+                topic=self.topic,
+                offset=self.offset,
+                detail=failure.detail,
+                read_s=read_s,
             )
         self.lost = True
         logs.event(
-            "store_read_failed", topic=self.topic, detail=detail, read_s=read_s, retry_s=retry_s
+            "store_read_failed",
+            topic=self.topic,
+            detail=failure.detail,
+            read_s=read_s,
+            retry_s=retry_s,
         )
 
     def record_page(self, read: Read, page: KeyedPage, now_s: float) -> None:
@@ -172,7 +178,7 @@
             continue
         if isinstance(read.outcome, ReadFailed):
             retry_s = delay.advance()
-            reader.record_failure(read, read.outcome, retry_s, now_s)
+            reader.record_failure(read.outcome, now_s - read.requested_at_s, retry_s)
             await trio.sleep(retry_s)
             continue
         complete = reader.offset is None
