--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -11,23 +11,21 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
-from enum import StrEnum
 from typing import Any, Final
 
 import trio
-from attrs import define, field, frozen
+from attrs import define, field
 
 from standins.platform_deployment import (
     JobResponse,
     PlatformDeployment,
     PlatformEntryProcess,
-    PlatformSpec,
 )
 from standins.processes import Process
 
-from .store_outage import StoreOutage, async_check_change, make_outage
+from .soak_plan import DOMAINS, Fault, FaultKind, Plan, make_plan
+from .store_outage import async_check_change
 
-FAULT_PERIOD_S: Final = 12.0
 JOBS_PER_S: Final = 10.0
 QUIET_PERIOD_S: Final = 4.0  # between the last fault and the recovery check
 IN_TOUCH_S: Final = 3.0  # contactMs in the users' requirements
@@ -36,60 +34,9 @@
 # Added to a caller's deadline, because the checker may be delayed on a loaded machine.
 ANSWER_TOLERANCE_S: Final = 2.0
 CLOCK_TOLERANCE_S: Final = 0.05  # runner and checker read their clocks at different moments
-DOMAINS: Final = ("bern-a", "solothurn-b", "aarau-c")
 DEADLINES_S: Final = (2.0, 4.0, 8.0)
 
 
-class FaultKind(StrEnum):
-    """Type of a fault."""
-
-    KILL_ENTRY = "kill_entry"
-    STOP_ENTRY = "stop_entry"
-    FREEZE_ENTRY = "freeze_entry"
-    KILL_AGENT = "kill_agent"
-    STOP_AGENT = "stop_agent"
-    FREEZE_AGENT = "freeze_agent"
-    CUT_ONE_WAY = "cut_one_way"
-    CUT = "cut"
-    RESET = "reset"
-    DELAY = "delay"
-    LOSE_ORDERS = "lose_orders"
-    SILENT_RUNNER = "silent_runner"
-    SLOW_RUNNER = "slow_runner"
-    FAIL_RUNS = "fail_runs"
-    KILL_RUNNER = "kill_runner"
-    STORE_DOWN = "store_down"
-    STORE_SLOW = "store_slow"
-    STORE_LOSES = "store_loses"
-    EVACUATE = "evacuate"
-    PUBLISH = "publish"
-    SILENCE_STORE = "silence_store"
-
-
-# Faults that a plan draws at random; SILENCE_STORE comes with a change of the manifest.
-RANDOM_KINDS: Final = [kind for kind in FaultKind if kind != FaultKind.SILENCE_STORE]
-
-
-@frozen
-class Fault:
-    """One fault: its start time, its duration, and the index of the affected process."""
-
-    at_s: float
-    duration_s: float
-    kind: FaultKind
-    index: int
-
-
-@frozen
-class Plan:
-    """The deployment, the faults and the closing outage that a seed determines."""
-
-    seed: int
-    spec: PlatformSpec
-    faults: tuple[Fault, ...]
-    store_outage: StoreOutage
-
-
 @define
 class Findings:
     """Results of one run; each violated guarantee is described with its evidence."""
@@ -101,41 +48,6 @@
     violations: list[str] = field(factory=list)
 
 
-def make_plan(seed: int, agents: int = 0, fault_period_s: float = FAULT_PERIOD_S) -> Plan:
-    """Return the plan of a seed; `agents` overrides the number of agents unless it is 0."""
-    rng = random.Random(seed)
-    count = agents or rng.randint(3, 6)
-    domains = tuple(DOMAINS[number % len(DOMAINS)] for number in range(count))
-    clock_rates = tuple(rng.choice((0.98, 1.0, 1.02)) for _ in range(count))
-    spec = PlatformSpec(
-        domains, rng.randint(2, 3), 4, clock_rates, relay_agents=True, relay_store=True
-    )
-    faults: list[Fault] = []
-    for _ in range(rng.randint(3, 7)):
-        kind = rng.choice(RANDOM_KINDS)
-        at_s, duration_s = rng.uniform(0.0, fault_period_s * 0.7), rng.uniform(0.2, 3.0)
-        index, repeats = rng.randrange(1000), rng.choice((1, 1, 1, 3))
-        gap_s = rng.uniform(0.1, 1.5)
-        for repeat in range(repeats):
-            faults.append(
-                Fault(at_s + repeat * (duration_s + gap_s), duration_s, kind, index + repeat)
-            )
-    faults += _make_changes_after_silence(seed, fault_period_s)
-    ordered = tuple(sorted(faults, key=lambda fault: fault.at_s))
-    return Plan(seed, spec, ordered, make_outage(seed + 3))
-
-
-def _make_changes_after_silence(seed: int, fault_period_s: float) -> list[Fault]:
-    """Return up to two changes of the manifest right after the entries' connections fall silent."""
-    rng = random.Random(seed + 2)
-    faults = []
-    for _ in range(rng.randint(0, 2)):
-        at_s = rng.uniform(0.0, fault_period_s)
-        faults.append(Fault(at_s, 0.0, FaultKind.SILENCE_STORE, 0))
-        faults.append(Fault(at_s + rng.uniform(0.0, 1.0), 0.0, FaultKind.PUBLISH, 0))
-    return faults
-
-
 class Soak:
     """Runs one plan and checks the guarantees."""
 
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -1,6 +1,7 @@
 """Short soak plans, and every seed that has ever found a violation."""
 
-from experiments.soak import Soak, make_plan
+from experiments.soak import Soak
+from experiments.soak_plan import make_plan
 
 from ..base import TestCase
 
