Test of followers: the simulated store in a module of its own; outages before a process starts as well

Cause: the test file held both; the newest records could not be read from the store, so no outage was played in which a process starts. A change that was not seen would have made the test run forever: it ends after 60 s of virtual time now.

--- a/tests/consortium/test_follow.py
+++ b/tests/consortium/test_follow.py
@@ -1,14 +1,11 @@
 """Followers of a topic after an outage of the store, in virtual time."""
 
 import random
-import struct
-from enum import StrEnum
 from itertools import product
-from urllib.parse import parse_qs, urlsplit
 
 import trio
 import trio.testing
-from attrs import define, field, frozen
+from attrs import frozen
 
 from pistachiohill.consortium.const import (
     AFTER_RECORDS_WAIT_S,
@@ -18,37 +15,23 @@
     SECOND_READ_TIMEOUT_S,
 )
 from pistachiohill.consortium.follow import async_follow_topic
-from pistachiohill.platform.const import CONNECT_TIMEOUT_S, PATH_LOG_NEWEST
-from pistachiohill.platform.http_client import HttpResponse, NoResponse
+from pistachiohill.platform.const import CONNECT_TIMEOUT_S
 from pistachiohill.platform.models import KeyedPage
-from pistachiohill.platform.store import StoreClient, encode_record
-from standins.platform_store import RECORD_LENGTH, Topic
 
 from ..base import TestCase
+from .failing_store import RESPONSE_S, FailingStore, Failure, Outage
 
 TOPIC = "keyed.test"
-RESPONSE_S = 0.01
-SLOW_RESPONSE_S = 3.0
 CHANGE_LIMIT_S = 2.0  # time in which a confirmed change has to be in force
 REGAIN_LIMIT_S = 2.0  # time after the store's return in which it has to be followed again
 FIRST_OUTAGE_AT_S = 2.0
 CYCLE_PHASES = 11
-EXPIRED_S = 10.0
-MAX_CALLS_PER_S = 2000 / 28  # readsPerS of the first sites; two topics on each of their machines
 PHASE_S = 0.1
 OUTAGES_S = (0.3, 1.1, 1.9, 2.6, 4.2, 5.6, 6.6, 8.1, 11.2, 13.3)
 CHANGES_AFTER_RETURN_S = (0.0, 0.4, 1.3)
-
-
-class Failure(StrEnum):
-    """How the store or the path to it fails; one that is cut in one direction is silent as well."""
-
-    SILENT = "silent"
-    UNREACHABLE = "unreachable"
-    REFUSED = "refused"
-    RESET = "reset"
-    BUSY = "busy"
-    SLOW = "slow"
+EFFECT_TIMEOUT_S = 60.0
+EXPIRED_S = 10.0
+MAX_CALLS_PER_S = 2000 / 28  # readsPerS of the first sites; two topics on each of their machines
 
 
 # A read that was sent just before the failure began shows it only when it is overdue.
@@ -63,90 +46,6 @@
 }
 
 
-@frozen
-class Outage:
-    """A failure from one time to another, by trio's clock."""
-
-    failure: Failure
-    start_s: float
-    end_s: float
-
-
-@define
-class FailingStore:
-    """HTTP client of a simulated store with one topic and with outages.
-
-    An append does not end the wait of reads that arrived in the `unnoticed_s` seconds before it.
-    If `expired` is set, the records after any offset have been deleted.
-    """
-
-    outages: list[Outage]
-    unnoticed_s: float = 0.0
-    expired: bool = False
-    topic: Topic = field(factory=Topic)
-    calls: int = 0
-
-    async def async_request(
-        self, method: str, path: str, timeout_s: float, **_options: object
-    ) -> HttpResponse | NoResponse:
-        """Respond like the product's HTTP client."""
-        self.calls += 1
-        query = {name: values[0] for name, values in parse_qs(urlsplit(path).query).items()}
-        with trio.move_on_after(timeout_s):
-            return await self._async_respond(urlsplit(path).path, query)
-        return NoResponse(True, f"no response within {timeout_s:g} s", timed_out=True)
-
-    async def _async_respond(self, path: str, query: dict[str, str]) -> HttpResponse | NoResponse:
-        if self._failure() is Failure.UNREACHABLE:
-            await trio.sleep(CONNECT_TIMEOUT_S)
-            return NoResponse(False, "timed out while connecting")
-        failed = await self._async_fail()
-        if failed is not None:
-            return failed
-        if path == PATH_LOG_NEWEST:
-            return HttpResponse(200, b'{"items": [], "end": %d}' % self.topic.end)
-        start = int(query["from"])
-        if self.expired:
-            await trio.sleep(RESPONSE_S)
-            return HttpResponse(410, b'{"first": %d}' % (start + 1))
-        with trio.move_on_after(int(query["waitMs"]) / 1000):
-            arrived_at_s = trio.current_time()
-            while start >= self.topic.end:
-                await self.topic.appended.wait()
-            if trio.current_time() - arrived_at_s < self.unnoticed_s:
-                await trio.sleep_forever()
-        await trio.sleep(RESPONSE_S)
-        failed = await self._async_fail()
-        return failed or HttpResponse(200, self._page(start))
-
-    def _failure(self) -> Failure | None:
-        now_s = trio.current_time()
-        for outage in self.outages:
-            if outage.start_s <= now_s < outage.end_s:
-                return outage.failure
-        return None
-
-    async def _async_fail(self) -> HttpResponse | NoResponse | None:
-        """Fail as the outage says; None if there is none, or the store is only slow."""
-        failure = self._failure()
-        if failure in (Failure.SILENT, Failure.UNREACHABLE):
-            await trio.sleep_forever()
-        if failure is Failure.SLOW:
-            await trio.sleep(SLOW_RESPONSE_S)
-        if failure is Failure.REFUSED:
-            return NoResponse(False, "refused")
-        if failure is Failure.RESET:
-            return NoResponse(True, "reset")
-        if failure is Failure.BUSY:
-            return HttpResponse(503, b"")
-        return None
-
-    def _page(self, start: int) -> bytes:
-        records = self.topic.records[start:]
-        body = struct.pack(">QQ", self.topic.end, 0)
-        return body + b"".join(RECORD_LENGTH.pack(len(item)) + item for item in records)
-
-
 @frozen
 class Delays:
     """Times from the store's return to a response, and from then or a change to its effect."""
@@ -157,9 +56,7 @@
 
 async def async_measure_pair() -> float:
     """Return how late the second of two changes is that the store does not notice for a read."""
-    http = FailingStore([], unnoticed_s=2 * RESPONSE_S)
-    store = StoreClient("http://127.0.0.1:1")
-    store._http = http  # type: ignore[assignment]
+    store = FailingStore([], unnoticed_s=2 * RESPONSE_S)
     received = 0
     all_received = trio.Event()
 
@@ -170,12 +67,13 @@
             all_received.set()
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(async_follow_topic, store, TOPIC, lambda: POLL_WAIT_S, apply)
+        nursery.start_soon(async_follow_topic, store.client(), TOPIC, lambda: POLL_WAIT_S, apply)
         for delay_s in (5 * RESPONSE_S, 1.5 * RESPONSE_S):
             await trio.sleep(delay_s)
-            http.topic.append([encode_record("key", b"value")[RECORD_LENGTH.size :]])
+            store.append()
         changed_at_s = trio.current_time()
-        await all_received.wait()
+        with trio.fail_after(EFFECT_TIMEOUT_S):
+            await all_received.wait()
         change_s = trio.current_time() - changed_at_s
         nursery.cancel_scope.cancel()
     return change_s
@@ -183,9 +81,7 @@
 
 async def async_measure(outages: list[Outage], change_after_s: float) -> Delays:
     """Return how late a follower is after the last outage."""
-    http = FailingStore(outages)
-    store = StoreClient("http://127.0.0.1:1")
-    store._http = http  # type: ignore[assignment]
+    store = FailingStore(outages)
     returned_at_s = outages[-1].end_s
     applied_at_s: list[float] = []
     in_force = trio.Event()
@@ -196,11 +92,12 @@
             in_force.set()
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(async_follow_topic, store, TOPIC, lambda: POLL_WAIT_S, apply)
+        nursery.start_soon(async_follow_topic, store.client(), TOPIC, lambda: POLL_WAIT_S, apply)
         changed_at_s = returned_at_s + change_after_s
         await trio.sleep_until(changed_at_s)
-        http.topic.append([encode_record("key", b"value")[RECORD_LENGTH.size :]])
-        await in_force.wait()
+        store.append()
+        with trio.fail_after(EFFECT_TIMEOUT_S):
+            await in_force.wait()
         change_s = trio.current_time() - changed_at_s
         nursery.cancel_scope.cancel()
     regained_at_s = next(at_s for at_s in applied_at_s if at_s >= returned_at_s)
@@ -220,10 +117,12 @@
     def _assert_in_time(self, *failures: Failure) -> None:
         """Check outages of several lengths that begin at every phase of the read's cycle.
 
-        Several failures follow each other within each outage.
+        One also begins before the process does. Several failures follow each other within each
+        outage.
         """
         random.seed(20261204)
         starts_s = [FIRST_OUTAGE_AT_S + phase * PHASE_S for phase in range(CYCLE_PHASES)]
+        starts_s.append(0.0)
         for case in product(starts_s, OUTAGES_S, CHANGES_AFTER_RETURN_S):
             start_s, outage_s, change_after_s = case
             outages = outages_in_a_row(failures, start_s, outage_s)
@@ -271,12 +170,12 @@
         self,
     ) -> None:
         async def async_count_calls() -> int:
-            http = FailingStore([], expired=True)
-            store = StoreClient("http://127.0.0.1:1")
-            store._http = http  # type: ignore[assignment]
+            store = FailingStore([], expired=True)
             with trio.move_on_after(EXPIRED_S):
-                await async_follow_topic(store, TOPIC, lambda: POLL_WAIT_S, lambda *_: None)
-            return http.calls
+                await async_follow_topic(
+                    store.client(), TOPIC, lambda: POLL_WAIT_S, lambda *_: None
+                )
+            return store.calls
 
         clock = trio.testing.MockClock(autojump_threshold=0)
         calls = trio.run(async_count_calls, clock=clock)
