--- /dev/null
+++ b/experiments/mutants.py
@@ -0,0 +1,632 @@
+"""Mutants of the product: each removes one safeguard, and names the test that must detect it."""
+
+from attrs import frozen
+
+
+@frozen
+class Edit:
+    """A text replacement in one file; raises an error if the old text is missing."""
+
+    path: str
+    old: str
+    new: str
+
+
+@frozen
+class Mutant:
+    """The edits that remove one safeguard, and the test that must detect it."""
+
+    name: str
+    test: str
+    edits: tuple[Edit, ...]
+
+
+KILL_TESTS = "tests/failures/test_kills.py::KillTest::"
+FREEZE_TESTS = "tests/failures/test_freezes.py::FreezeTest::"
+STORE_TESTS = "tests/failures/test_platform_store.py::PlatformStoreTest::"
+DOMAIN_TESTS = "tests/failures/test_domains.py::DomainTest::"
+ANSWER_TESTS = "tests/failures/test_answers.py::AnswerTest::"
+PLATFORM_TESTS = "tests/failures/test_platform_jobs.py::PlatformJobsTest::"
+PEER_TESTS = "tests/failures/test_bad_peers.py::BadPeerTest::"
+FOLLOW_TESTS = "tests/consortium/test_follow.py::FollowAfterOutageTest::"
+HTTP_CLIENT_TESTS = "tests/platform/test_http_client.py::HttpClientTest::"
+OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
+
+MUTANTS = (
+    Mutant(
+        "a resubmission at another entry runs without recovery",
+        KILL_TESTS + "test_entry_killed_with_all_tasks_started",
+        (
+            Edit(
+                "pistachiohill/entry/submission_service.py",
+                "        return await self._async_recover(submission_id, parsed, member, wait_s)\n",
+                "        message.submission_id = self.issue_ids(member, 1)[0]\n"
+                "        return await self._async_answer_locally(message)\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "tasks at a dead agent are placed again",
+        KILL_TESTS + "test_agent_killed",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "                Verdict.MAY_HAVE_RUN,\n"
+                "                reason=RefusalReason.LOST_AGENT,",
+                "                Verdict.NOT_RUN,\n"
+                "                reason=RefusalReason.LOST_AGENT,",
+            ),
+        ),
+    ),
+    Mutant(
+        "not run is answered before every agent has sealed the submission",
+        KILL_TESTS + "test_owner_and_the_only_agent_that_started_are_killed",
+        (
+            Edit(
+                "pistachiohill/submissions/recovery.py",
+                "        return self.expected <= self.sealed",
+                "        return True",
+            ),
+        ),
+    ),
+    Mutant(
+        "a request to a target whose connection drops counts as not run",
+        KILL_TESTS + "test_target_killed",
+        (
+            Edit(
+                "pistachiohill/agent/target_client.py",
+                "            return TargetResult(Verdict.MAY_HAVE_RUN, RefusalReason.TARGET_LOST)",
+                "            return TargetResult(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)",
+            ),
+        ),
+    ),
+    Mutant(
+        "unreported tasks count as not run without a query to the agent",
+        FREEZE_TESTS + "test_connection_silent_from_the_agent",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "                agent.link.send(QueryTasks(submission_id, refs))",
+                "                not_run = (TaskState.FENCED, Verdict.NOT_RUN, 0, b'')\n"
+                "                reports = [\n"
+                "                    TaskReport(ref.index, ref.attempt, *not_run, 'fenced')\n"
+                "                    for ref in refs\n"
+                "                ]\n"
+                "                message = TaskReports(submission_id, now_s, 0, reports)\n"
+                "                self.tasks_reported(agent, message, now_s)",
+            ),
+        ),
+    ),
+    Mutant(
+        "silent links are not replaced",
+        FREEZE_TESTS + "test_connection_silent_to_the_agent",
+        (
+            Edit(
+                "pistachiohill/entry/agents.py",
+                "        if self.silence_s(agent, now_s) >= self._silence_s + ECHO_INTERVAL_S:",
+                "        if self.silence_s(agent, now_s) < 0.0:",
+            ),
+        ),
+    ),
+    Mutant(
+        "agents start tasks on stale views",
+        DOMAIN_TESTS + "test_domain_out_while_an_agent_is_frozen_with_a_start_message",
+        (
+            Edit(
+                "pistachiohill/agent/view.py",
+                "        return self.age_s(now_s) <= self.max_age_s",
+                "        return True",
+            ),
+        ),
+    ),
+    Mutant(
+        "log reads wait as long as the maximum view age",
+        STORE_TESTS + "test_outage_in_the_middle_of_a_job",
+        (
+            Edit(
+                "pistachiohill/consortium/tail.py",
+                "    return min(POLL_WAIT_S, max_age_s * POLL_AGE_FRACTION)",
+                "    return max(POLL_WAIT_S, max_age_s)",
+            ),
+        ),
+    ),
+    Mutant(
+        "entries ignore the age of their view",
+        STORE_TESTS + "test_outage_longer_than_the_view_age_refuses_as_not_run",
+        (
+            Edit(
+                "pistachiohill/entry/submission_service.py",
+                "        if view_age_s > settings.view_max_age_s:",
+                "        if view_age_s > 1e9:",
+            ),
+        ),
+    ),
+    Mutant(
+        "a change is appended without an expected offset",
+        STORE_TESTS + "test_late_append_is_not_applied_twice",
+        (
+            Edit(
+                "pistachiohill/consortium/publisher.py",
+                "async_append(TOPIC_SETTINGS, change_key(record), value, end)",
+                "async_append(TOPIC_SETTINGS, change_key(record), value)",
+            ),
+        ),
+    ),
+    Mutant(
+        "a published change is appended again",
+        STORE_TESTS + "test_change_is_published_once_despite_lost_answers",
+        (
+            Edit(
+                "pistachiohill/consortium/publisher.py",
+                "            if published is not None:\n" "                return published",
+                "            if published is not None and verdict != Verdict.NOT_RUN:\n"
+                "                return published",
+            ),
+        ),
+    ),
+    Mutant(
+        "the expected version of a change is ignored",
+        STORE_TESTS + "test_concurrent_changes_conflict",
+        (
+            Edit(
+                "pistachiohill/consortium/state.py",
+                "    if expected in (ANY_VERSION, found):\n",
+                "    if expected >= ANY_VERSION:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a new process does not fetch the newest record of each key",
+        STORE_TESTS + "test_records_expired_before_a_process_starts",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "            outcome = await self.store.async_read_newest(\n"
+                "                self.topic, response_timeout_s, new_connection=new_connection\n"
+                "            )\n",
+                "            outcome = await self.store.async_read(self.topic, 0, 0.0)\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "snapshots from peers are not adopted",
+        STORE_TESTS + "test_new_instances_during_an_outage",
+        (
+            Edit(
+                "pistachiohill/entry/peers.py",
+                "            adopted = self._view.adopt(message.snapshot)",
+                "            adopted = False",
+            ),
+        ),
+    ),
+    Mutant(
+        "an invalid record stops the log reader",
+        STORE_TESTS + "test_invalid_record_does_not_stop_the_tail",
+        (
+            Edit(
+                "pistachiohill/consortium/tail.py",
+                "    except DecodeError as err:\n",
+                "    except ZeroDivisionError as err:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "entries place tasks in domains that are out",
+        DOMAIN_TESTS + "test_no_start_in_a_domain_that_is_out",
+        (
+            Edit(
+                "pistachiohill/consortium/state.py",
+                "        return found is not None and found.out",
+                "        return False",
+            ),
+        ),
+    ),
+    Mutant(
+        "leaving targets receive tasks",
+        DOMAIN_TESTS + "test_leaving_target_receives_no_new_work",
+        (
+            Edit(
+                "pistachiohill/agent/models.py",
+                "        return not self.leaving and self.cpu_m > 0",
+                "        return self.cpu_m > 0",
+            ),
+        ),
+    ),
+    Mutant(
+        "SIGTERM stops an entry without waiting for its answers",
+        DOMAIN_TESTS + "test_entry_finishes_requests_on_sigterm",
+        (
+            Edit(
+                "pistachiohill/daemon/entry.py",
+                "        await self.dispatcher.async_wait_answered()\n",
+                "        self.nursery.cancel_scope.cancel()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "SIGTERM stops an agent without waiting for its tasks",
+        DOMAIN_TESTS + "test_agent_finishes_tasks_on_sigterm",
+        (
+            Edit(
+                "pistachiohill/daemon/agent.py",
+                "    await runner.async_wait_idle()\n",
+                "    runner._nursery.cancel_scope.cancel()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "waiting tasks of cancelled jobs still start",
+        DOMAIN_TESTS + "test_many_jobs_cancelled_at_once",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "        submission.failure_detail = detail\n"
+                "        self.waiting.drop(submission)\n",
+                "        submission.failure_detail = detail\n",
+            ),
+            Edit(
+                "pistachiohill/entry/waiting.py",
+                "            if len(submission.waiting) > planned_count"
+                " and submission.answer is None:",
+                "            if len(submission.waiting) > planned_count:",
+            ),
+        ),
+    ),
+    Mutant(
+        "requests that are not idempotent are retried",
+        DOMAIN_TESTS + "test_non_idempotent_request_runs_at_most_once",
+        (
+            Edit(
+                "pistachiohill/entry/caller_api.py",
+                "settings.max_request_attempts if idempotent else 1",
+                "settings.max_request_attempts",
+            ),
+            Edit(
+                "pistachiohill/entry/caller_api.py",
+                "            if answer.reason == RefusalReason.DEADLINE:",
+                "            if answer is None:",
+            ),
+        ),
+    ),
+    Mutant(
+        "every 503 response of a target counts as not run",
+        DOMAIN_TESTS + "test_target_refusal_is_not_run_only_by_contract",
+        (
+            Edit(
+                "pistachiohill/agent/target_client.py",
+                "    if status == 503 and call.refusal_is_not_run:",
+                "    if status == 503:",
+            ),
+        ),
+    ),
+    Mutant(
+        "a peer's reply goes to any pending request",
+        ANSWER_TESTS + "test_concurrent_jobs_receive_their_own_answers",
+        (
+            Edit(
+                "pistachiohill/entry/peers.py",
+                "        pending = self._pending.get(message.request_id)",
+                "        pending = next(iter(self._pending.values()), None)",
+            ),
+        ),
+    ),
+    Mutant(
+        "submission identifiers are not bound to members",
+        PEER_TESTS + "test_submission_is_hidden_from_other_members",
+        (
+            Edit(
+                "pistachiohill/submissions/identifiers.py",
+                '        data = f"{prefix}/{member}".encode()',
+                "        data = prefix.encode()",
+            ),
+        ),
+    ),
+    Mutant(
+        "an agent keeps running tasks of a lost entry",
+        PLATFORM_TESTS + "test_an_entry_is_killed",
+        (
+            Edit(
+                "pistachiohill/agent/leases.py",
+                "        return self.age_s(entry, now_s) <= self.lease_s",
+                "        return True",
+            ),
+        ),
+    ),
+    Mutant(
+        "the fencing token is not raised after an unanswered request",
+        PLATFORM_TESTS + "test_unanswered_requests_take_effect_late",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "        self._token = max(self._token, token + 1)\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "tasks of an unreachable agent run again before its leases end",
+        PLATFORM_TESTS + "test_an_unreachable_agent_keeps_running",
+        (
+            Edit(
+                "pistachiohill/entry/agent.py",
+                "        return end_s + RUNNER_LEASE_S + LEASE_MARGIN_S",
+                "        return 0.0",
+            ),
+        ),
+    ),
+    Mutant(
+        "runs of a silent runner count as lost before their lease ends",
+        "tests/agent/test_leased_target.py::LeasedTargetTest::"
+        "test_runs_of_a_silent_runner_are_lost_only_when_their_lease_has_ended",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "        elif now_s > self._lease_expires_at_s and self._runs:",
+                "        elif self._runs:",
+            ),
+        ),
+    ),
+    Mutant(
+        "detecting a caller's disconnect cancels the answer",
+        "tests/platform/test_jobs_api.py::JobsApiTest::"
+        "test_response_is_complete_although_the_server_reports_a_disconnect",
+        (
+            Edit(
+                "pistachiohill/platform/jobs_api.py",
+                "            nursery.cancel_scope.cancel()\n        # The server reports",
+                "            response = self._close_if_stopping(_job_response(answer))\n"
+                "            await async_send_response(send, response)\n"
+                "            nursery.cancel_scope.cancel()\n        # The server reports",
+            ),
+            Edit(
+                "pistachiohill/platform/jobs_api.py",
+                "        if answer is not None:\n",
+                "        if answer is None:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the shared secret of a connection is not checked",
+        PEER_TESTS + "test_invalid_frames_close_the_connection",
+        (
+            Edit(
+                "pistachiohill/protocol/link.py",
+                "        if not hmac.compare_digest(hello.secret.encode(), secret.encode()):",
+                "        if hmac is None:",
+            ),
+        ),
+    ),
+    Mutant(
+        "a reader continues at the end of the topic after a part of a backlog",
+        OPERATORS_TESTS + "test_changes_beyond_the_first_page_are_not_passed_over",
+        (
+            Edit(
+                "pistachiohill/platform/store.py",
+                "    return KeyedPage(tuple(records), offset, more=topic_end > offset)\n",
+                "    return KeyedPage(tuple(records), max(topic_end, offset))\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a read may wait longer than a change may take",
+        OPERATORS_TESTS + "test_evacuation_is_not_late_after_all_store_connections_fall_silent",
+        (
+            Edit(
+                "pistachiohill/consortium/const.py",
+                "POLL_WAIT_S: Final = 1.0 ",
+                "POLL_WAIT_S: Final = 10.0 ",
+            ),
+        ),
+    ),
+    Mutant(
+        "idle connections are used after another one has fallen silent",
+        HTTP_CLIENT_TESTS + "test_silent_request_closes_connections_that_were_idle_meanwhile",
+        (
+            Edit(
+                "pistachiohill/platform/http_client.py",
+                "        if sent:\n            await self._async_close_idle(SUSPECT_IDLE_S)\n",
+                "        if sent:\n            await trio.lowlevel.checkpoint()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "idle connections are used after a read was overdue",
+        HTTP_CLIENT_TESTS
+        + "test_request_on_a_new_connection_uses_none_that_may_have_fallen_silent",
+        (
+            Edit(
+                "pistachiohill/platform/http_client.py",
+                "                        await self._async_close_idle(SUSPECT_IDLE_S)\n",
+                "                        await trio.lowlevel.checkpoint()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a read on a silent connection is repeated on one that may be silent as well",
+        OPERATORS_TESTS + "test_change_is_not_late_if_store_connections_fall_silent_just_before",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "self._async_read_once(0.0, SECOND_READ_TIMEOUT_S, new_connection=True)",
+                "self._async_read_once(0.0, SECOND_READ_TIMEOUT_S)",
+            ),
+        ),
+    ),
+    Mutant(
+        "no second read is sent beside one that has had no response",
+        FOLLOW_TESTS + "test_change_is_not_late_after_the_store_was_silent",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "            await trio.sleep(wait_s + RESPONSE_OVERDUE_S)\n",
+                "            await trio.sleep_forever()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the second read is waited for as long as the first",
+        FOLLOW_TESTS + "test_change_is_not_late_after_the_store_was_slow",
+        (
+            Edit(
+                "pistachiohill/consortium/const.py",
+                "SECOND_READ_TIMEOUT_S: Final = 1.0\n",
+                "SECOND_READ_TIMEOUT_S: Final = 4.0\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "expired records are read again without a delay",
+        FOLLOW_TESTS
+        + "test_calls_are_limited_while_the_store_drops_records_faster_than_they_are_read",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "            reader.offset = None\n            await trio.sleep(delay.advance())\n",
+                "            reader.offset = None\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the read after one with records waits like any other",
+        FOLLOW_TESTS + "test_second_of_two_changes_is_not_late_if_the_store_does_not_notice_it",
+        (
+            Edit(
+                "pistachiohill/consortium/follow.py",
+                "        if self.records_received:\n",
+                "        if False:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the delay between refused reads grows with the outage",
+        FOLLOW_TESTS + "test_change_is_not_late_after_the_store_refused_connections",
+        (
+            Edit(
+                "pistachiohill/consortium/const.py",
+                "RETRY_MAX_S: Final = 1.0\n",
+                "RETRY_MAX_S: Final = 60.0\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "an entry waits for seconds for the Hello of another one",
+        "tests/entry/test_peers.py::PeersTest::"
+        "test_change_is_not_late_after_new_links_between_entries_were_silent",
+        (
+            Edit(
+                "pistachiohill/entry/const.py",
+                "PEER_CONNECT_TIMEOUT_S: Final = 1.0\n",
+                "PEER_CONNECT_TIMEOUT_S: Final = 3.0\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "an entry waits for seconds for the Hello of an agent",
+        "tests/entry/test_agents.py::AgentsTest::"
+        "test_agent_is_linked_soon_after_its_link_fell_silent_before_the_reply",
+        (
+            Edit(
+                "pistachiohill/entry/agents.py",
+                "async_send_hello(connection, hello, AGENT_CONNECT_TIMEOUT_S)",
+                "async_send_hello(connection, hello, 3.0)",
+            ),
+        ),
+    ),
+    Mutant(
+        "silent links between entries are kept for longer than a change may take",
+        "tests/entry/test_peers.py::PeersTest::"
+        "test_change_is_not_late_after_the_links_between_entries_fall_silent",
+        (
+            Edit(
+                "pistachiohill/entry/const.py",
+                "PEER_SILENCE_S: Final = 2.2",
+                "PEER_SILENCE_S: Final = 4.0",
+            ),
+        ),
+    ),
+    Mutant(
+        "an older tree replaces a newer one",
+        "tests/consortium/test_state.py::StateTest::"
+        "test_snapshot_replaces_neither_a_newer_tree_nor_a_newer_domain",
+        (
+            Edit(
+                "pistachiohill/consortium/state.py",
+                "        if offset <= self.tree_offset or 0 < tree_version < self.tree_version:\n",
+                "        if offset < 0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a start that was held up on an old link runs",
+        "tests/agent/test_runner.py::TaskRunnerTest::"
+        "test_start_that_was_held_up_on_an_old_link_does_not_run",
+        (
+            Edit(
+                "pistachiohill/agent/runner.py",
+                "        return task in self._running or "
+                "self._echo_age_s(task.link, now_s) <= ENTRY_LEASE_S\n",
+                "        return True\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "an entry that was frozen proves that it is alive with what it knew before",
+        "tests/entry/test_peer_clock.py::PeerClockTest::"
+        "test_a_process_that_was_frozen_proves_nothing_until_it_hears_from_the_agent",
+        (
+            Edit(
+                "pistachiohill/entry/peer_clock.py",
+                "        if self.reading_s < 0.0 or self.received_at_s < running_since_s:\n",
+                "        if self.reading_s < 0.0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "clocks are taken to run at the same rate",
+        "tests/entry/test_peer_clock.py::PeerClockTest::"
+        "test_the_bound_is_never_ahead_of_the_peer",
+        (
+            Edit(
+                "pistachiohill/entry/peer_clock.py",
+                "(now_s - self.received_at_s) * (1.0 - MAX_CLOCK_DRIFT)",
+                "(now_s - self.received_at_s)",
+            ),
+        ),
+    ),
+    Mutant(
+        "runs that the product stopped use up a task's attempts",
+        "tests/entry/test_dispatcher.py::RepeatedRunsTest::"
+        "test_runs_that_the_product_stopped_use_up_no_attempts",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "reason not in UNCOUNTED_REASONS",
+                "reason != RefusalReason.BUSY",
+            ),
+        ),
+    ),
+    Mutant(
+        "jobs that can't end in time hold up those that can",
+        "tests/entry/test_overload.py::OverloadTest::"
+        "test_a_new_job_is_not_refused_for_the_sake_of_late_ones",
+        (
+            Edit(
+                "pistachiohill/scheduling/urgency.py",
+                "    if waited_s + run_s <= goal_s:\n",
+                "    if waited_s >= 0.0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the oldest job goes first in long waits",
+        "tests/entry/test_overload.py::OverloadTest::"
+        "test_an_overload_makes_only_the_excess_late",
+        (
+            Edit(
+                "pistachiohill/scheduling/urgency.py",
+                "    return waited_s > LONG_WAIT_FRACTION * (goal_s - run_s)\n",
+                "    return waited_s > 1e9\n",
+            ),
+        ),
+    ),
+)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -1,6 +1,7 @@
 """The mutants of `script/broken-first` match the product's source and existing tests."""
 
-from experiments.broken import MUTANTS, ROOT
+from experiments.broken import ROOT
+from experiments.mutants import MUTANTS
 
 from .base import TestCase
 
