Let two tests detect their mutants again

(a) "log reads wait as long as the maximum view age": a read no longer waits right after an outage, so the view is fresh for 1 s then and the job of the test completes in that window; detected on. (b) "a read on a silent connection is repeated on one that may be silent as well": since the read after records waits 0.1 s, the test's connections fell silent in that short read, and the mutant was in time. Change: (a) another job has to complete 1.5 s later, in the calm; (b) the test begins in a read that waits 1 s. No check went.

--- a/tests/failures/test_platform_store.py
+++ b/tests/failures/test_platform_store.py
@@ -9,7 +9,8 @@
 
 from .base import FailureTest, payloads, spec
 
-SHORT_VIEW_AGE_TOML = "view_max_age_s = 1.0\n"
+SHORT_VIEW_AGE_S = 1.0
+SHORT_VIEW_AGE_TOML = f"view_max_age_s = {SHORT_VIEW_AGE_S}\n"
 START_THROUGH_OUTAGE_TOML = "view_max_age_s = 1.0\nstart_through_outage = true\n"
 
 
@@ -50,6 +51,8 @@
             self.assertIsInstance(result, JobComplete, result)
             self.assert_answer_matches_starts(deployment, job, result)
             self.assert_single_starts(deployment)
+            await trio.sleep(1.5 * SHORT_VIEW_AGE_S)
+            await self.async_assert_new_job_completes(deployment)
 
     async def test_change_is_published_once_despite_lost_answers(self) -> None:
         async with Deployment(spec()) as deployment:
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -117,6 +117,7 @@
 
     async def test_change_is_not_late_if_store_connections_fall_silent_just_before(self) -> None:
         async with followed_store() as (store, view):
+            await trio.sleep(0.3)  # the next read waits for as long as any
             # A connection that was in use just now is not suspected.
             await store.client.async_append("keyed.other", "key", b"value")
             store.silence()
