Log what an entry or an agent takes for the end of runs

Change: agent_connect_refused, runs_presumed_ended (age of the last message and of the belief in the agent's death), tasks_cancelled (with or without a link); runner_met names the known runner, runs_lost what was left of the lease, stop_unanswered for how long the stop has been asked for. No logic is changed.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -171,6 +171,8 @@
             born_ms=identity.born_ms,
             address=identity.address,
             lost_runs=len(self._runs),
+            known_runner=known.runner_id if known is not None else "",
+            known_born_ms=known.born_ms if known is not None else 0,
         )
         self._identity = identity
         self._set_runner_clock(clock_s, now_s)
@@ -427,6 +429,7 @@
                 await trio.sleep(RETRY_DELAY_S)
 
     async def _async_stop(self, run: Run) -> None:
+        requested_at_s = clock.boot_s()
         while run.result is None:
             identity = self._identity
             if identity is None:
@@ -436,7 +439,12 @@
                 identity, run.name, lease, HOLD_TIMEOUT_S
             )
             if isinstance(outcome, NoAnswer):
-                logs.event("stop_unanswered", task=run.call.task_id, run=run.call.run)
+                logs.event(
+                    "stop_unanswered",
+                    task=run.call.task_id,
+                    run=run.call.run,
+                    stopping_s=clock.boot_s() - requested_at_s,
+                )
             with trio.move_on_after(RETRY_DELAY_S):
                 await run.done.wait()
 
@@ -480,7 +488,8 @@
         for run in runs:
             run.end(Verdict.RAN, reason)
         if self._runs:
-            logs.warning("runs_lost", runs=len(self._runs), why=why)
+            lease_left_s = self._lease_expires_at_s - clock.boot_s()
+            logs.warning("runs_lost", runs=len(self._runs), why=why, lease_left_s=lease_left_s)
 
     def _signal_changed(self) -> None:
         self._changed.set()
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -205,6 +205,12 @@
                 and refused_connects >= REFUSED_CONNECTS_UNTIL_LOST
                 and agent.outstanding
             ):
+                logs.event(
+                    "agent_connect_refused",
+                    agent=agent.incarnation,
+                    connects=refused_connects,
+                    tasks=len(agent.outstanding),
+                )
                 agent.dead_at_s = agent.dead_at_s or clock.boot_s()
                 listener.agent_lost(agent, clock.boot_s())
             if clock.boot_s() - started_at_s > RECONNECT_MAX_S:
@@ -287,13 +293,27 @@
                 if agent.link is not None:
                     self._check_link(agent, agent.link, now_s)
                 if agent.link is None and agent.outstanding and now_s > agent.runs_end_s():
-                    listener.runs_ended(agent, now_s)
+                    self._report_runs_ended(agent, listener, now_s, "lease ended")
             self._report_expired_leases(listener, now_s)
 
     def _report_expired_leases(self, listener: AgentListener, now_s: float) -> None:
         for agent in [item for item in self._lost_agents if now_s > item.runs_end_s()]:
             self._lost_agents.remove(agent)
-            listener.runs_ended(agent, now_s)
+            self._report_runs_ended(agent, listener, now_s, "lease ended")
+
+    def _report_runs_ended(
+        self, agent: Agent, listener: AgentListener, now_s: float, reason: str
+    ) -> None:
+        """Tell the listener that an agent's best-effort runs have ended without a report."""
+        logs.warning(
+            "runs_presumed_ended",
+            agent=agent.incarnation,
+            why=reason,
+            tasks=len(agent.outstanding),
+            last_sent_age_s=now_s - agent.last_sent_at_s,
+            dead_age_s=now_s - agent.dead_at_s if agent.dead_at_s is not None else -1.0,
+        )
+        listener.runs_ended(agent, now_s)
 
     def _check_link(self, agent: Agent, link: Link, now_s: float) -> None:
         """Renew this entry's lease at the agent; close a silent link, so that a new one is opened.
@@ -382,7 +402,7 @@
         """
         for previous in [item for item in self._lost_agents if item.address == agent.address]:
             self._lost_agents.remove(previous)
-            listener.runs_ended(previous, now_s)
+            self._report_runs_ended(previous, listener, now_s, "successor accepts tasks")
 
     @_handle.register
     def _(self, message: TaskReports, agent: Agent, listener: AgentListener, now_s: float) -> None:
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -359,9 +359,17 @@
         submission.failure_detail = detail
         self.waiting.drop(submission)
         for agent in self._directory.agents.values():
-            if agent.link is None or not agent.outstanding:
+            tasks = sum(key[0] == submission.submission_id for key in agent.outstanding)
+            if not tasks:
                 continue
-            if any(key[0] == submission.submission_id for key in agent.outstanding):
+            logs.event(
+                "tasks_cancelled",
+                submission=submission.submission_id,
+                agent=agent.incarnation,
+                tasks=tasks,
+                linked=agent.link is not None,
+            )
+            if agent.link is not None:
                 agent.link.send(CancelTasks(submission.submission_id))
         self._answer_failed(submission, now_s, force=reason == RefusalReason.DEADLINE)
 
--- a/pistachiohill/explain/timeline.py
+++ b/pistachiohill/explain/timeline.py
@@ -7,6 +7,7 @@
 # Events that name no job but may explain what happened to one.
 CONTEXT_EVENTS = frozenset(
     {
+        "agent_connect_refused",
         "agent_lost",
         "agent_released",
         "domain",
@@ -20,6 +21,7 @@
         "runner_restarted",
         "runner_silent",
         "runs_lost",
+        "runs_presumed_ended",
         "started",
         "stopped",
         "stopping",
