--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -15,7 +15,14 @@
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.platform.manifest import build_settings_nodes
 from pistachiohill.platform.models import Manifest
-from pistachiohill.protocol.models import AgentLoad, Message, StartTasks, TaskReport, TaskReports
+from pistachiohill.protocol.models import (
+    AgentLoad,
+    CancelTasks,
+    Message,
+    StartTasks,
+    TaskReport,
+    TaskReports,
+)
 from pistachiohill.scheduling.models import TargetLoad
 from pistachiohill.settings.models import JobSettings
 from pistachiohill.submissions.identifiers import IdIssuer
@@ -140,6 +147,44 @@
         self.assertEqual(Verdict.NOT_RUN, submission.answer.verdict)
 
 
+class CancellationTest(TestCase):
+    def cancellations(self, link: Any) -> list[str]:
+        return [item.submission_id for item in link.sent if isinstance(item, CancelTasks)]
+
+    def test_cancellation_that_may_be_lost_with_its_link_is_repeated_on_the_next(self) -> None:
+        fixture = DispatcherFixture(agents=1)
+        submission = fixture.submit(tasks=1)
+        fixture.dispatcher.place(0.1)
+        fixture.dispatcher.cancel(submission, 0.2)
+        self.assertEqual([submission.submission_id], self.cancellations(fixture.links[0]))
+        agent, new_link = fixture.agents[0], StubLink()
+        agent.link = new_link  # type: ignore[assignment]
+        fixture.dispatcher.link_opened(agent, 0.8)
+        self.assertEqual([submission.submission_id], self.cancellations(new_link))
+
+    def test_job_that_is_cancelled_while_an_agent_is_not_linked_is_cancelled_there_later(
+        self,
+    ) -> None:
+        fixture = DispatcherFixture(agents=1)
+        submission = fixture.submit(tasks=1)
+        fixture.dispatcher.place(0.1)
+        agent, new_link = fixture.agents[0], StubLink()
+        agent.link = None
+        fixture.dispatcher.cancel(submission, 0.2)
+        agent.link = new_link  # type: ignore[assignment]
+        fixture.dispatcher.link_opened(agent, 0.4)
+        self.assertEqual([submission.submission_id], self.cancellations(new_link))
+
+    def test_tasks_of_a_job_that_goes_on_are_not_cancelled_on_a_new_link(self) -> None:
+        fixture = DispatcherFixture(agents=1)
+        fixture.submit(tasks=1)
+        fixture.dispatcher.place(0.1)
+        agent, new_link = fixture.agents[0], StubLink()
+        agent.link = new_link  # type: ignore[assignment]
+        fixture.dispatcher.link_opened(agent, 0.4)
+        self.assertEqual([], self.cancellations(new_link))
+
+
 class SilenceTest(TestCase):
     def test_a_process_that_was_stalled_does_not_take_its_agents_for_silent(self) -> None:
         """Answers may be waiting to be read; a job that is read first must not be refused."""
