Never take an agent's runs for ended because a connection was refused

Cause: two refused connections set Agent.dead_at_s, and nothing took it back when the same incarnation answered. When its link closed again seconds later, runs_end_s was long past, and its tasks were placed elsewhere at once while their runs went on. A cut that refuses says nothing of the process, so the belief was unfounded from the start; neither does the store's record of an end, which the process writes while it may still renew its runs' lease. Class: a belief about another process that outlives what disproves it. Ruled out: taking dead_at_s back where a link opens (a trial of the evidence): it leaves the first cut to luck. Change: no belief at all. Runs at an agent out of reach end by the sum of the leases after the last message; a successor that accepts tasks, after it has listed the runner's runs, is still proof before that. Refused connections still fail at-most-once jobs as may have run, which is true either way. Cost: tasks of a killed agent that is not started again are placed again up to 0.6 s later.

--- a/pistachiohill/entry/agent.py
+++ b/pistachiohill/entry/agent.py
@@ -29,7 +29,6 @@
         applied_offset, view_age_s: Settings offset and view age that it last reported.
         clock: What is known of the agent's clock.
         last_sent_at_s: When the last message was sent on the most recently closed link.
-        dead_at_s: When the process was found to be dead, None while it may be alive.
         lost: Whether the incarnation is known to have ended.
         awaited_since_s: When the oldest unanswered view stamp or request was sent, None if none is.
         outstanding: Tasks that are placed there and not settled.
@@ -47,7 +46,6 @@
     view_age_s: float = 0.0
     clock: PeerClock = field(factory=PeerClock)
     last_sent_at_s: float = 0.0
-    dead_at_s: float | None = None
     lost: bool = False
     awaited_since_s: float | None = None
     outstanding: dict[tuple[str, int], tuple[Submission, Task]] = field(factory=dict)
@@ -64,13 +62,10 @@
         """Return when best-effort runs have certainly ended, if nothing more is sent to the agent.
 
         The agent stops them when this entry's lease expires. If the agent dies before that, they
-        end with the agent's own lease at the runner.
+        end with the agent's own lease at the runner. Whether it has died can't be known from here.
         """
         sent_at_s = self.link.sent_at_s if self.link is not None else self.last_sent_at_s
-        end_s = sent_at_s + ENTRY_LEASE_S
-        if self.dead_at_s is not None:
-            end_s = min(end_s, self.dead_at_s)
-        return end_s + RUNNER_LEASE_S + LEASE_MARGIN_S
+        return sent_at_s + ENTRY_LEASE_S + RUNNER_LEASE_S + LEASE_MARGIN_S
 
 
 class AgentListener:
@@ -85,7 +80,7 @@
         raise NotImplementedError
 
     def agent_lost(self, agent: Agent, now_s: float) -> None:
-        """Handle an incarnation that is known to have ended; its runs may continue for a while."""
+        """Handle an agent that has ended or refuses connections; its runs may continue."""
         raise NotImplementedError
 
     def link_closed(self, agent: Agent) -> None:
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -170,7 +170,6 @@
             return
         now_s = clock.boot_s()
         agent.lost = True
-        agent.dead_at_s = agent.dead_at_s or now_s
         self.agents.pop(agent.incarnation, None)
         if agent.link is not None:
             agent.link.close()
@@ -211,7 +210,6 @@
                     connects=refused_connects,
                     tasks=len(agent.outstanding),
                 )
-                agent.dead_at_s = agent.dead_at_s or clock.boot_s()
                 listener.agent_lost(agent, clock.boot_s())
             if clock.boot_s() - started_at_s > RECONNECT_MAX_S:
                 backoff_s = RECONNECT_MIN_S
@@ -311,7 +309,6 @@
             why=reason,
             tasks=len(agent.outstanding),
             last_sent_age_s=now_s - agent.last_sent_at_s,
-            dead_age_s=now_s - agent.dead_at_s if agent.dead_at_s is not None else -1.0,
         )
         listener.runs_ended(agent, now_s)
 
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -149,7 +149,7 @@
         self._wakeup.set()
 
     def agent_lost(self, agent: Agent, now_s: float) -> None:
-        """Settle the at-most-once tasks of an ended incarnation as MAY_HAVE_RUN.
+        """Settle the at-most-once tasks of an agent that was lost as MAY_HAVE_RUN.
 
         Best-effort tasks may be run again, so they are settled only when their runs have certainly
         ended.
