Do not link an agent again that is recorded as ended

Callers: two runs of a task could overlap where an agent's withdrawal is in the store before its process has ended (a slow store, or a grace period that ends with tasks at work). Cause: the entry marked the agent as lost and closed its link, so that its leases would run out; the task that maintains links then opened another one to the same process, under a new Agent object, and renewed the lease of the very tasks that were about to be placed again. Change: the handshake with an agent that is recorded as ended is refused by the entry.

--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -237,7 +237,13 @@
     def _register_agent(
         self, address: Address, reply: HelloReply, listener: AgentListener
     ) -> Agent:
-        """Return the agent that replied, and mark a different one known at its address as lost."""
+        """Return the agent that replied, and mark a different one known at its address as lost.
+
+        Raises HandshakeError if the agent is recorded as ended: its tasks are placed again soon, so
+        a new link must not renew their lease.
+        """
+        if self._view.processes.has_ended(reply.incarnation):
+            raise HandshakeError(f"agent {reply.incarnation} is recorded as ended")
         agent = self.agents.get(reply.incarnation)
         if agent is not None:
             return agent
