Repeat a cancellation on an agent's next link

Callers: a job that was answered 502 or 504, or whose caller had left, could still be at work when the caller sent it again 1.3 s later to another entry: two runs of one task. Cause: CancelTasks was sent once, on the link that was open at that moment, and not at all without one. The next link asked for the tasks' state and renewed the entry's lease, which covers all its tasks, so that the cancelled run went on to its end. Ruled out: repeating it on an open link, which delivers it or is closed as silent within 0.65 s. Change: link_opened cancels each failed job that still has tasks there, in the same frame as the first renewal.

--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -135,10 +135,18 @@
     # Events from agents
 
     def link_opened(self, agent: Agent, now_s: float) -> None:
-        """Query an agent on a new link for the tasks that were placed there earlier."""
+        """Query an agent on a new link for the tasks that were placed there earlier.
+
+        Cancellations are repeated, since they may have been lost with the previous link.
+        """
         by_submission: dict[str, list[TaskRef]] = {}
-        for (submission_id, index), (_, task) in agent.outstanding.items():
+        cancelled: set[str] = set()
+        for (submission_id, index), (submission, task) in agent.outstanding.items():
             by_submission.setdefault(submission_id, []).append(TaskRef(index, task.attempt))
+            if submission.failure is not None:
+                cancelled.add(submission_id)
+        for submission_id in cancelled:
+            self._send_cancellation(agent, submission_id)
         for submission_id, refs in by_submission.items():
             logs.event("tasks_queried", submission=submission_id, tasks=len(refs))
             if agent.link is not None:
@@ -359,20 +367,22 @@
         submission.failure_detail = detail
         self.waiting.drop(submission)
         for agent in self._directory.agents.values():
-            tasks = sum(key[0] == submission.submission_id for key in agent.outstanding)
-            if not tasks:
-                continue
-            logs.event(
-                "tasks_cancelled",
-                submission=submission.submission_id,
-                agent=agent.incarnation,
-                tasks=tasks,
-                linked=agent.link is not None,
-            )
-            if agent.link is not None:
-                agent.link.send(CancelTasks(submission.submission_id))
+            if any(key[0] == submission.submission_id for key in agent.outstanding):
+                self._send_cancellation(agent, submission.submission_id)
         self._answer_failed(submission, now_s, force=reason == RefusalReason.DEADLINE)
 
+    def _send_cancellation(self, agent: Agent, submission_id: str) -> None:
+        """Cancel a submission at an agent; without a link, it is cancelled when one is opened."""
+        logs.event(
+            "tasks_cancelled",
+            submission=submission_id,
+            agent=agent.incarnation,
+            tasks=sum(key[0] == submission_id for key in agent.outstanding),
+            linked=agent.link is not None,
+        )
+        if agent.link is not None:
+            agent.link.send(CancelTasks(submission_id))
+
     def _answer_failed(self, submission: Submission, now_s: float, *, force: bool) -> None:
         """Answer a failed submission once it is known whether any task ran; at once if `force`."""
         verdict = submission.verdict()
