--- a/pistachiohill/agent/const.py
+++ b/pistachiohill/agent/const.py
@@ -26,6 +26,16 @@
 ENTRY_LEASE_S: Final = 0.6
 LEASE_CHECK_INTERVAL_S: Final = 0.05
 
+# The end of the runs of an entry that is out of reach, counted from its last message.
+STOP_CONFIRM_S: Final = 0.1  # a run that must end and goes on for longer stops the renewals
+RUNNER_STOP_S: Final = 0.05  # the platform's bound on the time that a runner takes to end runs
+TIMER_MARGIN_S: Final = 0.04  # for late timers of a slow machine
+RUNS_END_S: Final = (
+    (ENTRY_LEASE_S + STOP_CONFIRM_S + LEASE_S) / (1.0 - MAX_CLOCK_DRIFT)
+    + RUNNER_STOP_S
+    + TIMER_MARGIN_S
+)
+
 LOAD_PUSH_INTERVAL_S: Final = 0.01  # per linked entry; load changes within this time are batched
 LOW_CAPACITY_FRACTION: Final = 0.25  # of the CPU; with less free, smaller load changes are sent
 LOW_CAPACITY_STEP_FRACTION: Final = 0.05  # of the CPU; about half a task of the users' jobs
--- a/tests/agent/fakes.py
+++ b/tests/agent/fakes.py
@@ -1,5 +1,7 @@
 """Fake runner for tests of the agent, based on the stand-in's model, with request faults."""
 
+from collections.abc import Callable
+
 import trio
 
 from pistachiohill import clock
@@ -42,8 +44,10 @@
     """Implements RunnerInterface on a RunnerModel.
 
     Fields:
-        unanswered_starts: Number of start requests to leave unanswered; each is executed
-            `execution_delay_s` later.
+        unanswered_starts, unanswered_stops: Number of requests to leave unanswered; each is
+            executed `execution_delay_s` later.
+        late_holds: Number of holds to leave unanswered, executed `execution_delay_s` later; the
+            time of their lease counts from then.
         unanswered_holds: Number of hold requests to lose; they are not executed.
         lost_hold_interval: Every hold request of this number is lost, 0 for none.
         silent: Whether all requests are lost.
@@ -62,6 +66,8 @@
         self.others: dict[str, FakeRunner] = {}
         self.response_delay_s = 0.0
         self.unanswered_starts = 0
+        self.unanswered_stops = 0
+        self.late_holds = 0
         self.unanswered_holds = 0
         self.execution_delay_s = 0.0
         self.lost_hold_interval = 0
@@ -114,8 +120,14 @@
             return await self._async_no_answer(timeout_s)
         if runner.runner_id != self.runner_id:
             return OtherIncarnation()
-        outcome = self.model.stop(name.task_id, name.run, lease.token, clock.boot_s())
-        return Stopping() if outcome == "ok" else Fenced()
+
+        def execute() -> str:
+            return self.model.stop(name.task_id, name.run, lease.token, clock.boot_s())
+
+        if self.unanswered_stops > 0:
+            self.unanswered_stops -= 1
+            return await self._async_no_answer(timeout_s, execute)
+        return Stopping() if execute() == "ok" else Fenced()
 
     async def async_hold(
         self, runner: RunnerIdentity, lease: Lease, acked: int, wait_s: float, timeout_s: float
@@ -137,6 +149,17 @@
         ):
             self.unanswered_holds = max(0, self.unanswered_holds - 1)
             return await self._async_no_answer(timeout_s)
+        if self.late_holds > 0 and lease.until_clock_s is not None:
+            self.late_holds -= 1
+            left_ms = (_ms(lease) or 0) - self.model.clock_ms(clock.boot_s())
+
+            def execute() -> str:
+                now_s = clock.boot_s()
+                return self.model.hold(
+                    self.model.clock_ms(now_s) + left_ms, lease.token, acked, now_s
+                )
+
+            return await self._async_no_answer(timeout_s, execute)
         if self.model.hold(_ms(lease), lease.token, acked, clock.boot_s()) == "fence":
             return Fenced()
         waited_until_s = clock.boot_s() + wait_s
@@ -156,15 +179,16 @@
         clock_s = self.model.clock_ms(now_s) / 1000
         return RunList(self.model.born_ms, clock_s, frozenset(running), tuple(ended))
 
-    async def _async_no_answer(self, timeout_s: float, execute: object = None) -> NoAnswer:
-        if callable(execute):
+    async def _async_no_answer(
+        self, timeout_s: float, execute: Callable[[], str] | None = None
+    ) -> NoAnswer:
+        if execute is not None:
             self._nursery.start_soon(self._async_execute_late, execute)
         await trio.sleep(timeout_s)
         return NoAnswer("no answer")
 
-    async def _async_execute_late(self, execute: object) -> None:
+    async def _async_execute_late(self, execute: Callable[[], str]) -> None:
         await trio.sleep(self.execution_delay_s)
-        assert callable(execute)
         execute()
 
 
