--- /dev/null
+++ b/tests/agent/test_run_proofs.py
@@ -0,0 +1,97 @@
+"""What an agent must not take for the end of a run: the run may go on at its runner."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from pistachiohill import clock
+from pistachiohill.agent.const import MAX_CLOCK_DRIFT
+from pistachiohill.settings.models import AgentSettings
+
+from ..base import TestCase
+from .test_leased_target import FENCED, TargetHarness, call
+
+RUN_S = 5.0
+IDLE_S = AgentSettings().target_ttl_s  # after which nothing is started there
+CLOCK_AHEAD_S = 5.0
+WITHIN_S = 3.0
+
+
+class RunProofsTest(TestCase):
+    async def _async_run_scenario(
+        self, scenario: Callable[[TargetHarness], Awaitable[None]]
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            harness = TargetHarness(nursery)
+            nursery.start_soon(harness.target.async_run)
+            await harness.async_wait_ready()
+            await scenario(harness)
+            nursery.cancel_scope.cancel()
+
+    async def _async_check_ended(self, harness: TargetHarness, name: str) -> None:
+        """Check that a run has ended at the runner when its result is known."""
+        await harness.async_result(name, WITHIN_S)
+        harness.runner.model.end_due_runs(clock.boot_s())
+        self.assertEqual({}, harness.runner.model.running)
+
+    async def test_run_that_began_at_a_restarted_runner_is_not_lost_with_its_predecessor(
+        self,
+    ) -> None:
+        """The runner confirms the start before the agent notices the restart."""
+
+        async def scenario(harness: TargetHarness) -> None:
+            harness.runner.model.restart(clock.boot_s())
+            harness.start(call("a", RUN_S))
+            await self._async_check_ended(harness, "a#1")
+
+        await self._async_run_scenario(scenario)
+
+    async def test_start_that_was_fenced_is_not_carried_out_after_a_restart(self) -> None:
+        async def scenario(harness: TargetHarness) -> None:
+            harness.start(call("b", RUN_S))
+            await trio.sleep(0.05)
+            harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, 0.4
+            harness.start(call("a", RUN_S))
+            self.assertEqual(FENCED, await harness.async_result("a#1"))
+            harness.runner.unanswered_holds = 100
+            await trio.sleep(0.2)
+            harness.runner.model.restart(clock.boot_s())
+            await trio.sleep(0.3)
+            harness.runner.model.end_due_runs(clock.boot_s())
+            self.assertEqual({}, harness.runner.model.running)
+
+        await self._async_run_scenario(scenario)
+
+    async def _async_check_lease(self, harness: TargetHarness) -> None:
+        """Check that the agent knows when a new run's lease has certainly expired."""
+        harness.start(call("a", RUN_S))
+        while not harness.runner.model.running:
+            await trio.sleep(0.0)
+        known_until_s = harness.target._lease_expires_at_s
+        self.assertLessEqual(harness.runner.model.lease_expires_at_s, known_until_s)
+
+    async def test_lease_is_not_longer_than_known_after_a_slow_clock_was_not_read_for_a_while(
+        self,
+    ) -> None:
+        async def scenario(harness: TargetHarness) -> None:
+            model, now_s = harness.runner.model, clock.boot_s()
+            model.born_s, model.rate = now_s - IDLE_S, 1.0 - MAX_CLOCK_DRIFT
+            read_at_s = now_s - IDLE_S
+            clock_s = model.clock_ms(read_at_s) / 1000
+            harness.target.handle_announcement(harness.runner.identity(), clock_s, read_at_s)
+            await self._async_check_lease(harness)
+
+        await self._async_run_scenario(scenario)
+
+    async def test_announced_clock_that_is_ahead_does_not_make_leases_longer_than_known(
+        self,
+    ) -> None:
+        """Another writer may announce the runner with a clock that is not the runner's."""
+
+        async def scenario(harness: TargetHarness) -> None:
+            now_s = clock.boot_s()
+            clock_s = harness.runner.model.clock_ms(now_s) / 1000 + CLOCK_AHEAD_S
+            harness.target.handle_announcement(harness.runner.identity(), clock_s, now_s)
+            await self._async_check_lease(harness)
+
+        await self._async_run_scenario(scenario)
--- a/tests/entry/test_best_effort.py
+++ b/tests/entry/test_best_effort.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pistachiohill import clock
 from pistachiohill.consortium.view import ConsortiumView
@@ -72,9 +72,22 @@
         submission.done.set()
 
 
-def make_jobs(admission: StubAdmission, age_s: float) -> tuple[BestEffortJobs, StubDispatcher]:
+class PlacingDispatcher(StubDispatcher):
+    """Places one task of every submission, whose end is not known until the test says so."""
+
+    def submit(self, submission: Submission, now_s: float) -> None:
+        self.submitted.append(submission)
+        submission.outstanding = 1
+
+    def cancel(self, submission: Submission, now_s: float) -> None:
+        return
+
+
+def make_jobs(
+    admission: StubAdmission, age_s: float, dispatcher: StubDispatcher | None = None
+) -> tuple[BestEffortJobs, StubDispatcher]:
     """Return the jobs of an entry that started `age_s` ago, and its dispatcher."""
-    dispatcher = StubDispatcher()
+    dispatcher = dispatcher or StubDispatcher()
     jobs = BestEffortJobs(
         IdIssuer("0011223344556677"),
         ConsortiumView(),
@@ -139,3 +152,32 @@
         with trio.fail_after(0.05):
             answer = await jobs.async_run(REQUEST, SETTINGS)
         self.assertEqual(RefusalReason.NO_TARGET, answer.reason)
+
+
+class ResentJobTest(TestCase):
+    async def _async_leave(self, jobs: BestEffortJobs) -> None:
+        """Send a job and leave before it has ended."""
+        with trio.move_on_after(0.05):
+            await jobs.async_run(REQUEST, SETTINGS)
+
+    async def test_job_that_is_sent_again_waits_until_its_earlier_run_has_ended(self) -> None:
+        dispatcher = PlacingDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        await self._async_leave(jobs)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(jobs.async_run, REQUEST, SETTINGS)
+            await trio.sleep(0.1)
+            self.assertEqual(1, len(dispatcher.submitted))
+            dispatcher.submitted[0].outstanding = 0
+            await trio.sleep(0.1)
+            self.assertEqual(2, len(dispatcher.submitted))
+            nursery.cancel_scope.cancel()
+
+    async def test_job_whose_earlier_run_does_not_end_in_time_is_refused_as_not_run(self) -> None:
+        dispatcher = PlacingDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        await self._async_leave(jobs)
+        with trio.move_on_after(1.0):
+            answer = await jobs.async_run(evolve(REQUEST, deadline_s=0.1), SETTINGS)
+        self.assertEqual(1, len(dispatcher.submitted))
+        self.assertEqual(Verdict.NOT_RUN, answer.verdict)
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -127,6 +127,14 @@
             assert submission.answer is not None
             self.assertEqual(JobState.COMPLETE, submission.answer.state, reason)
 
+    def test_task_whose_run_may_go_on_at_a_lost_target_is_not_placed_again(self) -> None:
+        fixture = DispatcherFixture(agents=2)
+        fixture.submit(tasks=1)
+        fixture.dispatcher.place(0.0)
+        fixture.report_all(Verdict.MAY_HAVE_RUN, RefusalReason.TARGET_LOST, 0.1)
+        fixture.dispatcher.place(0.2)
+        self.assertEqual([1], [len(link.starts()) for link in fixture.links if link.starts()])
+
     def test_a_task_that_fails_at_its_targets_fails_the_job(self) -> None:
         fixture = DispatcherFixture(agents=2)
         submission = fixture.submit(tasks=1)
