Don't place a task again that may still run at a lost HTTP target

Callers of a best-effort job on targets that are called over HTTP would see a task run twice at the same time after a connection to its target broke.

Cause: may_run_again looked at the reason TARGET_LOST alone. A target beside a runner reports it with the verdict RAN, once the run has ended; TargetClient reports it as MAY_HAVE_RUN when a connection broke, while the target may go on. On the users' platform no target is called over HTTP, so this isn't what was reported there.

Ruled out: LOST_AGENT is also MAY_HAVE_RUN, but the entry itself sets it, after the leases.

--- a/pistachiohill/entry/retry_rules.py
+++ b/pistachiohill/entry/retry_rules.py
@@ -1,6 +1,6 @@
 """Rules on what follows when a task did not run, was interrupted or failed."""
 
-from ..errors import RefusalReason
+from ..errors import RefusalReason, Verdict
 from ..protocol.models import TaskReport
 from ..submissions.models import Submission, Task
 
@@ -57,8 +57,10 @@
     """Return whether to run a best-effort task again after its run has ended.
 
     An interrupted run does not count against the job's `max_runs`; a failed run does, and is
-    counted here.
+    counted here. A target called over HTTP that was lost may still run the task.
     """
+    if report.reason == RefusalReason.TARGET_LOST and report.verdict != Verdict.RAN:
+        return False
     if report.reason in INTERRUPTED_REASONS:
         return True
     if report.reason != RefusalReason.TARGET_FAILED:
