Let a job that is sent again wait until its earlier runs have ended

A caller that lost its response and sent the job again to the same entry could have a task run twice at the same time: when the stop of the earlier run was late or lost, or its agent silent.

Cause: BestEffortJobs forgot a job when its last caller had left, although tasks of it were still outstanding at agents; a new job with the same key was placed at once. The entry had the evidence that the earlier runs weren't known to have ended, and didn't look.

Ruled out: a second request while the first one waits is joined to the same job, so only a request after the caller has left, or after a 502 or 504, is concerned.

A new job now waits while tasks of the earlier one are outstanding; the time counts towards its deadline, after which it is refused as not run. At another entry nothing of this is known; there the leases have to have ended by the time the caller sends the job again.

--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -15,10 +15,22 @@
 from ..errors import RefusalReason
 from ..settings.models import JobSettings
 from ..submissions.identifiers import IdIssuer
-from ..submissions.models import JobAnswer, JobRequest, Submission, new_submission
+from ..submissions.models import (
+    JobAnswer,
+    JobRequest,
+    Submission,
+    new_submission,
+    refused_answer,
+)
 from .accounting import Accounting
 from .admission import Admission
-from .const import DRAIN_POLL_S, STARTUP_GRACE_S, STARTUP_POLL_S, STARTUP_RECHECK_S
+from .const import (
+    DRAIN_POLL_S,
+    RETRY_AFTER_S,
+    STARTUP_GRACE_S,
+    STARTUP_POLL_S,
+    STARTUP_RECHECK_S,
+)
 from .dispatcher import Dispatcher
 
 
@@ -64,6 +76,7 @@
         self._admission = admission
         self._accounting = accounting
         self._jobs: dict[str, KeyedJob] = {}
+        self._ending: dict[str, Submission] = {}
 
     @property
     def stopping(self) -> bool:
@@ -115,6 +128,7 @@
         job = self._jobs.setdefault(request.key, KeyedJob())
         job.waiters += 1
         try:
+            request = await self._async_wait_for_earlier_runs(job, request, settings)
             request = await self._async_wait_for_target(job, request, settings)
             if not job.decided:
                 self._decide(job, request, settings, clock.boot_s())
@@ -128,6 +142,30 @@
             if job.waiters == 0:
                 self._remove(request.key, job)
 
+    async def _async_wait_for_earlier_runs(
+        self, job: KeyedJob, request: JobRequest, settings: JobSettings
+    ) -> JobRequest:
+        """Delay a job that is sent again until its earlier runs are known to have ended.
+
+        Returns the request with its deadline reduced by the time waited.
+        """
+        wait_started_s = now_s = clock.boot_s()
+        deadline_s = request.deadline_s or settings.deadline_s
+        while not job.decided and self._has_earlier_runs(request.key):
+            if now_s - wait_started_s >= deadline_s:
+                detail = "its earlier runs did not end in time"
+                job.refusal = refused_answer(RefusalReason.DEADLINE, detail, RETRY_AFTER_S)
+                self._record_refusal(request, job.refusal, now_s)
+                return request
+            await trio.sleep(STARTUP_POLL_S)
+            now_s = clock.boot_s()
+        return _after_wait(request, settings, now_s - wait_started_s)
+
+    def _has_earlier_runs(self, key: str) -> bool:
+        """Return whether an earlier job with a key may still have runs at agents."""
+        submission = self._ending.get(key)
+        return submission is not None and submission.outstanding > 0
+
     async def _async_wait_for_target(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings
     ) -> JobRequest:
@@ -147,12 +185,7 @@
             has_target = self._admission.has_target(settings)
             await trio.sleep(STARTUP_RECHECK_S if has_target else STARTUP_POLL_S)
             now_s = clock.boot_s()
-        waited_s = now_s - wait_started_s
-        if waited_s <= 0.0:
-            return request
-        logs.event("job_waited", key=request.key, waited_s=waited_s)
-        left_s = (request.deadline_s or settings.deadline_s) - waited_s
-        return evolve(request, deadline_s=max(STARTUP_POLL_S, left_s))
+        return _after_wait(request, settings, now_s - wait_started_s)
 
     def _decide(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings, now_s: float
@@ -179,16 +212,23 @@
             logs.event("caller_left", key=key, submission=submission.submission_id)
             self._dispatcher.cancel(submission, clock.boot_s())
         self._dispatcher.submissions.pop(submission.submission_id, None)
+        self._ending[key] = submission
+        self._ending = {key: item for key, item in self._ending.items() if item.outstanding}
 
     def _check_admission(
         self, request: JobRequest, settings: JobSettings, now_s: float
     ) -> JobAnswer | None:
         """Return the refusal of a new job, None if it is admitted; a refused job has not run."""
-        self._accounting.record_offered(request.member, len(request.tasks))
         answer = self._admission.check(request, settings, now_s, self._stop_at_s)
         if answer is None:
+            self._accounting.record_offered(request.member, len(request.tasks))
             return None
+        self._record_refusal(request, answer, now_s)
+        return answer
+
+    def _record_refusal(self, request: JobRequest, answer: JobAnswer, now_s: float) -> None:
         assert answer.reason is not None
+        self._accounting.record_offered(request.member, len(request.tasks))
         self._accounting.record_refusal(request.member, answer.reason)
         logs.event(
             "job_refused",
@@ -201,4 +241,12 @@
             offset=self._view.state.offset,
             view_age_s=self._view.age_s(now_s),
         )
-        return answer
+
+
+def _after_wait(request: JobRequest, settings: JobSettings, waited_s: float) -> JobRequest:
+    """Return a request that has waited, with its deadline reduced by that time."""
+    if waited_s <= 0.0:
+        return request
+    logs.event("job_waited", key=request.key, waited_s=waited_s)
+    left_s = (request.deadline_s or settings.deadline_s) - waited_s
+    return evolve(request, deadline_s=max(STARTUP_POLL_S, left_s))
