Refuse a second request for a run that is in progress at an agent

Callers would see tasks fail or run twice: the agent's process ended with KeyError, or one entry got the result of another one's run. The table of runs is keyed by task and run number, and two entries may ask for the same name: a caller sends its request again to another entry while its first run is still being stopped. The second took the first one's place in the table, and the second `del` raised KeyError.

The second request is refused as not run, with BUSY: its entry places the task again, which doesn't count as a restart and doesn't quarantine the target. OLD_RUN would count as a restart, TARGET_LOST as a fault of the target. A request that was refused doesn't stop the first one's run either.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -184,10 +184,16 @@
         self._reset_runner_state(clock.boot_s())
 
     async def async_call(self, url: str, call: TargetCall) -> TargetResult:
-        """Run one task and return its result, once the run is known to have ended."""
+        """Run one task and return its result, once the run is known to have ended.
+
+        A second request for a run that is in progress is refused: another entry has the same job.
+        """
         run = Run(call)
         if not self.ready or self._response_missing:
             return TargetResult(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
+        if run.name in self._runs:
+            logs.event("run_in_progress", task=call.task_id, run=call.run)
+            return TargetResult(Verdict.NOT_RUN, RefusalReason.BUSY)
         self._runs[run.name] = run
         self._signal_changed()
         try:
@@ -199,9 +205,12 @@
         return run.result
 
     def stop(self, call: TargetCall) -> None:
-        """Ask the runner to stop a run; its call returns once the run is known to have ended."""
+        """Ask the runner to stop a run; its call returns once the run is known to have ended.
+
+        A request that was refused because another one has the same name stops nothing.
+        """
         run = self._runs.get(RunName(call.task_id, call.run))
-        if run is None or run.stop_requested:
+        if run is None or run.call is not call or run.stop_requested:
             return
         run.stop_requested = True
         assert self._nursery is not None
