Refuse numbers out of range from the platform

What callers would see: one entry with a number of 10^400 raised OverflowError in whoever read it. In a manifest it ended the follower of the operators' topic, and with it the entry; in a run list or a response to a start it ended the agent. `seq` of 10^30, `born` of 10^18 and `capacity.cpu` of 10^400 were accepted, and a manifest of version 10^30 kept every later one from coming into force.

Cause: integers of JSON have no bound in Python, and the decoder divided them or converted them to float.

Ruled out: numbers of 5,000 digits, NaN, 1e999 and booleans were refused before as well.

Change: every integer from the platform has a range, by default up to 2^53 - 1; capacities, demands and the runner's clock have closer ones. A number that a float can't hold is refused like an infinite one.

--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -19,7 +19,14 @@
 from ..http.models import Problem, Response, json_response, problem_response
 from ..scheduling.models import Demand
 from ..submissions.models import JobAnswer, JobRequest, TaskSpec
-from .const import HEADER_DEADLINE_MS, MAX_JOB_BODY_BYTES, MAX_SPEC_BYTES, MAX_STEP_TASKS
+from .const import (
+    HEADER_DEADLINE_MS,
+    MAX_CPU_M,
+    MAX_JOB_BODY_BYTES,
+    MAX_MEM_MB,
+    MAX_SPEC_BYTES,
+    MAX_STEP_TASKS,
+)
 from .errors import WireError
 from .models import SubmittedJob
 from .wire import Fields, decode_object, read_bool, read_int, read_list, read_str, require_object
@@ -85,7 +92,10 @@
     count = read_int(fields, "count", minimum=1)
     if count > MAX_STEP_TASKS:
         raise WireError(f"count: more than {MAX_STEP_TASKS}")
-    demand = Demand(read_int(fields, "cpu", 0), read_int(fields, "memMb", 0))
+    demand = Demand(
+        read_int(fields, "cpu", 0, maximum=MAX_CPU_M),
+        read_int(fields, "memMb", 0, maximum=MAX_MEM_MB),
+    )
     declared_s = read_int(fields, "estDurationMs", 0) / 1000
     return (TaskSpec(spec, demand, declared_s),) * count
 
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -6,7 +6,7 @@
 from ..http.app import Route, route
 from ..http.models import Request, Response, invalid, json_response
 from ..scheduling.models import Demand
-from .const import PATH_INSTANCE
+from .const import MAX_CPU_M, MAX_MEM_MB, MAX_RUNNER_CLOCK_MS, PATH_INSTANCE
 from .errors import WireError
 from .models import RunnerAnnouncement
 from .wire import decode_object, read_int, read_str, require_object
@@ -27,9 +27,12 @@
         sequence=read_int(fields, "seq"),
         service=read_str(fields, "service"),
         address=read_str(fields, "address"),
-        capacity=Demand(read_int(capacity, "cpu"), read_int(capacity, "memMb")),
+        capacity=Demand(
+            read_int(capacity, "cpu", maximum=MAX_CPU_M),
+            read_int(capacity, "memMb", maximum=MAX_MEM_MB),
+        ),
         leaving=LEAVING_BY_STATE[state],
-        clock_s=read_int(fields, "clockMs", 0) / 1000,
+        clock_s=read_int(fields, "clockMs", 0, maximum=MAX_RUNNER_CLOCK_MS) / 1000,
     )
 
 
--- a/pistachiohill/platform/runner_client.py
+++ b/pistachiohill/platform/runner_client.py
@@ -21,10 +21,16 @@
     Stopping,
     TargetCall,
 )
-from .const import HEADER_TARGET_INSTANCE, PATH_HOLD, PATH_RUN_START, PATH_RUN_STOP
+from .const import (
+    HEADER_TARGET_INSTANCE,
+    MAX_RUNNER_CLOCK_MS,
+    PATH_HOLD,
+    PATH_RUN_START,
+    PATH_RUN_STOP,
+)
 from .errors import WireError
 from .http_client import HttpClient, HttpResponse, NoResponse
-from .wire import decode_object, encode_object, read_int, read_list, read_str
+from .wire import Fields, decode_object, encode_object, read_int, read_list, read_str, require_int
 
 MAX_CONNECTIONS = 24  # a runner accepts 64 connections
 REFUSAL_BY_REASON = {
@@ -149,7 +155,7 @@
     try:
         fields = decode_object(response.body)
         if response.status == 200:
-            return Started(read_int(fields, "clockMs") / 1000)
+            return Started(_read_clock_s(fields))
         if response.status == 409 and read_str(fields, "reason") in REFUSAL_BY_REASON:
             return NotStarted(REFUSAL_BY_REASON[fields["reason"]])
     except WireError as err:
@@ -171,25 +177,29 @@
     ended = [_parse_ended_run(row) for row in read_list(fields, "finished", [])]
     return RunList(
         born_ms=read_int(fields, "born", runner.born_ms),
-        clock_s=read_int(fields, "clockMs") / 1000,
+        clock_s=_read_clock_s(fields),
         running=frozenset(running),
         ended=tuple(sorted(ended, key=lambda run: run.number)),
     )
 
 
+def _read_clock_s(fields: Fields) -> float:
+    return read_int(fields, "clockMs", maximum=MAX_RUNNER_CLOCK_MS) / 1000
+
+
 def _parse_run_name(row: object, index: int) -> RunName:
     """Return the run whose task id is at `index` of a row, followed by its run number."""
     if not isinstance(row, list) or len(row) < index + 2:
         raise WireError("runs: expected a list with a task id and a run number")
     task, run = row[index], row[index + 1]
-    if not isinstance(task, str) or type(run) is not int:
-        raise WireError("runs: expected a string as task id and an integer as run number")
-    return RunName(decode_task_id(task), run)
+    if not isinstance(task, str):
+        raise WireError("runs: expected a string as task id")
+    return RunName(decode_task_id(task), require_int(run, "run"))
 
 
 def _parse_ended_run(row: object) -> EndedRun:
     name = _parse_run_name(row, 1)
     assert isinstance(row, list)
-    if type(row[0]) is not int or len(row) < 4 or row[3] not in RUN_END_BY_NAME:
-        raise WireError("runs: expected a sequence number and a known end state")
-    return EndedRun(row[0], name, RUN_END_BY_NAME[row[3]])
+    if len(row) < 4 or row[3] not in RUN_END_BY_NAME:
+        raise WireError("runs: expected a known end state")
+    return EndedRun(require_int(row[0], "finished"), name, RUN_END_BY_NAME[row[3]])
--- a/pistachiohill/platform/wire.py
+++ b/pistachiohill/platform/wire.py
@@ -5,13 +5,16 @@
 """
 
 import json
+import sys
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 from .errors import WireError
 
 Fields = Mapping[str, Any]
 
+MAX_INTEGER: Final = 2**53 - 1  # larger ones are not exact in every JSON implementation
+
 
 def decode_object(body: bytes) -> Fields:
     """Decode a body that holds a JSON object; raise WireError if it does not."""
@@ -29,18 +32,21 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
-def read_int(fields: Fields, name: str, default: int | None = None, minimum: int = 0) -> int:
-    """Return an integer field of at least `minimum`."""
-    value = fields.get(name, default)
-    if type(value) is not int or value < minimum:
-        raise WireError(f"{name}: expected an integer of at least {minimum}")
-    return value
+def read_int(
+    fields: Fields,
+    name: str,
+    default: int | None = None,
+    minimum: int = 0,
+    maximum: int = MAX_INTEGER,
+) -> int:
+    """Return an integer field from `minimum` to `maximum`."""
+    return require_int(fields.get(name, default), name, minimum, maximum)
 
 
 def read_number(fields: Fields, name: str, default: float | None = None) -> float:
     """Return a field that is a finite, non-negative number."""
     value = fields.get(name, default)
-    if type(value) not in (int, float) or not 0 <= value < float("inf"):
+    if type(value) not in (int, float) or not 0 <= value <= sys.float_info.max:
         raise WireError(f"{name}: expected a finite number of at least 0")
     return float(value)
 
@@ -69,6 +75,13 @@
     return value
 
 
+def require_int(value: object, name: str, minimum: int = 0, maximum: int = MAX_INTEGER) -> int:
+    """Return a value if it is an integer in a range; raise WireError with `name` otherwise."""
+    if type(value) is not int or not minimum <= value <= maximum:
+        raise WireError(f"{name}: expected an integer from {minimum} to {maximum}")
+    return value
+
+
 def require_object(value: object, name: str) -> Fields:
     """Return a value if it is an object; raise WireError with the field `name` otherwise."""
     if not isinstance(value, dict):
