Refuse an odd end state or task name in a list of runs

What callers would see: a list of runs whose end state is a list or an object ended the agent with TypeError (unhashable type), so its runs were lost. A task name that is not UTF-8, or of any length, was taken for a run of somebody else, and the agent asked the runner to stop it again and again.

Cause: the end state was looked up in a table before its type was known; names were not looked at.

Ruled out: missing fields, numbers as names and unknown end states were refused before as well.

Change: the type is checked first; a task name is 1 to 128 printable ASCII characters. As before, one odd row makes the whole list no answer, since a list with a part missing would show runs as lost.

test_odd_run_list_raises_only_wire_error failed before and passes now.

--- a/pistachiohill/platform/runner_client.py
+++ b/pistachiohill/platform/runner_client.py
@@ -1,5 +1,6 @@
 """HTTP client with which an agent controls its runner on the platform."""
 
+import re
 from typing import Any
 
 from ..agent.models import (
@@ -39,6 +40,7 @@
     "late": StartRefusal.LEASE_ENDED,
     "room": StartRefusal.NO_CAPACITY,
 }
+TASK_NAME_PATTERN = re.compile(r"[!-~]{1,128}")
 RUN_END_BY_NAME = {
     "done": RunEnd.DONE,
     "failed": RunEnd.FAILED,
@@ -192,14 +194,14 @@
     if not isinstance(row, list) or len(row) < index + 2:
         raise WireError("runs: expected a list with a task id and a run number")
     task, run = row[index], row[index + 1]
-    if not isinstance(task, str):
-        raise WireError("runs: expected a string as task id")
+    if not isinstance(task, str) or not TASK_NAME_PATTERN.fullmatch(task):
+        raise WireError("runs: expected a task name")
     return RunName(decode_task_id(task), require_int(run, "run"))
 
 
 def _parse_ended_run(row: object) -> EndedRun:
     name = _parse_run_name(row, 1)
     assert isinstance(row, list)
-    if len(row) < 4 or row[3] not in RUN_END_BY_NAME:
+    if len(row) < 4 or not isinstance(row[3], str) or row[3] not in RUN_END_BY_NAME:
         raise WireError("runs: expected a known end state")
     return EndedRun(require_int(row[0], "finished"), name, RUN_END_BY_NAME[row[3]])
