Refuse a runner's address that names no runner

What callers would see: after one heartbeat with the address `x`, an empty one, the port abc or a label over 63 characters the agent took the address over, and its next request there raised ValueError or UnicodeError, which the loop that holds the runs does not handle. Port 99999 was accepted and then refused on connecting, when the identity had changed already. `1:80` connected to 0.0.0.1.

Cause: the address was a string without any check until the HTTP client split it.

Ruled out: ports 0, 65536, 99999 and -1 and unknown host names were OSError in the client before.

Change: the announcement's address is decoded into an IPv4 address and a port from 1 to 65535; others are refused with 400. The client no longer raises either: a host that can't be encoded is a request that was not sent, and so is one whose address or head is odd, such as a runner id with a line break. HttpClient still raises for a line break, now with a type of its own that remains a ValueError.

--- a/pistachiohill/platform/http_client.py
+++ b/pistachiohill/platform/http_client.py
@@ -39,6 +39,10 @@
     timed_out: bool = False
 
 
+class InvalidRequestError(ValueError):
+    """Raised for a request line or headers that can't be encoded; nothing was sent."""
+
+
 @dataclass
 class _Connection:
     """An open connection and the time of its last use by trio's clock."""
@@ -113,7 +117,7 @@
                         connection = await self._async_connect()
                     else:
                         connection = await self._async_acquire_connection()
-                except OSError as err:
+                except (OSError, ValueError) as err:  # ValueError: no host can have this name
                     return NoResponse(False, repr(err))
                 if connection is None:
                     return NoResponse(False, "timed out while connecting")
@@ -142,14 +146,17 @@
     def _encode_request(
         self, method: str, path: str, body: bytes, headers: dict[str, str]
     ) -> bytes:
-        """Encode a request; raise ValueError for a line break in its request line or headers."""
+        """Encode a request; raise InvalidRequestError if its head can't be sent as it is."""
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self._host}:{self._port}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         if body or method != "GET":
             lines.append(f"Content-Length: {len(body)}")
         if any("\r" in line or "\n" in line for line in lines):
-            raise ValueError("line break in the request line or a header")
-        return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+            raise InvalidRequestError("line break in the request line or a header")
+        try:
+            return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+        except UnicodeEncodeError as err:
+            raise InvalidRequestError(f"request line or header: {err}") from err
 
     async def _async_acquire_connection(self) -> _Connection | None:
         """Return an idle connection that is still open, or a new one; None if that times out."""
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -6,6 +6,7 @@
 from ..http.app import Route, route
 from ..http.models import Request, Response, invalid, json_response
 from ..scheduling.models import Demand
+from .address import parse_runner_address
 from .const import MAX_CPU_M, MAX_MEM_MB, MAX_RUNNER_CLOCK_MS, PATH_INSTANCE
 from .errors import WireError
 from .models import RunnerAnnouncement
@@ -26,7 +27,7 @@
         born_ms=read_int(fields, "born", 0),
         sequence=read_int(fields, "seq"),
         service=read_str(fields, "service"),
-        address=read_str(fields, "address"),
+        address=str(parse_runner_address(read_str(fields, "address"))),
         capacity=Demand(
             read_int(capacity, "cpu", maximum=MAX_CPU_M),
             read_int(capacity, "memMb", maximum=MAX_MEM_MB),
--- a/pistachiohill/platform/runner_client.py
+++ b/pistachiohill/platform/runner_client.py
@@ -22,6 +22,7 @@
     Stopping,
     TargetCall,
 )
+from .address import parse_runner_address
 from .const import (
     HEADER_TARGET_INSTANCE,
     MAX_RUNNER_CLOCK_MS,
@@ -30,7 +31,7 @@
     PATH_RUN_STOP,
 )
 from .errors import WireError
-from .http_client import HttpClient, HttpResponse, NoResponse
+from .http_client import HttpClient, HttpResponse, InvalidRequestError, NoResponse
 from .wire import Fields, decode_object, encode_object, read_int, read_list, read_str, require_int
 
 MAX_CONNECTIONS = 24  # a runner accepts 64 connections
@@ -115,14 +116,23 @@
     async def _async_post(
         self, runner: RunnerIdentity, path: str, fields: dict[str, Any], timeout_s: float
     ) -> HttpResponse | NoResponse:
-        if self._http is None or runner.address != self._address:
-            if self._http is not None:
-                await self._http.async_close()
-            self._address = runner.address
-            self._http = HttpClient(f"http://{runner.address}", MAX_CONNECTIONS)
         headers = {"Content-Type": "application/json", HEADER_TARGET_INSTANCE: runner.runner_id}
         body = encode_object(fields)
-        return await self._http.async_request("POST", path, body, headers, timeout_s)
+        try:
+            http = await self._async_client_of(runner.address)
+            return await http.async_request("POST", path, body, headers, timeout_s)
+        except (WireError, InvalidRequestError) as err:
+            return NoResponse(False, str(err))
+
+    async def _async_client_of(self, address: str) -> HttpClient:
+        """Return the client of an address; raise WireError if no runner can listen there."""
+        if self._http is None or address != self._address:
+            parsed = parse_runner_address(address)
+            if self._http is not None:
+                await self._http.async_close()
+            self._address = address
+            self._http = HttpClient(f"http://{parsed}", MAX_CONNECTIONS)
+        return self._http
 
 
 def encode_task_id(task_id: str) -> str:
