Refuse names of runners that no message can carry

What callers would see: a heartbeat whose service held a lone surrogate was accepted, and CBOR can't encode it (UnicodeEncodeError for any message of the links that names it, seen by calling the encoder). A service of megabytes or an empty one was accepted as well, and so was an id with a line break, a NUL or bytes beyond ASCII, in a PUT and in a DELETE; requests to the runner carry the id in a header, which can't hold these.

Cause: strings from outside were checked for their type alone.

Change: strings of the platform hold no lone surrogates, but for a job's spec, which is passed on as bytes. A service is 1 to 64 printable characters, as in the settings; an id is 1 to 128 printable ASCII characters. Others are refused with 400. A DELETE with an odd id is refused and logged (deregistration_refused); one for another runner's id is left to the agent, which ignores it.

--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -29,7 +29,7 @@
 )
 from .errors import WireError
 from .models import SubmittedJob
-from .wire import Fields, decode_object, read_bool, read_int, read_list, read_str, require_object
+from .wire import Fields, decode_object, read_bool, read_int, read_list, read_text, require_object
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}", re.ASCII)
 MAX_DEADLINE_MS = 3_600_000
@@ -69,7 +69,7 @@
     is malformed.
     """
     fields = decode_object(body)
-    spec = read_str(fields, "spec").encode(errors="surrogatepass")
+    spec = read_text(fields, "spec").encode(errors="surrogatepass")
     if len(spec) > MAX_SPEC_BYTES:
         raise WireError(f"spec: more than {MAX_SPEC_BYTES} bytes")
     steps = read_list(fields, "steps")
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -1,5 +1,6 @@
 """HTTP endpoints at which a runner announces itself to its agent."""
 
+import re
 from collections.abc import Callable
 
 from .. import clock, logs
@@ -7,11 +8,12 @@
 from ..http.models import Request, Response, invalid, json_response
 from ..scheduling.models import Demand
 from .address import parse_runner_address
-from .const import MAX_CPU_M, MAX_MEM_MB, MAX_RUNNER_CLOCK_MS, PATH_INSTANCE
+from .const import MAX_CPU_M, MAX_MEM_MB, MAX_RUNNER_CLOCK_MS, MAX_SERVICE_CHARS, PATH_INSTANCE
 from .errors import WireError
 from .models import RunnerAnnouncement
-from .wire import decode_object, read_int, read_str, require_object
+from .wire import decode_object, read_int, read_name, read_str, require_object
 
+RUNNER_ID_PATTERN = re.compile(r"[!-~]{1,128}")  # fits into a header of a request
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -23,10 +25,10 @@
         raise WireError(f"state: unknown state {state!r}")
     capacity = require_object(fields.get("capacity"), "capacity")
     return RunnerAnnouncement(
-        runner_id=runner_id,
+        runner_id=require_runner_id(runner_id),
         born_ms=read_int(fields, "born", 0),
         sequence=read_int(fields, "seq"),
-        service=read_str(fields, "service"),
+        service=read_name(fields, "service", MAX_SERVICE_CHARS),
         address=str(parse_runner_address(read_str(fields, "address"))),
         capacity=Demand(
             read_int(capacity, "cpu", maximum=MAX_CPU_M),
@@ -37,6 +39,13 @@
     )
 
 
+def require_runner_id(runner_id: str) -> str:
+    """Return a runner's id; raise WireError if no request could name it."""
+    if not RUNNER_ID_PATTERN.fullmatch(runner_id):
+        raise WireError("id: expected 1 to 128 printable ASCII characters")
+    return runner_id
+
+
 class RunnerRegistry:
     """Receives the announcements of a runner and drops those that arrive out of order."""
 
@@ -80,6 +89,11 @@
         return json_response({})
 
     async def _async_delete(self, request: Request) -> Response:
-        logs.event("runner_deregistered", runner=request.path_values[0])
-        self._on_deregister(request.path_values[0], clock.boot_s())
+        try:
+            runner_id = require_runner_id(request.path_values[0])
+        except WireError as err:
+            logs.warning("deregistration_refused", runner=request.path_values[0], detail=err)
+            raise invalid("id", str(err)) from err
+        logs.event("runner_deregistered", runner=runner_id)
+        self._on_deregister(runner_id, clock.boot_s())
         return json_response({})
--- a/pistachiohill/platform/wire.py
+++ b/pistachiohill/platform/wire.py
@@ -52,13 +52,29 @@
 
 
 def read_str(fields: Fields, name: str, default: str | None = None) -> str:
-    """Return a string field."""
+    """Return a string field; a lone surrogate is refused, since no message can carry it."""
+    value = read_text(fields, name, default)
+    if not value.isascii() and any("\ud800" <= char <= "\udfff" for char in value):
+        raise WireError(f"{name}: not valid Unicode")
+    return value
+
+
+def read_text(fields: Fields, name: str, default: str | None = None) -> str:
+    """Return a string field, which may hold lone surrogates."""
     value = fields.get(name, default)
     if not isinstance(value, str):
         raise WireError(f"{name}: expected a string")
     return value
 
 
+def read_name(fields: Fields, name: str, max_chars: int) -> str:
+    """Return a string field of 1 to `max_chars` printable characters."""
+    value = read_str(fields, name)
+    if not 1 <= len(value) <= max_chars or not value.isprintable():
+        raise WireError(f"{name}: expected 1 to {max_chars} printable characters")
+    return value
+
+
 def read_bool(fields: Fields, name: str, default: bool | None = None) -> bool:
     """Return a boolean field."""
     value = fields.get(name, default)
