--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -361,7 +361,7 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        elif now_s > self._lease_expires_at_s and self._runs:",
+                "        elif self._runs and self._lease.runs_have_ended(now_s):",
                 "        elif self._runs:",
             ),
         ),
@@ -575,7 +575,7 @@
         "test_a_process_that_was_frozen_proves_nothing_until_it_hears_from_the_agent",
         (
             Edit(
-                "pistachiohill/entry/peer_clock.py",
+                "pistachiohill/peer_clock.py",
                 "        if self.reading_s < 0.0 or self.received_at_s < running_since_s:\n",
                 "        if self.reading_s < 0.0:\n",
             ),
@@ -587,7 +587,7 @@
         "test_the_bound_is_never_ahead_of_the_peer",
         (
             Edit(
-                "pistachiohill/entry/peer_clock.py",
+                "pistachiohill/peer_clock.py",
                 "(now_s - self.received_at_s) * (1.0 - MAX_CLOCK_DRIFT)",
                 "(now_s - self.received_at_s)",
             ),
--- a/pistachiohill/agent/leases.py
+++ b/pistachiohill/agent/leases.py
@@ -1,7 +1,7 @@
 """Leases that entries hold at an agent, renewed by echoes of the agent's clock.
 
 An agent sends its clock with every message. Entries send back an echo: a time that this clock had
-certainly reached when they sent their message (`entry.peer_clock`). A lease therefore starts, on
+certainly reached when they sent their message (`peer_clock`). A lease therefore starts, on
 the agent's own clock, before the entry sent that message, whatever the network delay.
 """
 
--- a/pistachiohill/entry/agent.py
+++ b/pistachiohill/entry/agent.py
@@ -4,13 +4,13 @@
 
 from ..agent.const import ENTRY_LEASE_S, LEASE_S, MAX_CLOCK_DRIFT
 from ..consortium.const import NO_OFFSET
+from ..peer_clock import PeerClock
 from ..protocol.link import Link
 from ..protocol.models import AgentLoad, SealReply, TaskReports
 from ..scheduling.models import TargetLoad
 from ..submissions.models import Submission, Task
 from .agent_assignment import Address
 from .const import LEASE_MARGIN_S
-from .peer_clock import PeerClock
 
 RUNNER_LEASE_S = LEASE_S * (1.0 + MAX_CLOCK_DRIFT)
 
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -10,6 +10,7 @@
 from ..consortium.state import ConsortiumState
 from ..consortium.view import ConsortiumView
 from ..const import PROTOCOL_VERSION, Role
+from ..peer_clock import StallDetector
 from ..protocol.errors import HandshakeError
 from ..protocol.link import (
     CONNECT_ERRORS,
@@ -47,7 +48,6 @@
     RECONNECT_MIN_S,
     REFUSED_CONNECTS_UNTIL_LOST,
 )
-from .peer_clock import StallDetector
 
 
 class AgentDirectory:
--- a/pistachiohill/entry/peer_clock.py
+++ b/pistachiohill/peer_clock.py
@@ -19,8 +19,8 @@
 
 from attrs import define
 
-from .. import logs
-from ..agent.const import MAX_CLOCK_DRIFT
+from . import logs
+from .agent.const import MAX_CLOCK_DRIFT
 
 MAX_STALL_S: Final = 0.3  # far below the time after which a caller sends a job again
 NO_READING_S: Final = -1.0
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -11,8 +11,8 @@
 from pistachiohill.entry.agents import AgentDirectory
 from pistachiohill.entry.dispatcher import Dispatcher
 from pistachiohill.entry.metrics import EntryMetrics
-from pistachiohill.entry.peer_clock import StallDetector
 from pistachiohill.errors import RefusalReason, Verdict
+from pistachiohill.peer_clock import StallDetector
 from pistachiohill.platform.manifest import build_settings_nodes
 from pistachiohill.platform.models import Manifest
 from pistachiohill.protocol.models import (
--- a/tests/entry/test_peer_clock.py
+++ b/tests/entry/test_peer_clock.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from pistachiohill.agent.const import ENTRY_LEASE_S, MAX_CLOCK_DRIFT
-from pistachiohill.entry.peer_clock import MAX_STALL_S, PeerClock, StallDetector
+from pistachiohill.peer_clock import MAX_STALL_S, PeerClock, StallDetector
 
 from ..base import TestCase
 
