Bound every lease at a runner by a clock that it has certainly reached

What callers would see: a run that its agent takes for ended goes on for some milliseconds more, at the moment at which its task is placed again.

Cause: the lease's end was computed from the latest reading of the runner's clock plus the time since, at full rate, while that clock may be 2 % slow; a lease on a reading that is 10 s old lasted 0.2 s longer than 0.7 s. It was bounded by 0.7 * 1.02, less than 0.7 / 0.98, and used without the time that a runner takes to end runs. An announcement, which may be late or another writer's, replaced a better reading.

Change: the lease has a module of its own, agent/runner_lease.py. It uses PeerClock, so that drift makes a lease shorter, not longer; readings from announcements count only if they agree with an earlier one from a response; runs count as ended RUNNER_STOP_S after the bound.

Ruled out: a wrong bound by the delay of responses; it makes the bound lower.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -28,8 +28,6 @@
     HOLD_TIMEOUT_S,
     HOLD_WAIT_S,
     INITIAL_TOKEN_STEP,
-    LEASE_S,
-    MAX_CLOCK_DRIFT,
     RETRY_DELAY_S,
     START_TIMEOUT_S,
     TOKENS_PER_MS,
@@ -53,6 +51,7 @@
     TargetCall,
     TargetResult,
 )
+from .runner_lease import RunnerLease
 
 START_REFUSAL_REASONS = {
     StartRefusal.FENCED: RefusalReason.FENCED,
@@ -128,14 +127,12 @@
         self._synchronized = False
         self._ack_cursor = 0
         self._ack_pending = False
-        self._runner_clock_s = 0.0
-        self._runner_clock_read_at_s = 0.0
+        self._lease = RunnerLease()
         self._response_missing = False
         self._responded_at_s = -math.inf
         self._newest_list_clock_s = -math.inf
         self._hedge_until_s = -math.inf
         self._hedge_needed = trio.Event()
-        self._lease_expires_at_s = 0.0
         self._changed = trio.Event()
         self._ready_changed = trio.Event()
         self._nursery: trio.Nursery | None = None
@@ -271,25 +268,20 @@
         return any(run.fencing_token is not None for run in self._runs.values())
 
     def _next_lease(self, now_s: float) -> Lease:
-        """Return the lease for the next request, and record when it expires at the latest.
+        """Return the lease for the next request.
 
         The lease is not renewed while a response is missing, so that it expires soon if the runner
         stays silent.
         """
         if self._response_missing or not self._synchronized or self._foreign_runs or not self._runs:
             return Lease(self._token, None)
-        self._lease_expires_at_s = max(
-            self._lease_expires_at_s, now_s + LEASE_S * (1.0 + MAX_CLOCK_DRIFT)
-        )
-        until_clock_s = self._runner_clock_s + (now_s - self._runner_clock_read_at_s) + LEASE_S
-        return Lease(self._token, until_clock_s)
+        return Lease(self._token, self._lease.grant(now_s))
 
     def _set_runner_clock(self, clock_s: float, now_s: float) -> None:
-        self._runner_clock_s = clock_s
-        self._runner_clock_read_at_s = now_s
+        self._lease.record_announced_clock(clock_s, now_s)
 
     def _record_response(self, clock_s: float, now_s: float) -> None:
-        self._set_runner_clock(clock_s, now_s)
+        self._lease.record_clock(clock_s, now_s)
         self._response_missing = False
         self._responded_at_s = now_s
 
@@ -310,7 +302,7 @@
         logs.warning("runner_silent", outcome=outcome, runs=len(self._runs), token=self._token)
         if isinstance(outcome, OtherIncarnation):
             self._reset_runner_state(now_s)
-        elif now_s > self._lease_expires_at_s and self._runs:
+        elif self._runs and self._lease.runs_have_ended(now_s):
             self._end_all_runs(RefusalReason.TARGET_LOST, "lease ended")
             self._require_sync()
         await trio.sleep(RETRY_DELAY_S)
@@ -481,7 +473,7 @@
         self._newest_list_clock_s = -math.inf
         self._ack_cursor = 0
         self._ack_pending = False
-        self._lease_expires_at_s = now_s
+        self._lease.reset(now_s)
         self._response_missing = False
         self._require_sync()
 
@@ -497,7 +489,7 @@
         for run in runs:
             run.end(Verdict.RAN, reason)
         if self._runs:
-            lease_left_s = self._lease_expires_at_s - clock.boot_s()
+            lease_left_s = self._lease.expires_at_s - clock.boot_s()
             logs.warning("runs_lost", runs=len(self._runs), why=why, lease_left_s=lease_left_s)
 
     def _signal_changed(self) -> None:
--- /dev/null
+++ b/pistachiohill/agent/runner_lease.py
@@ -0,0 +1,62 @@
+"""Lease of the runs at a runner, on the runner's own clock.
+
+A runner ends its runs when its clock reaches the time that the agent sent last. The agent adds the
+duration of a lease to a time that the runner's clock has certainly reached, so that no lease lasts
+longer than intended, however old the latest reading of that clock is:
+
+    runner's clock read as 100.0, 10 s ago: it shows at least 100.0 + 10 * 0.98 = 109.8 now
+    lease of 0.7 s: until 110.5 on that clock, which is at most 0.7 / 0.98 s away
+"""
+
+import math
+
+from attrs import define, field
+
+from ..peer_clock import PeerClock
+from .const import LEASE_S, MAX_CLOCK_DRIFT, RUNNER_STOP_S
+
+ALWAYS_RUNNING_S = -math.inf  # a stall of this process makes the bound lower, not wrong
+
+
+@define
+class RunnerLease:
+    """Computes leases for a runner, and when the runs under them have certainly ended.
+
+    Fields:
+        expires_at_s: Boot time at which every lease granted so far has expired.
+    """
+
+    expires_at_s: float = -math.inf
+    _clock: PeerClock = field(factory=PeerClock)
+
+    def reset(self, now_s: float) -> None:
+        """Forget the clock and the leases of a runner incarnation that has ended."""
+        self.expires_at_s = now_s
+        self._clock = PeerClock()
+
+    def record_clock(self, clock_s: float, now_s: float) -> None:
+        """Record a reading of the runner's clock from one of its responses."""
+        self._clock.record(clock_s, now_s, ALWAYS_RUNNING_S)
+
+    def record_announced_clock(self, clock_s: float, now_s: float) -> None:
+        """Record a reading from an announcement if it agrees with an earlier one.
+
+        An announcement may be late, or come from another writer.
+        """
+        known = self._clock
+        age_s = now_s - known.received_at_s
+        if known.reading_s < 0.0 or clock_s > known.reading_s + age_s * (1.0 + MAX_CLOCK_DRIFT):
+            return
+        self.record_clock(clock_s, now_s)
+
+    def grant(self, now_s: float) -> float | None:
+        """Return the end of a new lease on the runner's clock, None if that clock is not known."""
+        clock_s = self._clock.lower_bound_s(now_s, ALWAYS_RUNNING_S)
+        if clock_s < 0.0:
+            return None
+        self.expires_at_s = max(self.expires_at_s, now_s + LEASE_S / (1.0 - MAX_CLOCK_DRIFT))
+        return clock_s + LEASE_S
+
+    def runs_have_ended(self, now_s: float) -> bool:
+        """Return whether all runs have ended, if the runner has executed no other request."""
+        return now_s > self.expires_at_s + RUNNER_STOP_S
