Check a task's permission again in the step that sends its start

What callers would see: a job that was sent again 1.3 s after its entry was lost runs beside the earlier placement, which an agent started when it woke from a pause.

Cause: TaskRunner._start_queued checked the entry's lease, the view, the domain and the deadline; the start went out later, from another Trio task. A pause in between is not seen there.

Change: a run carries a RunPermission, whose functions are called when they are needed. LeasedTarget and TargetClient ask it in the step that prepares the request, with the present time. _start_queued uses the same check.

Ruled out, by reading: a request that was prepared before a pause and is sent after it. HttpClient has a timeout on each request (0.08 s for a start); Trio cancels it at the next checkpoint, which precedes sending. So the token isn't raised after a pause. This was not played with a real socket.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -327,8 +327,8 @@
         (
             Edit(
                 "pistachiohill/agent/leases.py",
-                "        return self.age_s(entry, now_s) <= self.lease_s",
-                "        return True",
+                "        return self._last_echo_s.get(entry, -math.inf) + self.lease_s",
+                "        return math.inf",
             ),
         ),
     ),
@@ -563,8 +563,7 @@
         (
             Edit(
                 "pistachiohill/agent/runner.py",
-                "        return task in self._running or "
-                "self._echo_age_s(task.link, now_s) <= ENTRY_LEASE_S\n",
+                "        return self._echo_age_s(task.link, now_s) <= ENTRY_LEASE_S\n",
                 "        return True\n",
             ),
         ),
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -32,6 +32,7 @@
     TOKENS_PER_MS,
 )
 from .models import (
+    UNRESTRICTED,
     EndedRun,
     Fenced,
     HoldOutcome,
@@ -44,6 +45,7 @@
     RunName,
     RunnerIdentity,
     RunnerInterface,
+    RunPermission,
     Started,
     StartOutcome,
     StartRefusal,
@@ -86,6 +88,7 @@
 
     Fields:
         call: Request for the task.
+        permission: Whether it may start, and until when it may go on.
         acknowledged_at_s: Boot time at which the runner confirmed the start, None before.
         fencing_token: Lowest token under which a list of runs shows whether an unanswered start
             was executed; None if no start is unresolved.
@@ -97,6 +100,7 @@
     """
 
     call: TargetCall
+    permission: RunPermission = UNRESTRICTED
     acknowledged_at_s: float | None = None
     fencing_token: int | None = None
     result: TargetResult | None = None
@@ -256,12 +260,14 @@
         self._shut_down = True
         self._signal_ready_changed()
 
-    async def async_call(self, url: str, call: TargetCall) -> TargetResult:
+    async def async_call(
+        self, url: str, call: TargetCall, permission: RunPermission = UNRESTRICTED
+    ) -> TargetResult:
         """Run one task and return its result, once the run is known to have ended.
 
         A second request for a run that is in progress is refused: another entry has the same job.
         """
-        run = Run(call)
+        run = Run(call, permission)
         if not self.ready or self._response_missing:
             return TargetResult(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
         if run.name in self._runs:
@@ -458,8 +464,13 @@
         identity = self._identity
         assert identity is not None
         token = self._token
+        sent_at_s = clock.boot_s()
+        refusal = run.permission.start_refusal(sent_at_s)
+        if refusal is not None:
+            run.end(Verdict.NOT_RUN, refusal)
+            return
         outcome = await self._runner_client.async_start(
-            identity, run.call, self._next_lease(clock.boot_s()), START_TIMEOUT_S
+            identity, run.call, self._next_lease(sent_at_s), START_TIMEOUT_S
         )
         now_s = clock.boot_s()
         if run.result is None:
--- a/pistachiohill/agent/leases.py
+++ b/pistachiohill/agent/leases.py
@@ -33,7 +33,11 @@
 
     def is_valid(self, entry: str, now_s: float) -> bool:
         """Return whether an entry's lease is valid, so that its best-effort tasks may run."""
-        return self.age_s(entry, now_s) <= self.lease_s
+        return now_s <= self.ends_at_s(entry)
+
+    def ends_at_s(self, entry: str) -> float:
+        """Return the boot time at which an entry's lease ends unless it is renewed."""
+        return self._last_echo_s.get(entry, -math.inf) + self.lease_s
 
     def needs_renewal(self, entry: str, now_s: float) -> bool:
         """Return whether a lease has ended or will end soon unless an echo arrives."""
--- a/pistachiohill/agent/models.py
+++ b/pistachiohill/agent/models.py
@@ -1,5 +1,7 @@
 """Data models and interfaces between an agent and its target, independent of the transport."""
 
+import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -34,6 +36,22 @@
     demand: Demand = Demand()
 
 
+@frozen(eq=False)
+class RunPermission:
+    """Whether a run may start, and until when it may go on; asked for at each use.
+
+    Fields:
+        start_refusal: Takes the present time; returns why the run must not start, or None.
+        ends_at_s: Returns the boot time from which the run must not go on, as known now.
+    """
+
+    start_refusal: Callable[[float], RefusalReason | None]
+    ends_at_s: Callable[[], float]
+
+
+UNRESTRICTED = RunPermission(lambda _now_s: None, lambda: math.inf)
+
+
 @frozen
 class TargetResult:
     """Result of a call; `reason` is None on success."""
@@ -51,8 +69,13 @@
     def ready(self) -> bool:
         """Return whether the target can be given tasks now."""
 
-    async def async_call(self, url: str, call: TargetCall) -> TargetResult:
-        """Run one task and return its result, once the task is known to have ended."""
+    async def async_call(
+        self, url: str, call: TargetCall, permission: RunPermission = UNRESTRICTED
+    ) -> TargetResult:
+        """Run one task and return its result, once the task is known to have ended.
+
+        The permission is checked when the task is sent to the target.
+        """
 
     def stop(self, call: TargetCall) -> None:
         """Request that a task be stopped, if the target supports it; its call returns as usual."""
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -3,6 +3,7 @@
 import math
 from bisect import insort
 from collections.abc import Callable
+from functools import partial
 
 import trio
 from attrs import define
@@ -39,7 +40,7 @@
 )
 from .leases import EntryLeases
 from .metrics import AgentMetrics
-from .models import TargetCall, TargetResult, TargetState, TaskTarget
+from .models import RunPermission, TargetCall, TargetResult, TargetState, TaskTarget
 from .reports import ReportSender
 from .resources import Reservation, ResourceTracker, SentLoad
 from .start_table import StartTable, SubmissionRecord
@@ -364,11 +365,7 @@
                 self._request_refresh(now_s)
                 return
             self._queue.remove(task)
-            refusal = start_refusal(self.view, self.target, self.stopping, now_s)
-            if not self._target_client.ready:
-                refusal = RefusalReason.TARGET_LOST
-            if now_s >= task.deadline_s:
-                refusal = RefusalReason.DEADLINE
+            refusal = self._start_refusal(task, now_s)
             if refusal is not None:
                 self._withdraw(task, refusal)
             elif self.table.start(task.record, task.ref):
@@ -384,22 +381,46 @@
         for task in self._queue:
             if not self._fits(task):
                 return None
-            if self._has_lease(task, now_s):
+            if self._has_lease_to_start(task, now_s):
                 return task
         return None
 
+    def _start_refusal(self, task: AdmittedTask, now_s: float) -> RefusalReason | None:
+        """Return why a task must not start now, or None."""
+        if now_s >= task.deadline_s:
+            return RefusalReason.DEADLINE
+        if not self._target_client.ready:
+            return RefusalReason.TARGET_LOST
+        if not self._has_lease_to_start(task, now_s):
+            return RefusalReason.LEASE_ENDED
+        if not self.view.is_fresh(now_s):
+            return RefusalReason.STALE_VIEW
+        return start_refusal(self.view, self.target, self.stopping, now_s)
+
+    def _permission(self, task: AdmittedTask) -> RunPermission:
+        return RunPermission(partial(self._start_refusal, task), partial(self._lease_ends_s, task))
+
+    def _lease_ends_s(self, task: AdmittedTask) -> float:
+        """Return when a running task must end; tasks that are not best-effort need no lease."""
+        return self.leases.ends_at_s(task.reservation.owner) if task.best_effort else math.inf
+
     def _has_lease(self, task: AdmittedTask, now_s: float) -> bool:
-        """Return whether a task may start or keep running.
+        """Return whether a task may keep running, or may start if it is queued."""
+        if task in self._running:
+            return not task.best_effort or self.leases.is_valid(task.reservation.owner, now_s)
+        return self._has_lease_to_start(task, now_s)
 
-        Tasks that are not best-effort need no lease. A queued task also needs a recent echo on its
-        own link: after it was held up there, its entry may have placed it elsewhere and renewed the
-        lease on another link.
+    def _has_lease_to_start(self, task: AdmittedTask, now_s: float) -> bool:
+        """Return whether a task may start.
+
+        It needs a recent echo on its own link: after it was held up there, its entry may have
+        placed it elsewhere and renewed the lease on another link.
         """
         if not task.best_effort:
             return True
         if not self.leases.is_valid(task.reservation.owner, now_s):
             return False
-        return task in self._running or self._echo_age_s(task.link, now_s) <= ENTRY_LEASE_S
+        return self._echo_age_s(task.link, now_s) <= ENTRY_LEASE_S
 
     def _echo_age_s(self, link: Link, now_s: float) -> float:
         """Return the age of the latest clock reading that was echoed on a link."""
@@ -432,7 +453,9 @@
             # start it now.
             result = TargetResult(Verdict.NOT_RUN, task.stop_reason)
         else:
-            result = await self._target_client.async_call(self.target.url, task.call)
+            result = await self._target_client.async_call(
+                self.target.url, task.call, self._permission(task)
+            )
         now_s = clock.boot_s()
         self._running.discard(task)
         self._resources.release(task.reservation)
--- a/pistachiohill/agent/target_client.py
+++ b/pistachiohill/agent/target_client.py
@@ -3,6 +3,7 @@
 import httpcore
 import trio
 
+from .. import clock
 from ..errors import RefusalReason, Verdict
 from .const import (
     MAX_RESPONSE_BYTES,
@@ -10,7 +11,7 @@
     TARGET_CONNECTIONS,
     TARGET_KEEPALIVE_S,
 )
-from .models import TargetCall, TargetResult
+from .models import UNRESTRICTED, RunPermission, TargetCall, TargetResult
 
 HEADER_TASK_ID = "task-id"
 HEADER_MEMBER = "member"
@@ -38,12 +39,17 @@
         """Close all connections."""
         await self._pool.aclose()
 
-    async def async_call(self, url: str, call: TargetCall) -> TargetResult:
+    async def async_call(
+        self, url: str, call: TargetCall, permission: RunPermission = UNRESTRICTED
+    ) -> TargetResult:
         """Run one task at the target, for at most the call's timeout.
 
         If no connection could be opened, no request was sent and the verdict is NOT_RUN. After any
         other failure to get a response, the task may have run.
         """
+        refusal = permission.start_refusal(clock.boot_s())
+        if refusal is not None:
+            return TargetResult(Verdict.NOT_RUN, refusal)
         with trio.move_on_after(call.timeout_s):
             return await self._async_post(url, call)
         return TargetResult(Verdict.MAY_HAVE_RUN, RefusalReason.TARGET_TIMEOUT)
--- a/standins/agents.py
+++ b/standins/agents.py
@@ -3,7 +3,13 @@
 import trio
 
 from pistachiohill.agent.metrics import AgentMetrics
-from pistachiohill.agent.models import TargetCall, TargetResult, TargetState
+from pistachiohill.agent.models import (
+    UNRESTRICTED,
+    RunPermission,
+    TargetCall,
+    TargetResult,
+    TargetState,
+)
 from pistachiohill.agent.runner import TaskRunner
 from pistachiohill.agent.service import AgentService
 from pistachiohill.agent.target_client import TargetClient
@@ -24,7 +30,9 @@
         super().__init__()
         self._run_s = run_s
 
-    async def async_call(self, url: str, call: TargetCall) -> TargetResult:
+    async def async_call(
+        self, url: str, call: TargetCall, permission: RunPermission = UNRESTRICTED
+    ) -> TargetResult:
         """Sleep for the run time and succeed."""
         await trio.sleep(self._run_s)
         return TargetResult(Verdict.RAN, None, 200, b"done")
--- a/tests/agent/test_runner.py
+++ b/tests/agent/test_runner.py
@@ -11,7 +11,13 @@
 from pistachiohill import clock
 from pistachiohill.agent.const import ENTRY_LEASE_S
 from pistachiohill.agent.metrics import AgentMetrics
-from pistachiohill.agent.models import TargetCall, TargetResult, TargetState
+from pistachiohill.agent.models import (
+    UNRESTRICTED,
+    RunPermission,
+    TargetCall,
+    TargetResult,
+    TargetState,
+)
 from pistachiohill.agent.runner import TaskRunner
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.protocol.models import (
@@ -60,7 +66,9 @@
     running: dict[str, trio.Event] = field(factory=dict)
     called: list[str] = field(factory=list)
 
-    async def async_call(self, url: str, call: TargetCall) -> TargetResult:
+    async def async_call(
+        self, url: str, call: TargetCall, permission: RunPermission = UNRESTRICTED
+    ) -> TargetResult:
         self.called.append(call.task_id)
         stopped = self.running[call.task_id] = trio.Event()
         await stopped.wait()
