Do not renew a runner's lease while a run that must end goes on

What callers would see: a job that was sent again 1.3 s after its entry or its agent was out of reach, or after the caller had left, runs beside the earlier placement for as long as that takes.

Cause: one lease serves all runs of a runner. A run whose stop was unanswered or carried out late, or whose entry's lease a slow agent had not checked yet, was prolonged by the holds for others.

Change: a run must end from its stop request on, and from the end of its entry's lease, which RunPermission gives at the moment of the renewal, so that no timer is needed. While such a run is not known to have ended STOP_CONFIRM_S later, leases are not renewed (event lease_renewal_paused); a start carries the latest lease then. The pause ends when the runner lists the run as ended.

Price: all runs at a runner that does not end a run for most of a lease end with it, and are placed again elsewhere.

--- a/pistachiohill/agent/const.py
+++ b/pistachiohill/agent/const.py
@@ -20,6 +20,7 @@
 CONFIRMATION_TIMEOUT_S: Final = 1.0  # less than the interval of a runner's announcements
 HEDGE_S: Final = 5.0  # how long two hold requests are kept open after a response was lost
 START_TIMEOUT_S: Final = 0.08  # a lost start is placed again while its job can still end in time
+STOP_TIMEOUT_S: Final = 0.08  # several attempts within a lease
 RETRY_DELAY_S: Final = 0.02
 TOKENS_PER_MS: Final = 1000
 INITIAL_TOKEN_STEP: Final = 3600 * 1000 * TOKENS_PER_MS  # increase of the initial token per hour
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -9,6 +9,9 @@
 missing, the agent stops renewing the lease. If the runner stays silent, its runs are only known to
 have ended once the lease must have expired.
 
+One lease serves all runs of the runner. If a run that must end goes on, because its stop got lost
+or this agent was slow, the lease is not renewed until the runner lists the run as ended.
+
 A lost response to a long-polling request hides the ends of all runs until the request times out.
 After one was lost, the agent therefore keeps two such requests open for a while. Responses may
 overtake each other, so a list that is older than the one applied last is ignored.
@@ -29,6 +32,8 @@
     INITIAL_TOKEN_STEP,
     RETRY_DELAY_S,
     START_TIMEOUT_S,
+    STOP_CONFIRM_S,
+    STOP_TIMEOUT_S,
     TOKENS_PER_MS,
 )
 from .models import (
@@ -95,7 +100,7 @@
         result: How the run ended, None before.
         runner_restarted: Whether the runner has restarted since it was asked to start the run; only
             a list of the new incarnation shows whether that one has executed the start.
-        stop_requested: Whether the runner is being asked to stop the run.
+        stop_requested_at_s: Boot time from which the runner has been asked to stop the run.
         done: Set together with the result.
     """
 
@@ -105,7 +110,7 @@
     fencing_token: int | None = None
     result: TargetResult | None = None
     runner_restarted: bool = False
-    stop_requested: bool = False
+    stop_requested_at_s: float = math.inf
     done: trio.Event = field(factory=trio.Event)
 
     @property
@@ -113,6 +118,11 @@
         """Return the task id and run number."""
         return RunName(self.call.task_id, self.call.run)
 
+    def is_overdue(self, now_s: float) -> bool:
+        """Return whether the run should have ended a while ago and is not known to have."""
+        must_end_at_s = min(self.stop_requested_at_s, self.permission.ends_at_s())
+        return self.result is None and now_s > must_end_at_s + STOP_CONFIRM_S
+
     def end(self, verdict: Verdict, reason: RefusalReason | None) -> None:
         """Set the result, unless it is already set."""
         if self.result is None:
@@ -151,6 +161,7 @@
         self._ack_cursor = 0
         self._ack_pending = False
         self._lease = RunnerLease()
+        self._renewal_paused = False
         self._response_missing = False
         self._responded_at_s = -math.inf
         self._newest_list_clock_s = -math.inf
@@ -290,9 +301,9 @@
         A request that was refused because another one has the same name stops nothing.
         """
         run = self._runs.get(RunName(call.task_id, call.run))
-        if run is None or run.call is not call or run.stop_requested:
+        if run is None or run.call is not call or run.stop_requested_at_s < math.inf:
             return
-        run.stop_requested = True
+        run.stop_requested_at_s = clock.boot_s()
         assert self._nursery is not None
         self._nursery.start_soon(self._async_stop, run)
 
@@ -359,12 +370,29 @@
         """Return the lease for the next request.
 
         The lease is not renewed while a response is missing, so that it expires soon if the runner
-        stays silent.
+        stays silent, nor while a run is overdue.
         """
         if self._response_missing or not self._synchronized or self._foreign_runs or not self._runs:
             return Lease(self._token, None)
+        if self._is_renewal_paused(now_s):
+            return Lease(self._token, None)
         return Lease(self._token, self._lease.grant(now_s))
 
+    def _start_lease(self, now_s: float) -> Lease:
+        """Return the lease for a start: a new one, or the latest while none may be granted."""
+        lease = self._next_lease(now_s)
+        if lease.until_clock_s is not None:
+            return lease
+        return Lease(self._token, self._lease.granted_until_clock_s)
+
+    def _is_renewal_paused(self, now_s: float) -> bool:
+        """Return whether a run is overdue, so that it has to end with the lease."""
+        overdue = sum(run.is_overdue(now_s) for run in self._runs.values())
+        if overdue and not self._renewal_paused:
+            logs.warning("lease_renewal_paused", runs=len(self._runs), overdue=overdue)
+        self._renewal_paused = overdue > 0
+        return self._renewal_paused
+
     def _set_runner_clock(self, clock_s: float, now_s: float) -> None:
         self._lease.record_announced_clock(clock_s, now_s)
 
@@ -470,7 +498,7 @@
             run.end(Verdict.NOT_RUN, refusal)
             return
         outcome = await self._runner_client.async_start(
-            identity, run.call, self._next_lease(sent_at_s), START_TIMEOUT_S
+            identity, run.call, self._start_lease(sent_at_s), START_TIMEOUT_S
         )
         now_s = clock.boot_s()
         if run.result is None:
@@ -544,7 +572,7 @@
                 return
             lease = Lease(self._token, None)
             outcome = await self._runner_client.async_stop(
-                identity, run.name, lease, HOLD_TIMEOUT_S
+                identity, run.name, lease, STOP_TIMEOUT_S
             )
             if isinstance(outcome, NoAnswer):
                 logs.event(
--- a/pistachiohill/agent/runner_lease.py
+++ b/pistachiohill/agent/runner_lease.py
@@ -24,14 +24,18 @@
 
     Fields:
         expires_at_s: Boot time at which every lease granted so far has expired.
+        granted_until_clock_s: Time on the runner's clock at which the latest lease ends, None if
+            there is none.
     """
 
     expires_at_s: float = -math.inf
+    granted_until_clock_s: float | None = None
     _clock: PeerClock = field(factory=PeerClock)
 
     def reset(self, now_s: float) -> None:
         """Forget the clock and the leases of a runner incarnation that has ended."""
         self.expires_at_s = now_s
+        self.granted_until_clock_s = None
         self._clock = PeerClock()
 
     def record_clock(self, clock_s: float, now_s: float) -> None:
@@ -56,7 +60,8 @@
             return None
         longest_s = (LEASE_S + RUNNER_CLOCK_STEP_S) / (1.0 - MAX_CLOCK_DRIFT)
         self.expires_at_s = max(self.expires_at_s, now_s + longest_s)
-        return clock_s + LEASE_S
+        self.granted_until_clock_s = clock_s + LEASE_S
+        return self.granted_until_clock_s
 
     def record_unknown_lease(self, now_s: float) -> None:
         """Allow for a lease that was granted just now to an unknown time: the longest there is."""
