Raise the fencing token after an unanswered hold with a lease

What callers would see: a job that was sent again after its agent was killed or frozen runs beside the earlier run, because a lost hold is carried out seconds later and prolongs that run.

Cause: only unanswered starts raised the token. A hold that got no response kept its token, so the runner accepted it whenever it came; some platforms count its lease from then.

Change: after an unanswered hold that carried a lease the token is raised; any later request makes the runner reject the late one. A rejection of an older token no longer advances the current one: the steps double, so requests that overtake each other would take it beyond 64 bits in about 30.

Ruled out: holds without a lease and stops, which prolong nothing.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -339,7 +339,7 @@
             Edit(
                 "pistachiohill/agent/leased_target.py",
                 "        self._token = max(self._token, token + 1)\n",
-                "",
+                "        return\n",
             ),
         ),
     ),
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -3,7 +3,8 @@
 All requests to the runner carry the agent's current fencing token. After an unanswered start the
 agent raises the token and lists the runner's runs. A response under the new token proves that no
 request under an older token will be executed any more, so a run that is not listed has not started
-and never will.
+and never will. It does the same after an unanswered hold with a lease, which might be executed
+later and prolong runs that should end.
 
 Runs end when the lease expires; the agent renews it while the runner responds. When a response is
 missing, the agent stops renewing the lease. If the runner stays silent, its runs are only known to
@@ -345,7 +346,6 @@
 
     async def _async_hold_once(self, identity: RunnerIdentity) -> None:
         sent_at_s = clock.boot_s()
-        token = self._token
         wait_s = HOLD_WAIT_S if self._can_long_poll() else 0.0
         lease = self._next_lease(sent_at_s)
         outcome = await self._runner_client.async_hold(
@@ -355,11 +355,11 @@
         if identity != self._identity:
             return
         if isinstance(outcome, RunList):
-            self._apply_run_list(outcome, token, sent_at_s, now_s)
+            self._apply_run_list(outcome, lease.token, sent_at_s, now_s)
             if self._foreign_runs:
                 await self._async_stop_foreign_runs(identity)
             return
-        await self._async_handle_failed_hold(outcome, sent_at_s, now_s)
+        await self._async_handle_failed_hold(outcome, lease, sent_at_s, now_s)
 
     def _has_unresolved_start(self) -> bool:
         return any(
@@ -402,13 +402,15 @@
         self._responded_at_s = now_s
 
     async def _async_handle_failed_hold(
-        self, outcome: HoldOutcome, sent_at_s: float, now_s: float
+        self, outcome: HoldOutcome, lease: Lease, sent_at_s: float, now_s: float
     ) -> None:
         """Handle a hold request that returned no list of runs."""
         if isinstance(outcome, Fenced):
-            self._advance_token()
+            self._handle_fenced(lease.token)
             return
         if isinstance(outcome, NoAnswer):
+            if lease.until_clock_s is not None:
+                self._raise_token_above(lease.token)
             self._hedge_until_s = now_s + HEDGE_S
             self._hedge_needed.set()
             if self._responded_at_s > sent_at_s:
@@ -522,8 +524,8 @@
                 reason=outcome.refusal,
                 token=token,
             )
-            if outcome.refusal == StartRefusal.FENCED and token == self._token:
-                self._advance_token()
+            if outcome.refusal == StartRefusal.FENCED:
+                self._handle_fenced(token)
             if outcome.refusal == StartRefusal.OTHER_INCARNATION:
                 self._require_sync()
             return
@@ -538,7 +540,7 @@
 
     def _fence_start(self, run: Run, token: int) -> None:
         """Raise the token, so that a list under the new token resolves an unanswered start."""
-        self._token = max(self._token, token + 1)
+        self._raise_token_above(token)
         run.fencing_token = self._token
         self._signal_changed()
         assert self._nursery is not None
@@ -551,17 +553,19 @@
             if identity is None:
                 return
             sent_at_s = clock.boot_s()
-            token = self._token
+            lease = self._next_lease(sent_at_s)
             outcome = await self._runner_client.async_hold(
-                identity, self._next_lease(sent_at_s), self._ack_cursor, 0.0, HOLD_TIMEOUT_S
+                identity, lease, self._ack_cursor, 0.0, HOLD_TIMEOUT_S
             )
             if identity != self._identity:
                 return
             if isinstance(outcome, RunList):
-                self._apply_run_list(outcome, token, sent_at_s, clock.boot_s())
+                self._apply_run_list(outcome, lease.token, sent_at_s, clock.boot_s())
             elif isinstance(outcome, Fenced):
-                self._advance_token()
+                self._handle_fenced(lease.token)
             else:
+                if lease.until_clock_s is not None:
+                    self._raise_token_above(lease.token)
                 await trio.sleep(RETRY_DELAY_S)
 
     async def _async_stop(self, run: Run) -> None:
@@ -592,6 +596,15 @@
             await self._runner_client.async_stop(identity, name, lease, HOLD_TIMEOUT_S)
         await trio.sleep(RETRY_DELAY_S)
 
+    def _raise_token_above(self, token: int) -> None:
+        """Use a higher token from now on, so that late requests under an older one are rejected."""
+        self._token = max(self._token, token + 1)
+
+    def _handle_fenced(self, token: int) -> None:
+        """Exceed the tokens that the runner has seen, unless only an older token was rejected."""
+        if token == self._token:
+            self._advance_token()
+
     def _advance_token(self) -> None:
         """Raise the token by a step that doubles each time, to exceed those the runner has seen."""
         self._token += self._token_step
