Keep two requests open to a runner from the first lost response on

What callers would see: tasks end with 502 or are placed again after two lost responses in a row, though their runner and their entry are well.

Cause: after a lost response one request at a time looks for the runner, and the second request that a loss calls for waits until a response has come. A second loss uses up the rest of the lease.

Change: the second request is also sent while a response is missing.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -14,8 +14,8 @@
 or this agent was slow, the lease is not renewed until the runner lists the run as ended.
 
 A lost response to a long-polling request hides the ends of all runs until the request times out.
-After one was lost, the agent therefore keeps two such requests open for a while. Responses may
-overtake each other, so a list that is older than the one applied last is ignored.
+After one was lost, the agent therefore keeps two requests open for a while. Responses may overtake
+each other, so a list that is older than the one applied last is ignored.
 """
 
 import math
@@ -333,12 +333,16 @@
         while True:
             await self._hedge_needed.wait()
             while clock.boot_s() < self._hedge_until_s:
-                if self._identity is not None and self._can_long_poll():
+                if self._identity is not None and self._needs_second_hold():
                     await self._async_hold_once(self._identity)
                 else:
                     await trio.sleep(RETRY_DELAY_S)
             self._hedge_needed = trio.Event()
 
+    def _needs_second_hold(self) -> bool:
+        """Return whether a second request may find out more, or sooner, than the first."""
+        return self._can_long_poll() or (self._response_missing and bool(self._runs))
+
     def _can_long_poll(self) -> bool:
         """Return whether a response may be delayed until a run ends."""
         if not self._synchronized or self._response_missing or self._foreign_runs:
