--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -199,8 +199,7 @@
         The runner in use is only asked if its clock was not read recently.
         """
         in_use = identity == self._identity and self._successor is None and not self._shut_down
-        clock_age_s = now_s - self._runner_clock_read_at_s
-        if not in_use or clock_age_s > CLOCK_REFRESH_S:
+        if not in_use or self._lease.clock_age_s(now_s) > CLOCK_REFRESH_S:
             self._discovery.check(identity)
 
     def _handle_confirmation(self, confirmed: ConfirmedRunner, now_s: float) -> None:
@@ -228,7 +227,7 @@
     def _handle_same_runner(self, confirmed: ConfirmedRunner, now_s: float) -> None:
         """Read the clock of the runner in use, which may be used again after a shutdown message."""
         was_ready = self.ready
-        self._set_runner_clock(confirmed.clock_s, now_s)
+        self._lease.record_clock(confirmed.clock_s, now_s)
         self._set_identity(confirmed.identity, now_s)
         self._signal_changed()
         if self.ready != was_ready:
@@ -404,9 +403,6 @@
         self._renewal_paused = overdue > 0
         return self._renewal_paused
 
-    def _set_runner_clock(self, clock_s: float, now_s: float) -> None:
-        self._lease.record_announced_clock(clock_s, now_s)
-
     def _record_response(self, clock_s: float, now_s: float) -> None:
         self._lease.record_clock(clock_s, now_s)
         self._response_missing = False
--- a/pistachiohill/agent/runner_lease.py
+++ b/pistachiohill/agent/runner_lease.py
@@ -42,16 +42,9 @@
         """Record a reading of the runner's clock from one of its responses."""
         self._clock.record(clock_s, now_s, ALWAYS_RUNNING_S)
 
-    def record_announced_clock(self, clock_s: float, now_s: float) -> None:
-        """Record a reading from an announcement if it agrees with an earlier one.
-
-        An announcement may be late, or come from another writer.
-        """
-        known = self._clock
-        age_s = now_s - known.received_at_s
-        if known.reading_s < 0.0 or clock_s > known.reading_s + age_s * (1.0 + MAX_CLOCK_DRIFT):
-            return
-        self.record_clock(clock_s, now_s)
+    def clock_age_s(self, now_s: float) -> float:
+        """Return how long ago the runner's clock was read, infinity if never."""
+        return now_s - self._clock.received_at_s
 
     def grant(self, now_s: float) -> float | None:
         """Return the end of a new lease on the runner's clock, None if that clock is not known."""
--- a/tests/agent/test_leased_target.py
+++ b/tests/agent/test_leased_target.py
@@ -5,7 +5,7 @@
 import trio
 
 from pistachiohill import clock
-from pistachiohill.agent.const import LEASE_S, MAX_CLOCK_DRIFT
+from pistachiohill.agent.const import CLOCK_REFRESH_S, LEASE_S, MAX_CLOCK_DRIFT
 from pistachiohill.agent.leased_target import LeasedTarget, initial_token
 from pistachiohill.agent.models import RunnerIdentity, TargetCall, TargetResult
 from pistachiohill.errors import RefusalReason, Verdict
@@ -141,6 +141,21 @@
 
         await self._async_run_scenario(scenario)
 
+    async def test_announcements_keep_the_lease_of_an_idle_runner_long(self) -> None:
+        """An old reading of a clock that may drift makes a lease shorter."""
+
+        async def scenario(harness: TargetHarness) -> None:
+            await trio.sleep(2 * CLOCK_REFRESH_S)
+            harness.announce()
+            await trio.sleep(0.05)
+            self.assertLess(harness.target._lease.clock_age_s(clock.boot_s()), CLOCK_REFRESH_S)
+            requests = len(harness.runner.requests)
+            harness.announce()
+            await trio.sleep(0.05)
+            self.assertEqual(requests, len(harness.runner.requests))
+
+        await self._async_run_scenario(scenario)
+
     async def test_an_unanswered_start_that_never_arrives_is_not_run(self) -> None:
         async def scenario(harness: TargetHarness) -> None:
             harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, 100.0
