Skip a stored record that can't be read, not the whole topic

What callers would see: one record with a key that is not UTF-8, or with an odd offset or value, made each read of the newest records fail, so an entry that starts or falls behind never got any. Pages that never advance were read without end.

Cause: a page was decoded as a whole, and the name of a domain was not looked at.

Ruled out: records of log-read without a valid key were skipped before as well.

Change: an item that can't be read is skipped and logged (record_unreadable); the next page continues after the last item's key all the same. A read fails if a page gives no key, or the same again. A domain whose name is not valid Unicode is refused.

test_records_are_read_although_one_is_odd and test_manifest_is_followed_after_an_odd_name failed before and pass now; test_pages_that_do_not_advance_end_the_read is new, failed (timed out) without the change and passes with it.

--- a/pistachiohill/platform/operators.py
+++ b/pistachiohill/platform/operators.py
@@ -11,6 +11,7 @@
 from .manifest import build_settings_nodes, decode_manifest
 from .models import KeyedPage, KeyedRecord
 from .store import StoreClient
+from .wire import require_unicode
 
 
 async def async_follow_operators(store: StoreClient, view: ConsortiumView) -> None:
@@ -49,7 +50,8 @@
         if record.key == KEY_MANIFEST and record.value is not None:
             _apply_manifest(view, record.value, record.offset, now_s)
         elif record.key.startswith(KEY_PREFIX_EVACUATE):
-            domain = DomainRecord(_domain_name(record.key), record.value is not None, record.offset)
+            name = require_unicode(_domain_name(record.key), "key")
+            domain = DomainRecord(name, record.value is not None, record.offset)
             if view.state.set_domain(domain):
                 logs.event("domain", domain=domain.name, out=domain.out, offset=record.offset)
     except (WireError, SettingsError) as err:
--- a/pistachiohill/platform/store.py
+++ b/pistachiohill/platform/store.py
@@ -6,8 +6,10 @@
 import base64
 import binascii
 import struct
+from typing import Any
 from urllib.parse import urlencode
 
+from .. import logs
 from .const import (
     PARTITION,
     PATH_LOG_APPEND,
@@ -91,7 +93,7 @@
         query: dict[str, object] = {"topic": topic, "part": PARTITION}
         end: int | None = None
         while True:
-            path = f"{PATH_LOG_NEWEST}?{urlencode(query)}"
+            path = f"{PATH_LOG_NEWEST}?{urlencode(query, errors='surrogatepass')}"
             response = await self._http.async_request(
                 "GET", path, timeout_s=response_timeout_s, new_connection=new_connection
             )
@@ -102,18 +104,21 @@
                 return ReadFailed(f"status {response.status}")
             try:
                 page = decode_object(response.body)
-                items = [_decode_item(item) for item in read_list(page, "items")]
+                items = read_list(page, "items")
                 end = read_int(page, "end") if end is None else end
                 more = read_bool(page, "hasMore", False)
             except WireError as err:
                 return ReadFailed(f"invalid response: {err}")
-            records += items
+            records += _decode_items(items, topic)
             if not more or not items:
                 ordered = sorted(records, key=lambda record: record.offset)
                 return KeyedPage(
                     tuple(ordered), end, more=bool(ordered) and ordered[-1].offset >= end
                 )
-            query["dependsOn"] = items[-1].key  # the key after which the next page continues
+            last_key = _key_of(items[-1])
+            if last_key is None or last_key == query.get("dependsOn"):
+                return ReadFailed("invalid response: no key after which to continue")
+            query["dependsOn"] = last_key
 
     async def async_read(
         self,
@@ -201,6 +206,23 @@
     return KeyedRecord(offset, key, value or None)
 
 
+def _decode_items(items: list[Any], topic: str) -> list[KeyedRecord]:
+    """Decode the newest records of keys; one that is malformed is skipped with a warning."""
+    records = []
+    for item in items:
+        try:
+            records.append(_decode_item(item))
+        except WireError as err:
+            logs.warning("record_unreadable", topic=topic, key=_key_of(item), detail=err)
+    return records
+
+
+def _key_of(item: object) -> str | None:
+    """Return the key of an item, even if its record is malformed."""
+    key = item.get("key") if isinstance(item, dict) else None
+    return key if isinstance(key, str) else None
+
+
 def _decode_item(item: object) -> KeyedRecord:
     fields: Fields = require_object(item, "items")
     try:
--- a/pistachiohill/platform/wire.py
+++ b/pistachiohill/platform/wire.py
@@ -53,10 +53,7 @@
 
 def read_str(fields: Fields, name: str, default: str | None = None) -> str:
     """Return a string field; a lone surrogate is refused, since no message can carry it."""
-    value = read_text(fields, name, default)
-    if not value.isascii() and any("\ud800" <= char <= "\udfff" for char in value):
-        raise WireError(f"{name}: not valid Unicode")
-    return value
+    return require_unicode(read_text(fields, name, default), name)
 
 
 def read_text(fields: Fields, name: str, default: str | None = None) -> str:
@@ -98,6 +95,13 @@
     return value
 
 
+def require_unicode(value: str, name: str) -> str:
+    """Return a string without lone surrogates; raise WireError with `name` for others."""
+    if not value.isascii() and any("\ud800" <= char <= "\udfff" for char in value):
+        raise WireError(f"{name}: not valid Unicode")
+    return value
+
+
 def require_object(value: object, name: str) -> Fields:
     """Return a value if it is an object; raise WireError with the field `name` otherwise."""
     if not isinstance(value, dict):
