Follow the runner again after an odd announcement that was ahead

What callers would see: after one announcement with a `seq` far ahead or a later `born` all heartbeats of the real runner counted as out of order, for good; the agent had no target once the odd one expired, 6 s later. One with another service or address was passed on, and with a service that no manifest names no entry has a route to the agent until the next heartbeat.

Cause: the highest (`born`, `seq`) ever seen was believed whatever followed it, and the other fields were taken from any announcement above it.

Ruled out: reading the manifest at the agent. It has none (entries send it stamps with the offset and the state of its domain), would need the store, and may be behind a change that names a new service. A process doesn't change its service or address while it runs, and machines beside an agent aren't moved between pools, so the previous service is what the agent can judge by.

Change: a module of its own decides the order. An announcement follows the latest one if it is of the same process (id, birth, service, address) with a `seq` up to 1,000 higher, or of a later birth and the same service, or any service after a DELETE. Others are ignored at first. If they ascend among themselves for longer than two heartbeats without a gap of two, while nothing follows the latest one, they are believed (announcements_believed_again). Late ones that arrive alone or together are ignored as before.

A real runner of another service, without a DELETE before, is therefore taken 3 to 4.5 s late, by the sum of heartbeats. What an odd announcement of a later birth says holds until the runner is believed again.

--- a/pistachiohill/platform/const.py
+++ b/pistachiohill/platform/const.py
@@ -29,6 +29,7 @@
 MAX_IDLE_S: Final = 30.0  # connections that were idle for longer are not reused
 SUSPECT_IDLE_S: Final = 1.0  # nor those that were idle for so long when a request timed out
 
+HEARTBEAT_S: Final = 1.5  # a runner announces itself about this often
 MAX_SERVICE_CHARS: Final = 64
 MAX_CPU_M: Final = 10**9
 MAX_MEM_MB: Final = 10**9
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -8,7 +8,14 @@
 from ..http.models import Request, Response, invalid, json_response
 from ..scheduling.models import Demand
 from .address import parse_runner_address
-from .const import MAX_CPU_M, MAX_MEM_MB, MAX_RUNNER_CLOCK_MS, MAX_SERVICE_CHARS, PATH_INSTANCE
+from .announcement_order import AnnouncementOrder
+from .const import (
+    MAX_CPU_M,
+    MAX_MEM_MB,
+    MAX_RUNNER_CLOCK_MS,
+    MAX_SERVICE_CHARS,
+    PATH_INSTANCE,
+)
 from .errors import WireError
 from .models import RunnerAnnouncement
 from .wire import decode_object, read_int, read_name, read_str, require_object
@@ -61,7 +68,7 @@
         """
         self._on_announcement = on_announcement
         self._on_deregister = on_deregister
-        self._latest_order: tuple[int, int] = (0, 0)
+        self._order = AnnouncementOrder()
 
     def routes(self) -> list[Route]:
         """Return the HTTP routes of the registry."""
@@ -76,16 +83,15 @@
         except WireError as err:
             logs.warning("announcement_refused", runner=request.path_values[0], detail=err)
             raise invalid("body", str(err)) from err
-        order = (announcement.born_ms, announcement.sequence)
-        if order <= self._latest_order:
+        now_s = clock.boot_s()
+        if not self._order.accepts(announcement, now_s):
             logs.event(
                 "announcement_out_of_order",
                 runner=announcement.runner_id,
                 sequence=announcement.sequence,
             )
             return json_response({})
-        self._latest_order = order
-        self._on_announcement(announcement, clock.boot_s())
+        self._on_announcement(announcement, now_s)
         return json_response({})
 
     async def _async_delete(self, request: Request) -> Response:
@@ -95,5 +101,6 @@
             logs.warning("deregistration_refused", runner=request.path_values[0], detail=err)
             raise invalid("id", str(err)) from err
         logs.event("runner_deregistered", runner=runner_id)
+        self._order.deregister(runner_id)
         self._on_deregister(runner_id, clock.boot_s())
         return json_response({})
--- a/tests/platform/test_odd_announcements.py
+++ b/tests/platform/test_odd_announcements.py
@@ -217,6 +217,12 @@
         await self._async_heartbeats(range(1, 6), service="other", born=NEWER_BORN_MS)
         self.assertEqual("other", self.announcements[-1].service)
 
+    async def test_new_process_is_followed_although_its_clock_was_set_back(self) -> None:
+        await self._async_heartbeats(range(4, 6), born=NEWER_BORN_MS)
+        await self._async_heartbeats(range(1, 6))
+        last = self.announcements[-1]
+        self.assertEqual((ANNOUNCEMENT["born"], 5), (last.born_ms, last.sequence))
+
     async def test_new_process_is_followed_at_once(self) -> None:
         await self._async_heartbeats(range(4, 6))
         await self._async_announce(seq=1, born=NEWER_BORN_MS)
