Refuse an announcement of a start that is still to come

What callers would see: a heartbeat whose `born` lay in the future counted as newer than the real runner's, and would have gone on doing so for each process that started before that time.

Cause: the start time was compared with other announcements only, never with the clock.

Ruled out: a bound of a few seconds.

--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -10,6 +10,7 @@
 from .address import parse_runner_address
 from .announcement_order import AnnouncementOrder
 from .const import (
+    MAX_CLOCK_SKEW_S,
     MAX_CPU_M,
     MAX_MEM_MB,
     MAX_RUNNER_CLOCK_MS,
@@ -53,6 +54,15 @@
     return runner_id
 
 
+def require_past_start(announcement: RunnerAnnouncement, now_wall_s: float) -> None:
+    """Raise WireError if a runner claims to have started later than now, by the clock of the day.
+
+    The two processes may read clocks that differ.
+    """
+    if announcement.born_ms / 1000 > now_wall_s + MAX_CLOCK_SKEW_S:
+        raise WireError("born: later than now")
+
+
 class RunnerRegistry:
     """Receives the announcements of a runner and drops those that arrive out of order."""
 
@@ -80,6 +90,7 @@
     async def _async_put(self, request: Request) -> Response:
         try:
             announcement = decode_announcement(request.path_values[0], request.body)
+            require_past_start(announcement, clock.wall_s())
         except WireError as err:
             logs.warning("announcement_refused", runner=request.path_values[0], detail=err)
             raise invalid("body", str(err)) from err
