Limit a deadline of thousands of digits

What callers would see: a request whose deadline header has more than 4,300 digits raised ValueError in the handler instead of being served with the longest deadline.

Cause: Python refuses to convert so many digits, and the value was limited after the conversion.

Change: a number with more digits than the longest deadline is that deadline; leading zeros don't count.

test_deadline_of_thousands_of_digits_is_limited failed before and passes now.

--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -225,7 +225,10 @@
     """Return the deadline in seconds from a header value, 0 if it is missing or invalid."""
     if not text.isascii() or not text.isdigit():
         return 0.0
-    return min(int(text), MAX_DEADLINE_MS) / 1000
+    digits = text.lstrip("0") or "0"
+    if len(digits) > len(str(MAX_DEADLINE_MS)):
+        return MAX_DEADLINE_MS / 1000
+    return min(int(digits), MAX_DEADLINE_MS) / 1000
 
 
 def _job_response(answer: JobAnswer) -> Response:
