Log a value that can't be printed by its type

What callers would see: a warning about an odd entry could raise itself: RecursionError for a value nested about as deep as the parser allows, ValueError for an integer of more than 4,300 digits. A refused route of a manifest is logged with its value.

Cause: str() of a value from outside was expected to succeed.

Ruled out: surrogates, NULs and line breaks; they were escaped before (the other test of the file).

Change: a value whose str() fails is logged by the name of its type.

test_value_that_can_not_be_printed_does_not_raise failed before and passes now.

--- a/pistachiohill/logs.py
+++ b/pistachiohill/logs.py
@@ -123,7 +123,10 @@
 def _format_value(value: object) -> str:
     if isinstance(value, float):
         return f"{value:.6g}"
-    text = str(value)
+    try:
+        text = str(value)
+    except (RecursionError, ValueError):  # too deeply nested, or a number of too many digits
+        text = f"({type(value).__name__} that can't be printed)"
     printable = text.isprintable()
     if printable and text and not _CHARACTERS_TO_QUOTE.intersection(text):
         return text
