Skip announced processes that can't be reached at their address

Ports out of range were dialed for good. An end that claims to have been announced after itself was applied.

Cause: host, port and offset of a record were taken as they were decoded.

Ruled out: ports of 99999 and hosts with a NUL were OSError on connecting before.

Connecting raises OSError for any host or port, also for one from the settings.

--- a/pistachiohill/consortium/processes.py
+++ b/pistachiohill/consortium/processes.py
@@ -4,12 +4,34 @@
 or when another process announces itself at the same address.
 """
 
+import ipaddress
+import re
+
 from attrs import define, evolve, field
 
 from ..const import Role
 from ..protocol.models import AnnounceRecord, EndRecord, ProcessRecord
 from .const import ENDED_ADDRESS_RETENTION_S, ENDED_PROCESS_RETENTION_S, NO_OFFSET
 
+MAX_HOST_CHARS = 253
+HOST_NAME_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*")
+MAX_PORT = 65535
+
+
+def has_valid_address(process: AnnounceRecord | ProcessRecord) -> bool:
+    """Return whether a process could be connected to at the address that is recorded for it."""
+    if not 1 <= process.port <= MAX_PORT or len(process.host) > MAX_HOST_CHARS:
+        return False
+    return bool(HOST_NAME_PATTERN.fullmatch(process.host)) or _is_ipv6(process.host)
+
+
+def _is_ipv6(host: str) -> bool:
+    try:
+        ipaddress.IPv6Address(host)
+    except ValueError:
+        return False
+    return True
+
 
 @define
 class Processes:
@@ -55,11 +77,14 @@
         self.records.pop(incarnation, None)
 
     def adopt(self, records: list[ProcessRecord], offset: int) -> bool:
-        """Replace all records by those of a peer if its offset is later; return whether it was."""
+        """Replace all records by those of a peer if its offset is later; return whether it was.
+
+        Records with an invalid address are left out.
+        """
         if offset <= self.offset:
             return False
         self.offset = offset
-        self.records = {record.incarnation: record for record in records}
+        self.records = {item.incarnation: item for item in records if has_valid_address(item)}
         return True
 
     def live(self, role: Role) -> list[ProcessRecord]:
--- a/pistachiohill/consortium/tail.py
+++ b/pistachiohill/consortium/tail.py
@@ -1,6 +1,7 @@
 """Updates of a view from this product's topics, and announcements of processes in them."""
 
 import random
+from functools import singledispatch
 
 import trio
 
@@ -28,6 +29,7 @@
     WITHDRAW_TIMEOUT_S,
 )
 from .follow import async_follow_topic
+from .processes import has_valid_address
 from .view import ConsortiumView
 
 
@@ -95,11 +97,32 @@
     if record.value is None:
         view.processes.remove(record.key, record.offset)
         return
-    announced = _decode(record)
-    if isinstance(announced, AnnounceRecord):
-        view.processes.announce(announced, record.offset, clock.wall_s())
-    elif isinstance(announced, EndRecord):
-        view.processes.end(announced, record.offset, clock.wall_s())
+    change = _decode(record)
+    problem = "" if change is None else _process_problem(change, record.offset)
+    if problem:
+        logs.warning("record_refused", key=record.key, offset=record.offset, detail=problem)
+    elif isinstance(change, AnnounceRecord):
+        view.processes.announce(change, record.offset, clock.wall_s())
+    elif isinstance(change, EndRecord):
+        view.processes.end(change, record.offset, clock.wall_s())
+
+
+@singledispatch
+def _process_problem(change: Message, offset: int) -> str:
+    """Return why a change at an offset of the processes topic is invalid; empty if it is valid."""
+    return f"not a process: {type(change).__name__}"
+
+
+@_process_problem.register
+def _(change: AnnounceRecord, offset: int) -> str:
+    return "" if has_valid_address(change) else "invalid address"
+
+
+@_process_problem.register
+def _(change: EndRecord, offset: int) -> str:
+    if not 0 <= change.announce_offset < offset:
+        return "announced at an invalid offset"
+    return _process_problem(change.process, offset)
 
 
 def _decode(record: KeyedRecord) -> Message | None:
--- a/pistachiohill/protocol/websocket.py
+++ b/pistachiohill/protocol/websocket.py
@@ -12,7 +12,12 @@
 
 import trio
 from websockets.client import ClientProtocol
-from websockets.exceptions import ConnectionClosedError, InvalidHandshake, InvalidMessage
+from websockets.exceptions import (
+    ConnectionClosedError,
+    InvalidHandshake,
+    InvalidMessage,
+    InvalidURI,
+)
 from websockets.frames import Frame, Opcode
 from websockets.http11 import Request
 from websockets.protocol import Protocol, State
@@ -173,8 +178,12 @@
 
 
 async def _async_open(host: str, port: int) -> WebSocket:
-    protocol = ClientProtocol(parse_uri(f"ws://{host}:{port}/"), max_size=MAX_FRAME_BYTES)
-    websocket = WebSocket(await trio.open_tcp_stream(host, port), protocol)
+    try:
+        uri = parse_uri(f"ws://{host}:{port}/")
+        stream = await trio.open_tcp_stream(host, port)
+    except (ValueError, InvalidURI) as err:
+        raise OSError(f"invalid address: {err}") from err
+    websocket = WebSocket(stream, ClientProtocol(uri, max_size=MAX_FRAME_BYTES))
     try:
         await websocket.async_handshake_as_client()
     except BaseException:
--- a/tests/protocol/test_websocket.py
+++ b/tests/protocol/test_websocket.py
@@ -118,6 +118,23 @@
                 pass
             nursery.cancel_scope.cancel()
 
+    async def test_connecting_to_an_odd_address_raises_os_error(self) -> None:
+        for host, port in (
+            ("a" * 64, 80),
+            ("a..b", 80),
+            ("", 80),
+            ("b\0", 80),
+            ("x\r\ny", 80),
+            ("\ud800", 80),
+            (HOST, 0),
+            (HOST, -1),
+            (HOST, 99999),
+            (HOST, 2**62),
+        ):
+            with self.assertRaises((OSError, TimeoutError)):
+                async with async_connect(host, port, 0.5):
+                    self.fail("connected")
+
     async def test_the_server_survives_any_bytes(self) -> None:
         async with trio.open_nursery() as nursery:
             port = await self.async_start(nursery)
