--- a/tests/agent/test_run_proofs.py
+++ b/tests/agent/test_run_proofs.py
@@ -80,3 +80,17 @@
             await self._async_check_lease(harness)
 
         await self._async_run_scenario(scenario)
+
+    async def test_request_for_a_task_is_not_refused_while_another_run_of_it_goes_on(self) -> None:
+        """Its entry would place the task elsewhere, beside the run of the other entry."""
+
+        async def scenario(harness: TargetHarness) -> None:
+            harness.start(call("a", run_s=0.4))
+            await trio.sleep(0.05)
+            harness.start(call("a", run=2))
+            await trio.sleep(0.1)
+            self.assertEqual({}, harness.results)
+            await harness.async_result("a#1")
+            await harness.async_result("a#2")
+
+        await self._async_run_scenario(scenario)
