--- a/tests/agent/test_run_proofs.py
+++ b/tests/agent/test_run_proofs.py
@@ -1,17 +1,18 @@
 """What an agent must not take for the end of a run: the run may go on at its runner."""
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import trio
 
 from pistachiohill import clock
 from pistachiohill.agent.const import MAX_CLOCK_DRIFT
+from pistachiohill.agent.models import HoldOutcome
 
 from ..base import TestCase
 from .test_leased_target import FENCED, TargetHarness, call
 
 RUN_S = 5.0
-RESTARTED_RUN_S = 1.0
 IDLE_S = 2.0  # between the last reading of the runner's clock and the next start
 WITHIN_S = 3.0
 
@@ -40,7 +41,7 @@
 
         async def scenario(harness: TargetHarness) -> None:
             harness.runner.model.restart(clock.boot_s())
-            harness.start(call("a", RESTARTED_RUN_S))
+            harness.start(call("a", run_s=1.0))
             await self._async_check_ended(harness, "a#1")
 
         await self._async_run_scenario(scenario)
@@ -94,3 +95,25 @@
             await harness.async_result("a#2")
 
         await self._async_run_scenario(scenario)
+
+    async def test_run_does_not_stay_unsettled_at_a_restarted_runner_that_fell_silent(self) -> None:
+        """The restarted runner answers a single request, which shows the restart."""
+
+        async def scenario(harness: TargetHarness) -> None:
+            runner = harness.runner
+            harness.start(call("a", RUN_S))
+            await trio.sleep(0.05)
+            runner.model.restart(clock.boot_s())
+            async_hold = runner.async_hold
+            born_ms = [runner.model.born_ms]
+
+            async def async_hold_once(*args: Any) -> HoldOutcome:
+                runner.silent = not born_ms
+                born_ms.clear()
+                return await async_hold(*args)
+
+            runner.async_hold = async_hold_once  # type: ignore[method-assign]
+            harness.announce()
+            await harness.async_result("a#1", WITHIN_S)
+
+        await self._async_run_scenario(scenario)
