Relay: refuse connections for a time, and hold bytes back

Change: `refuse_connect_s` closes the listening socket, resets the open connections and listens again at the same port afterwards; `hold` keeps the bytes of a direction until it passes again. A connection that is being opened is reset too.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,10 +1,12 @@
-"""Stand-in for a network path: a TCP proxy that can delay, drop, refuse and reset.
+"""Stand-in for a network path: a TCP proxy that can delay, drop, hold back, refuse and reset.
 
-`POST /v1/mode` with `{"forward": "pass"|"swallow", "backward": ..., "delay_s": n, "refuse": bool}`
-applies to the open connections and, with `"new": true`, also to later ones; with
+`POST /v1/mode` with `{"forward": "pass"|"swallow"|"hold", "backward": ..., "delay_s": n,
+"refuse": bool}` applies to the open connections and, with `"new": true`, also to later ones; with
 `"default_only": true` it applies to later ones only. `swallow` drops the bytes of a direction while
-the connection stays open. `refuse` closes new connections at once, and `"reset": true` resets the
-open ones.
+the connection stays open; `hold` delivers them when the direction passes again, as TCP does after a
+partition. `refuse` accepts new connections and closes them at once, and `"reset": true` resets the
+open ones. `"refuse_connect_s": n` resets the open ones and stops listening for n seconds, so that
+connecting fails with ECONNREFUSED; then the relay listens again at the same port.
 """
 
 import json
@@ -20,6 +22,7 @@
 from pistachiohill.http.server import async_serve_http
 
 CHUNK_BYTES = 65536
+HOLD_POLL_INTERVAL_S = 0.01
 
 
 @define(eq=False)
@@ -47,6 +50,34 @@
     default: ConnectionMode = field(factory=ConnectionMode)
     refuse: bool = False
     open_modes: list[ConnectionMode] = field(factory=list)
+    listen_again_at_s: float = 0.0
+    _listening: trio.CancelScope = field(factory=trio.CancelScope)
+    _listening_ended: trio.Event = field(factory=trio.Event)
+
+    async def async_listen(self, host: str, port: int) -> None:
+        """Accept connections until cancelled, except while connecting is to be refused."""
+        async with trio.open_nursery() as connections:
+            while True:
+                await trio.sleep_until(self.listen_again_at_s)
+                listeners = await trio.open_tcp_listeners(port, host=host)
+                self._listening_ended = trio.Event()
+                with trio.CancelScope() as self._listening:
+                    await trio.serve_listeners(
+                        self.async_serve, listeners, handler_nursery=connections
+                    )
+                self._listening_ended.set()
+
+    async def async_refuse_connect(self, duration_s: float) -> None:
+        """Stop listening for a while and reset the open connections."""
+        self.listen_again_at_s = max(self.listen_again_at_s, trio.current_time() + duration_s)
+        self._listening.cancel()
+        await self._listening_ended.wait()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for mode in list(self.open_modes):
+            mode.reset()
 
     async def async_serve(self, stream: trio.SocketStream) -> None:
         """Relay one connection."""
@@ -54,9 +85,13 @@
             await stream.aclose()
             return
         mode = ConnectionMode(self.default.forward, self.default.backward, self.default.delay_s)
+        mode.streams = (stream,)
         self.open_modes.append(mode)
         try:
             upstream = await trio.open_tcp_stream(self.to_host, self.to_port)
+            if stream.socket.fileno() == -1:  # reset while connecting
+                await upstream.aclose()
+                return
             mode.streams = (stream, upstream)
             async with stream, upstream, trio.open_nursery() as nursery:
                 nursery.start_soon(self._async_copy, stream, upstream, mode, "forward", nursery)
@@ -79,13 +114,15 @@
         async def async_write() -> None:
             async for due_s, data in receive:
                 await trio.sleep_until(due_s)
+                while getattr(mode, direction) == "hold":
+                    await trio.sleep(HOLD_POLL_INTERVAL_S)
                 await destination.send_all(data)
 
         try:
             async with trio.open_nursery() as inner:
                 inner.start_soon(async_write)
                 while data := await source.receive_some(CHUNK_BYTES):
-                    if getattr(mode, direction) == "pass":
+                    if getattr(mode, direction) != "swallow":
                         await send.send((trio.current_time() + mode.delay_s, bytes(data)))
                 await send.aclose()
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -98,8 +135,9 @@
         value: dict[str, Any] = json.loads(request.body)
         self.refuse = bool(value.pop("refuse", self.refuse))
         if value.pop("reset", False):
-            for mode in list(self.open_modes):
-                mode.reset()
+            self.reset_connections()
+        if duration_s := value.pop("refuse_connect_s", 0.0):
+            await self.async_refuse_connect(duration_s)
         modes = list(self.open_modes)
         if value.pop("new", False):
             modes.append(self.default)
@@ -120,4 +158,4 @@
                 app, [f"{host}:{control_port}"], trio.Event(), 0.1, task_status=task_status
             )
         )
-        await trio.serve_tcp(model.async_serve, port, host=host)
+        await model.async_listen(host, port)
