Soak: short cuts that refuse, reset or hold back, callers that leave, odd and late heartbeats, late orders

Change: series of two or three short cuts at several agents at once, which refuse connections, reset them or hold back their bytes; callers that leave and send their jobs again 1.3 s later elsewhere; one heartbeat of another writer; a runner that begins a new incarnation under its id, or is replaced, and whose earlier heartbeat and DELETE arrive late; a share of starts, stops and holds that get no answer and are carried out 2 to 6 s later, with or without their lease time counted from the arrival. Every agent has to accept tasks within the recovery limit after the faults.

--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -6,6 +6,8 @@
 records of runs. Only processes started by the test are stopped. Run with `script/soak`.
 """
 
+import json
+import math
 import random
 import signal
 import sys
@@ -16,6 +18,7 @@
 import trio
 from attrs import define, field
 
+from standins.odd_heartbeats import Heartbeat, odd_heartbeats
 from standins.platform_deployment import (
     JobResponse,
     PlatformDeployment,
@@ -36,6 +39,9 @@
 ANSWER_TOLERANCE_S: Final = 2.0
 CLOCK_TOLERANCE_S: Final = 0.05  # runner and checker read their clocks at different moments
 DEADLINES_S: Final = (2.0, 4.0, 8.0)
+LEAVE_SHARE: Final = 0.5  # of the new callers, while callers leave
+LEAVE_AFTER_S: Final = (0.02, 0.8)
+LATE_SHARE: Final = 0.3  # of the requests to a runner that carries out some of them late
 
 
 @define
@@ -60,6 +66,7 @@
         self._evacuations: list[tuple[str, float, float]] = []
         self._evacuated_domains: set[str] = set()
         self._under_fault: set[str] = set()
+        self._leave_share = 0.0
         self._added_routes: list[str] = []
         self._confirmed_routes: set[str] = set()
         self._pending = 0
@@ -77,6 +84,7 @@
             await self._async_check_routes(findings)
             findings.violations += await async_check_change(deployment, self._plan.store_outage)
             await self._async_check_recovery(findings)
+            await self._async_check_agents(findings)
             with trio.move_on_after(2 * max(DEADLINES_S) + ANSWER_TOLERANCE_S):
                 while self._pending:
                     await trio.sleep(0.05)
@@ -88,21 +96,26 @@
 
     async def _async_submit_jobs(self, nursery: trio.Nursery) -> None:
         rng = random.Random(self._plan.seed + 1)
+        leave_rng = random.Random(f"callers {self._plan.seed}")
         number = 0
         while not self._stopped:
             number += 1
             tasks, run_s = rng.randint(1, 4), rng.choice((0.05, 0.2, 0.5, 1.5))
+            leaves = leave_rng.random() < self._leave_share
+            leave_after_s = leave_rng.uniform(*LEAVE_AFTER_S) if leaves else math.inf
             nursery.start_soon(
-                self._async_submit_job, number, tasks, run_s, rng.choice(DEADLINES_S)
+                self._async_submit_job, number, tasks, run_s, rng.choice(DEADLINES_S), leave_after_s
             )
             await trio.sleep(rng.expovariate(JOBS_PER_S))
 
     async def _async_submit_job(
-        self, number: int, tasks: int, run_s: float, deadline_s: float
+        self, number: int, tasks: int, run_s: float, deadline_s: float, leave_after_s: float
     ) -> None:
         self._pending += 1
         entry = number % len(self._deployment.entries)
-        answer = await self._deployment.async_submit_job(tasks, run_s, deadline_s, entry)
+        answer = await self._deployment.async_submit_job(
+            tasks, run_s, deadline_s, entry, leave_after_s=leave_after_s
+        )
         self._answers.append((answer, tasks, deadline_s))
         self._pending -= 1
 
@@ -215,6 +228,46 @@
         """Let the entries' open connections to the store fall silent."""
         await self._deployment.async_silence_store()
 
+    async def async_let_callers_leave(self, fault: Fault) -> None:
+        """Let a share of the new callers leave early and send their jobs again elsewhere."""
+        self._leave_share = LEAVE_SHARE
+        await trio.sleep(fault.duration_s)
+        self._leave_share = 0.0
+
+    async def async_refuse_connect(self, fault: Fault) -> None:
+        """Reset the links to an agent and refuse new ones for the fault's duration."""
+        await self._deployment.async_set_relay_mode(
+            self._agent_index(fault), refuse_connect_s=fault.duration_s
+        )
+        await trio.sleep(fault.duration_s)
+
+    async def async_reset_links(self, fault: Fault) -> None:
+        """Reset the links to an agent once; new ones work."""
+        await self._deployment.async_set_relay_mode(self._agent_index(fault), reset=True)
+
+    async def async_send_odd_heartbeat(self, fault: Fault) -> None:
+        """Send one heartbeat of another writer to an agent."""
+        index = self._agent_index(fault)
+        runner_id, announcement = await self._deployment.async_runner_heartbeat(index)
+        heartbeats = odd_heartbeats(runner_id, announcement)
+        await self._deployment.async_send_heartbeat(
+            index, heartbeats[fault.index % len(heartbeats)]
+        )
+
+    async def async_restart_runner(self, fault: Fault, new_id: bool) -> None:
+        """Restart a runner; a heartbeat and the DELETE of the earlier process arrive late."""
+        index = self._agent_index(fault)
+        runner_id, announcement = await self._deployment.async_runner_heartbeat(index)
+        if new_id:
+            await self.async_kill_runner(fault)
+        else:
+            await self._deployment.async_restart_runner(index)
+            await trio.sleep(fault.duration_s / 2)
+        late = Heartbeat(runner_id, json.dumps(announcement).encode())
+        await self._deployment.async_send_heartbeat(index, late)
+        await trio.sleep(fault.duration_s / 2)
+        await self._deployment.async_deregister_runner(index, runner_id)
+
     # Checks
 
     async def _async_check_routes(self, findings: Findings) -> None:
@@ -243,6 +296,17 @@
             f"no job completed within {RECOVERY_LIMIT_S:g} s after the faults"
         )
 
+    async def _async_check_agents(self, findings: Findings) -> None:
+        """Check that every agent accepts tasks again within the recovery limit."""
+        missing = set(range(len(self._deployment.agents)))
+        with trio.move_on_after(RECOVERY_LIMIT_S):
+            while missing:
+                for index in sorted(missing):
+                    if await self._deployment.async_is_linked(index):
+                        missing.discard(index)
+                await trio.sleep(0.2)
+        findings.violations += [f"agent{index} does not accept tasks" for index in sorted(missing)]
+
     async def _async_check(self, findings: Findings) -> None:
         findings.jobs = len(self._answers)
         findings.completed = sum(answer.state == "completed" for answer, _, _ in self._answers)
@@ -356,6 +420,21 @@
     FaultKind.EVACUATE: Soak.async_evacuate,
     FaultKind.PUBLISH: Soak.async_publish,
     FaultKind.SILENCE_STORE: Soak.async_silence_store,
+    FaultKind.REFUSE_CONNECT: Soak.async_refuse_connect,
+    FaultKind.RESET_LINKS: Soak.async_reset_links,
+    FaultKind.HOLD_BYTES: lambda soak, f: soak.async_relay_fault(
+        f, PASS_THROUGH, forward="hold", backward="hold", new=True
+    ),
+    FaultKind.CALLERS_LEAVE: Soak.async_let_callers_leave,
+    FaultKind.ODD_HEARTBEAT: Soak.async_send_odd_heartbeat,
+    FaultKind.REBORN_RUNNER: lambda soak, f: soak.async_restart_runner(f, new_id=False),
+    FaultKind.REPLACED_RUNNER: lambda soak, f: soak.async_restart_runner(f, new_id=True),
+    FaultKind.LATE_ORDERS: lambda soak, f: soak.async_runner_fault(
+        f, {"late_share": 0.0}, late_share=LATE_SHARE, late_lease_moves=False
+    ),
+    FaultKind.LATE_GRANTS: lambda soak, f: soak.async_runner_fault(
+        f, {"late_share": 0.0}, late_share=LATE_SHARE, late_lease_moves=True
+    ),
 }
 
 
--- a/experiments/soak_plan.py
+++ b/experiments/soak_plan.py
@@ -38,10 +38,31 @@
     EVACUATE = "evacuate"
     PUBLISH = "publish"
     SILENCE_STORE = "silence_store"
-
-
-# Faults that a plan draws at random; SILENCE_STORE comes with a change of the manifest.
-RANDOM_KINDS: Final = [kind for kind in FaultKind if kind != FaultKind.SILENCE_STORE]
+    REFUSE_CONNECT = "refuse_connect"
+    RESET_LINKS = "reset_links"
+    HOLD_BYTES = "hold_bytes"
+    CALLERS_LEAVE = "callers_leave"
+    ODD_HEARTBEAT = "odd_heartbeat"
+    REBORN_RUNNER = "reborn_runner"
+    REPLACED_RUNNER = "replaced_runner"
+    LATE_ORDERS = "late_orders"
+    LATE_GRANTS = "late_grants"
+
+
+SHORT_CUTS: Final = (FaultKind.REFUSE_CONNECT, FaultKind.RESET_LINKS, FaultKind.HOLD_BYTES)
+RUNNER_KINDS: Final = (
+    FaultKind.ODD_HEARTBEAT,
+    FaultKind.REBORN_RUNNER,
+    FaultKind.REPLACED_RUNNER,
+    FaultKind.LATE_ORDERS,
+    FaultKind.LATE_GRANTS,
+)
+# Faults that a plan draws one by one; SILENCE_STORE comes with a change of the manifest.
+RANDOM_KINDS: Final = [
+    kind
+    for kind in FaultKind
+    if kind not in (FaultKind.SILENCE_STORE, FaultKind.CALLERS_LEAVE, *SHORT_CUTS, *RUNNER_KINDS)
+]
 
 
 @frozen
@@ -84,6 +105,8 @@
                 Fault(at_s + repeat * (duration_s + gap_s), duration_s, kind, index + repeat)
             )
     faults += _make_changes_after_silence(seed, fault_period_s)
+    faults += _make_short_cuts(seed, count, fault_period_s)
+    faults += _make_runner_faults(seed, fault_period_s)
     ordered = tuple(sorted(faults, key=lambda fault: fault.at_s))
     return Plan(seed, spec, ordered, make_outage(seed + 3))
 
@@ -97,3 +120,33 @@
         faults.append(Fault(at_s, 0.0, FaultKind.SILENCE_STORE, 0))
         faults.append(Fault(at_s + rng.uniform(0.0, 1.0), 0.0, FaultKind.PUBLISH, 0))
     return faults
+
+
+def _make_short_cuts(seed: int, agents: int, fault_period_s: float) -> list[Fault]:
+    """Return series of short cuts, which overlap between agents, beside callers that leave."""
+    rng = random.Random(f"short cuts {seed}")
+    faults = []
+    for _ in range(rng.randint(1, 3)):
+        start_s = rng.uniform(0.0, fault_period_s * 0.7)
+        faults.append(Fault(start_s, rng.uniform(2.0, 6.0), FaultKind.CALLERS_LEAVE, 0))
+        for agent in rng.sample(range(agents), rng.randint(1, agents - 1)):
+            at_s = start_s + rng.uniform(0.0, 1.0)
+            for _ in range(rng.randint(2, 3)):
+                duration_s = rng.uniform(0.2, 1.4)
+                faults.append(Fault(at_s, duration_s, rng.choice(SHORT_CUTS), agent))
+                at_s += duration_s + rng.uniform(0.3, 3.0)
+    return faults
+
+
+def _make_runner_faults(seed: int, fault_period_s: float) -> list[Fault]:
+    """Return faults between agents and their runners."""
+    rng = random.Random(f"runner faults {seed}")
+    return [
+        Fault(
+            rng.uniform(0.0, fault_period_s * 0.9),
+            rng.uniform(0.2, 3.0),
+            rng.choice(RUNNER_KINDS),
+            rng.randrange(1000),
+        )
+        for _ in range(rng.randint(1, 4))
+    ]
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import secrets
 import signal
 import sys
@@ -17,10 +18,11 @@
 import trio
 from attrs import define, field, frozen
 
-from pistachiohill.platform.const import TOPIC_OPERATORS
+from pistachiohill.platform.const import PATH_INSTANCE, TOPIC_OPERATORS
 from pistachiohill.platform.models import Appended
 from pistachiohill.platform.store import StoreClient
 
+from .odd_heartbeats import Heartbeat
 from .processes import HOST, POLL_INTERVAL_S, Process, free_ports
 from .runner_model import PastRun, find_overlapping_runs
 
@@ -82,6 +84,7 @@
 
     domain: str = ""
     http_url: str = ""
+    control_url: str = ""
     runner: Process = field(default=None)
     runner_url: str = ""
     relay_control_url: str = ""
@@ -205,6 +208,27 @@
         """Set the mode of the relay in front of an agent."""
         await self.async_post(f"{self.agents[index].relay_control_url}/v1/mode", mode)
 
+    async def async_restart_runner(self, index: int) -> None:
+        """Let a runner crash and start again at once under the same id."""
+        await self.async_post(f"{self.agents[index].runner_url}/v1/restart", {})
+
+    async def async_runner_heartbeat(self, index: int) -> tuple[str, dict[str, Any]]:
+        """Return the id of a runner and its current heartbeat."""
+        url = f"{self.agents[index].runner_url}/v1/announcement"
+        response = await self._async_request_stand_in("GET", url)
+        value = json.loads(response.content)
+        return value["id"], value["announcement"]
+
+    async def async_send_heartbeat(self, index: int, heartbeat: Heartbeat) -> int:
+        """Send a heartbeat to an agent; return the status, 0 if there was no response."""
+        url = self.agents[index].control_url + PATH_INSTANCE.format(heartbeat.runner_id)
+        return (await self.async_call("PUT", url, heartbeat.body, {}))[0]
+
+    async def async_deregister_runner(self, index: int, runner_id: str) -> int:
+        """Deregister a runner at an agent; return the status, 0 if there was no response."""
+        url = self.agents[index].control_url + PATH_INSTANCE.format(runner_id)
+        return (await self.async_call("DELETE", url, None, {}))[0]
+
     async def async_post(self, url: str, value: dict[str, Any]) -> None:
         """Send a JSON body to a stand-in."""
         await self._async_request_stand_in("POST", url, json.dumps(value).encode())
@@ -212,12 +236,12 @@
     async def _async_request_stand_in(
         self, method: str, url: str, body: bytes = b""
     ) -> httpcore.Response:
-        """Send a request to a stand-in; wait for its port if it has just been started."""
+        """Send an idempotent request to a stand-in; repeat it while the stand-in restarts."""
         with trio.fail_after(READY_TIMEOUT_S):
             while True:
                 try:
                     return await self._pool.request(method, url, content=body)
-                except httpcore.ConnectError:
+                except (httpcore.NetworkError, httpcore.ProtocolError):
                     await trio.sleep(POLL_INTERVAL_S)
 
     # Callers
@@ -229,8 +253,12 @@
         deadline_s: float = 8.0,
         entry: int = 0,
         resend: bool = True,
+        leave_after_s: float = math.inf,
     ) -> JobResponse:
-        """Submit a job and wait until it ends; send it again after a lost response."""
+        """Submit a job and wait until it ends; send it again after a lost response.
+
+        A caller that leaves closes its first connection after `leave_after_s`.
+        """
         key = secrets.token_hex(8)
         self.submitted.add(key)
         started_at_s = trio.current_time()
@@ -239,9 +267,11 @@
         while True:
             entry_process = self._pick_entry(entry + sent)
             sent += 1
-            status, value, retry_after = await self._async_send(
-                entry_process, key, tasks, run_s, deadline_s
-            )
+            status, value, retry_after = 0, {}, ""
+            with trio.move_on_after(leave_after_s if sent == 1 else math.inf):
+                status, value, retry_after = await self._async_send(
+                    entry_process, key, tasks, run_s, deadline_s
+                )
             statuses.append(status)
             elapsed_s = trio.current_time() - started_at_s
             lost = status in (0, 502, 504)
@@ -497,6 +527,7 @@
             process.log_path,
             domain=domain,
             http_url=f"http://{HOST}:{http_port}",
+            control_url=f"http://{HOST}:{control_port}",
             runner=runner,
             runner_url=f"http://{HOST}:{runner_port}",
             relay_control_url=f"http://{HOST}:{relay_control_port}",
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -1,13 +1,15 @@
 """Stand-in for a runner on the users' platform, as a process beside an agent.
 
 A task's spec is JSON such as `{"run_s": 0.2}`. `POST /v1/faults` sets the fields of `Faults` and
-the model's `fail_runs`, `hang_runs` and `slowness`. `GET /v1/history` returns every run with its
-times in seconds since the epoch. Each run is also printed, so that it is known after the process
-was killed.
+the model's `fail_runs`, `hang_runs` and `slowness`. `POST /v1/restart` begins a new incarnation
+under the same id. `GET /v1/announcement` returns the current heartbeat, and `GET /v1/history` every
+run with its times in seconds since the epoch. Each run is also printed, so that it is known after
+the process was killed.
 """
 
 import json
 import os
+import random
 import time
 from typing import Any
 
@@ -41,6 +43,10 @@
     Fields:
         lose_orders: How many of the next requests are applied but not answered.
         late_s: Delay after which such a request is applied.
+        late_share: The share of starts, stops and holds that get no answer and are applied later.
+        late_from_s: The shortest delay after which these are applied.
+        late_to_s: The longest delay after which these are applied.
+        late_lease_moves: The lease time of late requests counts from their arrival.
         silent: Answer no request and apply none.
         unhealthy: Refuse every request with status 503.
         leaving: Announce that the runner is draining.
@@ -48,6 +54,10 @@
 
     lose_orders: int = 0
     late_s: float = 0.0
+    late_share: float = 0.0
+    late_from_s: float = 2.0
+    late_to_s: float = 6.0
+    late_lease_moves: bool = False
     silent: bool = False
     unhealthy: bool = False
     leaving: bool = False
@@ -65,6 +75,7 @@
     nursery: trio.Nursery
     faults: Faults = field(factory=Faults)
     sequence: int = 0
+    rng: random.Random = field(factory=random.Random)
     _printed_count: int = 0
 
     def app(self) -> HttpApp:
@@ -75,6 +86,8 @@
                 route("POST", PATH_RUN_STOP, self._async_stop),
                 route("POST", PATH_HOLD, self._async_hold),
                 route("POST", "/v1/faults", self._async_set_faults),
+                route("POST", "/v1/restart", self._async_restart),
+                route("GET", "/v1/announcement", self._async_get_announcement),
                 route("GET", "/v1/history", self._async_history),
                 route("GET", "/live", self._async_live),
             ],
@@ -115,10 +128,13 @@
         outcome = await self._async_handle_request(request, hold)
         if outcome != "ok":
             return self._response(outcome)
+        born_ms = self.model.born_ms
         wait_until_s = time.time() + json.loads(request.body).get("waitMs", 0) / 1000
         while not self.model.unacked_runs and time.time() < wait_until_s:
             await trio.sleep(POLL_INTERVAL_S)
             self.model.end_due_runs(time.time())
+            if self.model.born_ms != born_ms:
+                await trio.sleep_forever()
         return json_response(self._run_list())
 
     def _run_list(self) -> dict[str, Any]:
@@ -140,14 +156,20 @@
             await trio.sleep_forever()
         if self.faults.lose_orders > 0:
             self.faults.lose_orders -= 1
-            self.nursery.start_soon(self._async_apply_delayed, apply, value)
+            self.nursery.start_soon(self._async_apply_delayed, apply, value, self.faults.late_s)
+            await trio.sleep_forever()
+        if self.rng.random() < self.faults.late_share:
+            late_s = self.rng.uniform(self.faults.late_from_s, self.faults.late_to_s)
+            if self.faults.late_lease_moves and value.get("deadlineMs") is not None:
+                value["deadlineMs"] += int(late_s * 1000)
+            self.nursery.start_soon(self._async_apply_delayed, apply, value, late_s)
             await trio.sleep_forever()
         if self.faults.unhealthy:
             return "unhealthy"
         return str(apply(value))
 
-    async def _async_apply_delayed(self, apply: Any, value: dict[str, Any]) -> None:
-        await trio.sleep(self.faults.late_s)
+    async def _async_apply_delayed(self, apply: Any, value: dict[str, Any], late_s: float) -> None:
+        await trio.sleep(late_s)
         apply(value)
 
     def _response(self, outcome: str) -> Response:
@@ -166,6 +188,14 @@
             setattr(self.faults if hasattr(self.faults, name) else self.model, name, setting)
         return json_response({})
 
+    async def _async_restart(self, request: Request) -> Response:
+        self.model.restart(time.time())
+        self.sequence = 0
+        return json_response({"born": self.model.born_ms})
+
+    async def _async_get_announcement(self, request: Request) -> Response:
+        return json_response({"id": self.runner_id, "announcement": self._announcement()})
+
     async def _async_history(self, request: Request) -> Response:
         self.model.end_due_runs(time.time())
         runs = [*map(_past_row, self.model.history), *map(_live_row, self.model.running.values())]
