--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -278,14 +278,22 @@
         """
         for index in range(len(self._deployment.entries)):
             if not await self._deployment.async_is_up(index):
-                await self._deployment.async_wait_until(
-                    f"entry {index} is up", lambda index=index: self._deployment.async_is_up(index)
-                )
+                if not await self._async_comes_up(index):
+                    findings.violations.append(f"entry{index} is not up after the faults")
+                    continue
                 await trio.sleep(IN_TOUCH_S)
             for path_prefix in sorted(self._confirmed_routes):
                 if not await self._deployment.async_has_route(index, path_prefix):
                     findings.violations.append(f"entry{index} does not serve {path_prefix}")
 
+    async def _async_comes_up(self, index: int) -> bool:
+        """Wait until an entry answers; return whether it did within the recovery limit."""
+        with trio.move_on_after(RECOVERY_LIMIT_S):
+            while not await self._deployment.async_is_up(index):
+                await trio.sleep(0.2)
+            return True
+        return False
+
     async def _async_check_recovery(self, findings: Findings) -> None:
         """Check that a job completes within the recovery limit."""
         with trio.move_on_after(RECOVERY_LIMIT_S):
