--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -241,13 +241,14 @@
         self._signal_ready_changed()
 
     def _replace_runner(self, identity: RunnerIdentity, now_s: float) -> None:
+        """Use another runner or incarnation, and settle or await the runs of the present one."""
         known = self._identity
         logs.event(
             "runner_met",
             runner=identity.runner_id,
             born_ms=identity.born_ms,
             address=identity.address,
-            lost_runs=len(self._runs),
+            runs=len(self._runs),
             known_runner=known.runner_id if known is not None else "",
             known_born_ms=known.born_ms if known is not None else 0,
         )
@@ -482,8 +483,11 @@
             run.fencing_token = None
             run.acknowledged_at_s = run.acknowledged_at_s or now_s
         elif run.fencing_token is not None:
-            if token >= run.fencing_token:
-                run.end_unlisted()
+            if token < run.fencing_token:
+                return
+            if run.runner_restarted:
+                logs.warning("run_missing", task=run.call.task_id, run=run.call.run)
+            run.end_unlisted()
         elif run.acknowledged_at_s is not None and run.acknowledged_at_s < sent_at_s:
             logs.warning("run_missing", task=run.call.task_id, run=run.call.run)
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
