Play a request to a runner that was prepared before a pause

Callers see no difference: the test passes on the code as it was, and did not fail before. A process that was frozen for longer than a request's timeout does not send it when it wakes, on a new and on an idle connection; so the fencing token need not be raised after a pause.

The test now freezes the process after the first step of the request.

--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -1,5 +1,6 @@
 """HTTP client: reuse of connections, failed requests and invalid responses."""
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -45,6 +46,20 @@
                 break
 
 
+class FreezeAfterStep(trio.abc.Instrument):
+    """Stops the whole process for a while once the present step of a Trio task is over."""
+
+    def __init__(self, task: trio.lowlevel.Task, pause_s: float) -> None:
+        self.done = False
+        self._task = task
+        self._pause_s = pause_s
+
+    def after_task_step(self, task: trio.lowlevel.Task) -> None:
+        if task is self._task and not self.done:
+            self.done = True
+            time.sleep(self._pause_s)
+
+
 @asynccontextmanager
 async def http_client_of(server: Server) -> AsyncIterator[HttpClient]:
     async with trio.open_nursery() as nursery:
@@ -116,6 +131,20 @@
         assert isinstance(outcome, NoResponse)
         self.assertTrue(outcome.sent)
 
+    async def test_request_prepared_before_a_pause_is_not_sent_after_its_timeout(self) -> None:
+        for uses_idle_connection in (False, True):
+            server = Server(OK)
+            async with http_client_of(server) as client:
+                if uses_idle_connection:
+                    await client.async_request("POST", "/first")
+                freeze = FreezeAfterStep(trio.lowlevel.current_task(), 0.2)
+                trio.lowlevel.add_instrument(freeze)
+                response = await client.async_request("POST", "/late", timeout_s=0.08)
+                await trio.sleep(0.1)
+            self.assertTrue(freeze.done)
+            self.assertIsInstance(response, NoResponse)
+            self.assertNotIn(b"/late", b"".join(server.requests))
+
     async def test_refused_connection_counts_as_not_sent(self) -> None:
         outcome = await HttpClient("http://127.0.0.1:1", 1).async_request("GET", "/")
         assert isinstance(outcome, NoResponse)
