Refuse integers of more than 64 bits in messages and records

What callers would see: a message or record with an integer of any size, such as a load of 10^400, was accepted and reached code that computes with floats, or that prints numbers.

Cause: CBOR has big integers and the decoder took them.

Ruled out: a float field with such an integer was refused before, and so were deep nesting and NaN.

Change: the generated decoders refuse integers beyond 64 bits (DecodeError), which closes a link and skips a record. test_round_trip generated integers of any size; they are now of 64 bits, the range that is promised, and two new tests check that every larger one is refused, in every field of a message. Both failed before and pass now.

--- a/pistachiohill/protocol/wire.py
+++ b/pistachiohill/protocol/wire.py
@@ -1,12 +1,19 @@
 """Type checks of decoded CBOR values, used by the generated classes."""
 
+from typing import Final
+
 from .errors import DecodeError
 
+MIN_INT64: Final = -(2**63)
+MAX_INT64: Final = 2**63 - 1
+
 
 def read_int(value: object) -> int:
-    """Return an integer; booleans are rejected."""
+    """Return an integer of at most 64 bits; booleans are rejected."""
     if type(value) is not int:
         raise DecodeError(f"expected an integer, got {type(value).__name__}")
+    if not MIN_INT64 <= value <= MAX_INT64:
+        raise DecodeError("integer of more than 64 bits")
     return value
 
 
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -9,6 +9,7 @@
 from pistachiohill.protocol.models import (
     MESSAGE_TAGS,
     AgentLoad,
+    AgentState,
     CancelTasks,
     Message,
     TaskReport,
@@ -31,7 +32,26 @@
 MESSAGE_TAG_VALUES = st.sampled_from(sorted(MESSAGE_TAGS.values()))
 
 
+st.register_type_strategy(int, st.integers(-(2**63), 2**63 - 1))
+
+
 class CodecTest(TestCase):
+    @seed(20261205)
+    @settings(max_examples=60, deadline=None, database=None)
+    @given(st.integers(min_value=2**63) | st.integers(max_value=-(2**63) - 1))
+    def test_integer_of_more_than_64_bits_raises_decode_error(self, value: int) -> None:
+        report = TaskReport(0, value, "settled", "ran", 200, b"x")
+        message = TaskReports("s", 1.0, AgentLoad(2, 1000, 0, [0.5]), [report])
+        self.assertRaises(DecodeError, decode_frame, encode_frame([message]))
+
+    def test_huge_integers_raise_decode_error(self) -> None:
+        tag = MESSAGE_TAGS[AgentState]
+        for value in (10**400, -(10**400), 10**5000):
+            fields = AgentState(0.0, 0, "s", 0, 0, True, AgentLoad(0, 0, 0, []), 0, 0.0).to_wire()
+            for position in range(len(fields)):
+                odd = [*fields[:position], value, *fields[position + 1 :]]
+                self.assertRaises(DecodeError, decode_frame, cbor2.dumps([[tag, odd]]))
+
     @seed(20261204)
     @settings(max_examples=60, deadline=None, database=None)
     @given(st.lists(st.one_of([st.from_type(kind) for kind in MESSAGE_TAGS]), max_size=3))
