Let a request for a task wait for the task's run in progress at the same agent

Callers: a job that was sent again 1.3 s after a loss could have a task run twice at the same time: the agent at which the first run was still being stopped refused the second entry's request, which sent that entry to another agent, where the task started at once. Change: the request waits until the task's other run has ended, whatever its number; one with the same number is then refused as not run, since the runner wouldn't start that number again.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -104,6 +104,7 @@
             a list of the new incarnation shows whether that one has executed the start.
         stop_requested_at_s: Boot time from which the runner has been asked to stop the run.
         done: Set together with the result.
+        removed: Set when the call has returned, so that the task may be run again.
     """
 
     call: TargetCall
@@ -114,6 +115,7 @@
     runner_restarted: bool = False
     stop_requested_at_s: float = math.inf
     done: trio.Event = field(factory=trio.Event)
+    removed: trio.Event = field(factory=trio.Event)
 
     @property
     def name(self) -> RunName:
@@ -284,14 +286,14 @@
     ) -> TargetResult:
         """Run one task and return its result, once the run is known to have ended.
 
-        A second request for a run that is in progress is refused: another entry has the same job.
+        A second request for a task waits until the task's run in progress has ended: another entry
+        has the same job, and would place the task elsewhere if it were refused here.
         """
         run = Run(call, permission)
+        if await self._async_wait_for_earlier_runs(run.name):
+            return TargetResult(Verdict.NOT_RUN, RefusalReason.BUSY)
         if not self.ready or self._response_missing:
             return TargetResult(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
-        if run.name in self._runs:
-            logs.event("run_in_progress", task=call.task_id, run=call.run)
-            return TargetResult(Verdict.NOT_RUN, RefusalReason.BUSY)
         self._runs[run.name] = run
         self._signal_changed()
         try:
@@ -299,14 +301,32 @@
             await run.done.wait()
         finally:
             del self._runs[run.name]
+            run.removed.set()
             self._use_successor(clock.boot_s())
         assert run.result is not None
         return run.result
 
+    async def _async_wait_for_earlier_runs(self, name: RunName) -> bool:
+        """Wait until no other run of a task is in progress.
+
+        Return whether one had the same name, which the runner does not start again.
+        """
+        name_used = False
+        earlier = self._find_run_of(name.task_id)
+        while earlier is not None:
+            logs.event("run_in_progress", task=name.task_id, run=name.run)
+            name_used |= earlier.name == name
+            await earlier.removed.wait()
+            earlier = self._find_run_of(name.task_id)
+        return name_used
+
+    def _find_run_of(self, task_id: str) -> Run | None:
+        return next((run for run in self._runs.values() if run.call.task_id == task_id), None)
+
     def stop(self, call: TargetCall) -> None:
         """Ask the runner to stop a run; its call returns once the run is known to have ended.
 
-        A request that was refused because another one has the same name stops nothing.
+        A request that waits for another run of its task stops nothing.
         """
         run = self._runs.get(RunName(call.task_id, call.run))
         if run is None or run.call is not call or run.stop_requested_at_s < math.inf:
--- a/pistachiohill/platform/announcement_order.py
+++ b/pistachiohill/platform/announcement_order.py
@@ -14,7 +14,7 @@
 from .const import HEARTBEAT_S
 from .models import RunnerAnnouncement
 
-MAX_SEQUENCE_STEP: Final = 1000
+MAX_SEQUENCE_STEP: Final = 1_000_000  # far more than heartbeats that count or name milliseconds
 MIN_SERIES_S: Final = 2 * HEARTBEAT_S
 MAX_SERIES_GAP_S: Final = 2 * HEARTBEAT_S
 
