Settle runs at a restarted runner by the end of the longest lease, if it never lists them

Callers: a job waited up to its deadline for a task whose runner had restarted, had shown that in one answer and then fell silent. Cause: after a restart, runs were settled only by a list of the new incarnation (so that a start which that one had carried out was not taken for lost), without any bound of time. Change: the lease that the new incarnation may have granted on such a start is at most MAX_LEASE_S; its end settles the run.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -646,9 +646,11 @@
         """Reset the state known of a runner that has restarted under the same id.
 
         The new incarnation may execute starts that were sent before, because it has seen no fencing
-        token. Runs are therefore only settled by a list that it returns under the raised token.
+        token. Runs are therefore settled by a list that it returns under the raised token, or by the
+        end of the longest lease that it may have granted.
         """
         self._reset_runner_state(now_s)
+        self._lease.record_unknown_lease(now_s)
         for run in self._runs.values():
             run.fencing_token = self._token
             run.acknowledged_at_s = None
@@ -662,9 +664,8 @@
 
     def _handle_lease_end(self) -> None:
         """End the runs whose lease must have expired, if there are any."""
-        runs = [run for run in self._runs.values() if not run.runner_restarted]
-        if runs:
-            self._end_runs(runs, "lease ended")
+        if self._runs:
+            self._end_runs(list(self._runs.values()), "lease ended")
             self._require_sync()
 
     def _reset_runner_state(self, now_s: float) -> None:
