Check for a stop in the step that sends a task's start

Cause: a start may wait at the agent (for another run of its task, or for a connection), and the permission that is checked when it is sent knew nothing of a stop in the meantime; a stop finds no run to stop then. Result: test_task_that_is_stopped_while_its_start_waits_may_not_start failed before and passes.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -646,8 +646,8 @@
         """Reset the state known of a runner that has restarted under the same id.
 
         The new incarnation may execute starts that were sent before, because it has seen no fencing
-        token. Runs are therefore settled by a list that it returns under the raised token, or by the
-        end of the longest lease that it may have granted.
+        token. Runs are therefore settled by a list that it returns under the raised token, or by
+        the end of the longest lease that it may have granted.
         """
         self._reset_runner_state(now_s)
         self._lease.record_unknown_lease(now_s)
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -387,6 +387,8 @@
 
     def _start_refusal(self, task: AdmittedTask, now_s: float) -> RefusalReason | None:
         """Return why a task must not start now, or None."""
+        if task.stop_reason is not None:
+            return task.stop_reason
         if now_s >= task.deadline_s:
             return RefusalReason.DEADLINE
         if not self._target_client.ready:
--- a/tests/agent/test_runner.py
+++ b/tests/agent/test_runner.py
@@ -65,11 +65,13 @@
     ready: bool = True
     running: dict[str, trio.Event] = field(factory=dict)
     called: list[str] = field(factory=list)
+    permissions: list[RunPermission] = field(factory=list)
 
     async def async_call(
         self, url: str, call: TargetCall, permission: RunPermission = UNRESTRICTED
     ) -> TargetResult:
         self.called.append(call.task_id)
+        self.permissions.append(permission)
         stopped = self.running[call.task_id] = trio.Event()
         await stopped.wait()
         return TargetResult(Verdict.RAN, RefusalReason.CANCELLED)
@@ -112,6 +114,15 @@
             cancelled = [(0, Verdict.NOT_RUN, "cancelled"), (1, Verdict.NOT_RUN, "cancelled")]
             self.assertEqual(cancelled, sorted(link.reports()))
 
+    async def test_task_that_is_stopped_while_its_start_waits_may_not_start(self) -> None:
+        async with open_runner() as (runner, target, link):
+            now_s = clock.boot_s()
+            runner.start_tasks(link, start_message(now_s, 1), now_s)  # type: ignore[arg-type]
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertIsNone(target.permissions[0].start_refusal(now_s))
+            runner.cancel(CancelTasks(SUBMISSION_ID), now_s)
+            self.assertEqual(RefusalReason.CANCELLED, target.permissions[0].start_refusal(now_s))
+
     async def test_start_that_was_held_up_on_an_old_link_does_not_run(self) -> None:
         """Its entry has opened another link since, and may have placed the tasks elsewhere."""
         async with open_runner() as (runner, target, old_link):
