--- a/tests/agent/test_leased_target.py
+++ b/tests/agent/test_leased_target.py
@@ -26,9 +26,9 @@
 class TargetHarness:
     """A target with its fake runner, and the results of background calls."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(self, nursery: trio.Nursery, runner_class: type[FakeRunner] = FakeRunner) -> None:
         self.nursery = nursery
-        self.runner = FakeRunner(nursery)
+        self.runner = runner_class(nursery)
         self.target = LeasedTarget(self.runner, clock.wall_s())
         self.results: dict[str, TargetResult] = {}
 
--- a/tests/agent/test_runner_identity.py
+++ b/tests/agent/test_runner_identity.py
@@ -6,7 +6,13 @@
 from attrs import evolve
 
 from pistachiohill import clock
-from pistachiohill.agent.models import RunnerIdentity, TargetResult
+from pistachiohill.agent.models import (
+    HoldOutcome,
+    Lease,
+    RunList,
+    RunnerIdentity,
+    TargetResult,
+)
 from pistachiohill.errors import Verdict
 
 from ..base import TestCase
@@ -16,12 +22,32 @@
 READY_WITHIN_S = 0.1
 
 
+class SilentAfterRestart(FakeRunner):
+    """A runner, up for long, that falls silent once it has listed its runs after a restart."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        super().__init__(nursery)
+        self.model.born_s -= 1000.0
+        self.latest_born_ms = self.model.born_ms
+
+    async def async_hold(
+        self, runner: RunnerIdentity, lease: Lease, acked: int, wait_s: float, timeout_s: float
+    ) -> HoldOutcome:
+        outcome = await super().async_hold(runner, lease, acked, wait_s, timeout_s)
+        if isinstance(outcome, RunList) and outcome.born_ms > self.latest_born_ms:
+            self.latest_born_ms = outcome.born_ms
+            self.silent = True
+        return outcome
+
+
 class RunnerIdentityTest(TestCase):
     async def _async_run_scenario(
-        self, scenario: Callable[[TargetHarness], Awaitable[None]]
+        self,
+        scenario: Callable[[TargetHarness], Awaitable[None]],
+        runner_class: type[FakeRunner] = FakeRunner,
     ) -> None:
         async with trio.open_nursery() as nursery:
-            harness = TargetHarness(nursery)
+            harness = TargetHarness(nursery, runner_class)
             nursery.start_soon(harness.target.async_run)
             await harness.async_wait_ready()
             await scenario(harness)
@@ -202,6 +228,25 @@
 
         await self._async_run_scenario(scenario)
 
+    async def test_a_start_at_a_restarted_runner_outlasts_the_lease_of_the_previous_incarnation(
+        self,
+    ) -> None:
+        async def scenario(harness: TargetHarness) -> None:
+            harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, 1.4
+            harness.start(call("a", run_s=0.4))
+            await trio.sleep(0.01)
+            harness.runner.model.restart(clock.boot_s())
+            harness.announce()
+            await trio.sleep(1.3)
+            self.assertTrue(harness.runner.silent)
+            self.assertNotIn("a#1", harness.results)
+            await trio.sleep(0.15)
+            self.assertIn("a", harness.runner.model.running)
+            harness.runner.silent = False
+            self.assertEqual(RAN, await harness.async_result("a#1", 1.0))
+
+        await self._async_run_scenario(scenario, SilentAfterRestart)
+
     async def test_a_second_request_for_a_run_in_progress_is_refused(self) -> None:
         async def scenario(harness: TargetHarness) -> None:
             harness.start(call("a", run_s=0.4))
--- a/tests/platform/test_runner_client.py
+++ b/tests/platform/test_runner_client.py
@@ -57,6 +57,23 @@
 
 
 class RunnerClientTest(TestCase):
+    async def test_asking_an_announced_runner_keeps_the_connection_to_the_one_in_use(self) -> None:
+        async def async_hold(runner: RunnerIdentity) -> object:
+            return await client.async_hold(runner, Lease(7, None), 0, 0.0, 1.0)
+
+        async with trio.open_nursery() as nursery:
+            in_use, announced = ScriptedRunner(), ScriptedRunner()
+            for server in (in_use, announced):
+                await nursery.start(server.async_serve)
+                server.responses += [json_response({"clockMs": 1, "born": 5})] * 2
+            client = RunnerClient()
+            self.assertIsInstance(await async_hold(in_use.runner), RunList)
+            (connection,) = client._http[in_use.runner.address]._idle
+            self.assertIsInstance(await async_hold(announced.runner), RunList)
+            self.assertIsInstance(await async_hold(in_use.runner), RunList)
+            self.assertEqual([connection], client._http[in_use.runner.address]._idle)
+            nursery.cancel_scope.cancel()
+
     async def test_start_outcomes(self) -> None:
         async with trio.open_nursery() as nursery:
             server = ScriptedRunner()
