Await a list of a restarted runner for starts that were never confirmed

Change: an unconfirmed start is settled so only after LATE_START_S; a confirmed one can't be carried out again.

--- a/pistachiohill/agent/const.py
+++ b/pistachiohill/agent/const.py
@@ -19,6 +19,7 @@
 CLOCK_REFRESH_S: Final = 0.5  # age from which an idle runner's clock is read again
 CONFIRMATION_TIMEOUT_S: Final = 1.0  # less than the interval of a runner's announcements
 HEDGE_S: Final = 5.0  # how long two hold requests are kept open after a response was lost
+LATE_START_S: Final = 15.0  # the platform executes unanswered requests up to 12 s later
 START_TIMEOUT_S: Final = 0.08  # a lost start is placed again while its job can still end in time
 STOP_TIMEOUT_S: Final = 0.08  # several attempts within a lease
 RETRY_DELAY_S: Final = 0.02
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -32,6 +32,7 @@
     HOLD_TIMEOUT_S,
     HOLD_WAIT_S,
     INITIAL_TOKEN_STEP,
+    LATE_START_S,
     RETRY_DELAY_S,
     START_TIMEOUT_S,
     STOP_CONFIRM_S,
@@ -102,6 +103,7 @@
         result: How the run ended, None before.
         runner_restarted: Whether the runner has restarted since it was asked to start the run; only
             a list of the new incarnation shows whether that one has executed the start.
+        unsettled_until_s: Boot time until which the end of the lease does not settle the run.
         stop_requested_at_s: Boot time from which the runner has been asked to stop the run.
         done: Set together with the result.
         removed: Set when the call has returned, so that the task may be run again.
@@ -113,6 +115,7 @@
     fencing_token: int | None = None
     result: TargetResult | None = None
     runner_restarted: bool = False
+    unsettled_until_s: float = -math.inf
     stop_requested_at_s: float = math.inf
     done: trio.Event = field(factory=trio.Event)
     removed: trio.Event = field(factory=trio.Event)
@@ -450,7 +453,7 @@
             self._end_runs(list(self._runs.values()), "other runner")
             self._reset_runner_state(now_s)
         elif self._runs and self._lease.runs_have_ended(now_s):
-            self._handle_lease_end()
+            self._handle_lease_end(now_s)
         await trio.sleep(RETRY_DELAY_S)
 
     def _apply_run_list(
@@ -646,12 +649,15 @@
         """Reset the state known of a runner that has restarted under the same id.
 
         The new incarnation may execute starts that were sent before, because it has seen no fencing
-        token. Runs are therefore settled by a list that it returns under the raised token, or by
-        the end of the longest lease that it may have granted.
+        token. Runs are therefore settled by a list that it returns under the raised token. If there
+        is none, they are settled by the end of the longest lease that it may have granted; those
+        whose start was not confirmed only after the time in which it may still be executed.
         """
         self._reset_runner_state(now_s)
         self._lease.record_unknown_lease(now_s)
         for run in self._runs.values():
+            if run.acknowledged_at_s is None:
+                run.unsettled_until_s = now_s + LATE_START_S
             run.fencing_token = self._token
             run.acknowledged_at_s = None
             run.runner_restarted = True
@@ -662,10 +668,11 @@
         if self._nursery is not None and self._identity is not None:
             self._nursery.start_soon(self._async_hold_once, self._identity)
 
-    def _handle_lease_end(self) -> None:
+    def _handle_lease_end(self, now_s: float) -> None:
         """End the runs whose lease must have expired, if there are any."""
-        if self._runs:
-            self._end_runs(list(self._runs.values()), "lease ended")
+        runs = [run for run in self._runs.values() if now_s > run.unsettled_until_s]
+        if runs:
+            self._end_runs(runs, "lease ended")
             self._require_sync()
 
     def _reset_runner_state(self, now_s: float) -> None:
