Let an error on one connection end only that connection

Cause: an entry that gives up connecting, as in the cuts of the soak, sends its Hello and closes; the agent read both at once, and sending its reply raised ConnectionClosed, which nothing caught, through the server's nursery, so the process ended. The same holds for any unexpected error of a handler. Change: the server of links catches what a handler raises; a closed connection is nothing, anything else is logged with its trace.

--- a/pistachiohill/protocol/websocket.py
+++ b/pistachiohill/protocol/websocket.py
@@ -13,6 +13,7 @@
 import trio
 from websockets.client import ClientProtocol
 from websockets.exceptions import (
+    ConnectionClosed,
     ConnectionClosedError,
     InvalidHandshake,
     InvalidMessage,
@@ -24,6 +25,7 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
+from .. import logs
 from ..const import MAX_FRAME_BYTES
 
 RECEIVE_BYTES: Final = 65536
@@ -198,7 +200,10 @@
     port: int,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Accept connections until cancelled; each is closed when its handler returns."""
+    """Accept connections until cancelled; each is closed when its handler returns.
+
+    An unexpected error of a handler is logged and ends only its own connection.
+    """
 
     async def async_handle(stream: trio.SocketStream) -> None:
         websocket = WebSocket(stream, ServerProtocol(max_size=MAX_FRAME_BYTES))
@@ -207,8 +212,10 @@
                 await websocket.async_handshake_as_server()
             if not handshake.cancelled_caught:
                 await handler(websocket)
-        except InvalidHandshake:
+        except (InvalidHandshake, ConnectionClosed):
             return
+        except Exception as err:
+            logs.exception("connection_failed", err)
         finally:
             websocket.close()
 
