Send no start without a lease, which the runner refuses as invalid

Callers would be told that a job failed although nothing was wrong with it.

Cause: while renewals are paused for an overdue run, a start carries the latest lease granted. After a restart of the runner there is none, and the start went out without deadlineMs.

The start is now refused as not run by the agent itself, as it is when that lease has expired.

test_start_is_not_sent_without_a_lease_while_none_may_be_granted failed before (invalid) and passes now.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -413,7 +413,10 @@
         return Lease(self._token, self._lease.grant(now_s))
 
     def _start_lease(self, now_s: float) -> Lease:
-        """Return the lease for a start: a new one, or the latest while none may be granted."""
+        """Return the lease for a start: a new one, or the latest while none may be granted.
+
+        Without any, the start must not be sent: a runner refuses it as invalid.
+        """
         lease = self._next_lease(now_s)
         if lease.until_clock_s is not None:
             return lease
@@ -533,9 +536,11 @@
         if refusal is not None:
             run.end(Verdict.NOT_RUN, refusal)
             return
-        outcome = await self._runner_client.async_start(
-            identity, run.call, self._start_lease(sent_at_s), START_TIMEOUT_S
-        )
+        lease = self._start_lease(sent_at_s)
+        if lease.until_clock_s is None:
+            run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
+            return
+        outcome = await self._runner_client.async_start(identity, run.call, lease, START_TIMEOUT_S)
         now_s = clock.boot_s()
         if run.result is None:
             self._apply_start_outcome(run, outcome, token, now_s)
--- a/tests/agent/fakes.py
+++ b/tests/agent/fakes.py
@@ -91,6 +91,8 @@
             return await self._async_no_answer(timeout_s)
         if runner.runner_id != self.runner_id:
             return NotStarted(StartRefusal.OTHER_INCARNATION)
+        if lease.until_clock_s is None:
+            return NotStarted(StartRefusal.INVALID)
 
         def execute() -> str:
             return self.model.start(
--- a/tests/agent/test_run_proofs.py
+++ b/tests/agent/test_run_proofs.py
@@ -6,7 +6,7 @@
 import trio
 
 from pistachiohill import clock
-from pistachiohill.agent.const import MAX_CLOCK_DRIFT
+from pistachiohill.agent.const import MAX_CLOCK_DRIFT, STOP_CONFIRM_S
 from pistachiohill.agent.models import HoldOutcome
 
 from ..base import TestCase
@@ -117,3 +117,19 @@
             await harness.async_result("a#1", WITHIN_S)
 
         await self._async_run_scenario(scenario)
+
+    async def test_start_is_not_sent_without_a_lease_while_none_may_be_granted(self) -> None:
+        """The runner would refuse it as invalid, which fails the job."""
+
+        async def scenario(harness: TargetHarness) -> None:
+            overdue = call("overdue", RUN_S)
+            harness.start(overdue)
+            await trio.sleep(0.05)
+            harness.runner.unanswered_stops, harness.runner.execution_delay_s = 100, RUN_S
+            harness.target.stop(overdue)
+            await trio.sleep(2 * STOP_CONFIRM_S)
+            harness.target._lease.reset(clock.boot_s())
+            harness.start(call("next"))
+            self.assertEqual(FENCED, await harness.async_result("next#1"))
+
+        await self._async_run_scenario(scenario)
