--- a/tests/entry/test_agents.py
+++ b/tests/entry/test_agents.py
@@ -186,6 +186,18 @@
             self.assertEqual(1, self.listener.links)
             nursery.cancel_scope.cancel()
 
+    async def test_agent_is_linked_again_after_a_late_announcement_of_its_predecessor(self) -> None:
+        """The store may carry out an unanswered announcement after that of the next process."""
+        async with trio.open_nursery() as nursery:
+            await self._async_open(nursery)
+            for offset, name in enumerate([self.agent.service.incarnation, "predecessor"], 1):
+                record = AnnounceRecord(Role.AGENT, name, "bern-a", HOST, self.agent.port)
+                self.view.processes.announce(record, offset, clock.wall_s())
+            self.view.notify()
+            await self._async_check_waits_for_leases()
+            await self._async_wait_linked(2)
+            nursery.cancel_scope.cancel()
+
 
 class AgentsTest(TestCase):
     async def test_agent_is_linked_soon_after_its_link_fell_silent_before_the_reply(self) -> None:
