Believe an agent that answers, whatever the store records of its end

Callers: an agent that lived got no task any more: the store had carried out its predecessor's unanswered announcement seconds after its own, so that it counted as the predecessor's predecessor (found in review). Before it was linked again at once, which renewed the lease of tasks that were about to be placed again. Change: a record of an end counts only while there is no link. An agent that answers after it was marked as lost is taken back with its tasks, so that they are queried and their lease is renewed for them; until then its runs end by the sum of the leases. Tests: test_agent_that_is_recorded_as_ended_is_not_linked_again asked for the opposite remedy against the same fault; three tests take its place (an agent that answers keeps its tasks; one that answers again keeps them; one out of reach is waited for). The first and test_agent_is_linked_again_after_a_late_announcement_of_its_predecessor failed before. In the latter the agent keeps its link, so its path is cut to see the next one.

--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -112,7 +112,6 @@
                     if address not in self._managed_addresses:
                         self._managed_addresses.add(address)
                         nursery.start_soon(self._async_maintain_link, address, listener)
-                self._remove_ended_agents(listener)
                 domains = self._push_domain_changes(state, domains, listener)
                 await self._view.async_wait_changed()
                 # While a deployment starts, announcements arrive one after the other.
@@ -144,10 +143,10 @@
             agent.link.close()
             self.agents.pop(agent.incarnation, None)
 
-    def _remove_ended_agents(self, listener: AgentListener) -> None:
-        for agent in list(self.agents.values()):
-            if self._view.processes.has_ended(agent.incarnation):
-                self._mark_lost(agent, listener, "ended")
+    def _remove_ended_agent(self, agent: Agent, listener: AgentListener) -> None:
+        """Mark an agent as lost that is recorded as ended, unless its link shows that it lives."""
+        if agent.link is None and self._view.processes.has_ended(agent.incarnation):
+            self._mark_lost(agent, listener, "ended")
 
     def _push_domain_changes(
         self, state: ConsortiumState, previous: dict[str, bool], listener: AgentListener
@@ -237,14 +236,8 @@
     def _register_agent(
         self, address: Address, reply: HelloReply, listener: AgentListener
     ) -> Agent:
-        """Return the agent that replied, and mark a different one known at its address as lost.
-
-        Raises HandshakeError if the agent is recorded as ended: its tasks are placed again soon, so
-        a new link must not renew their lease.
-        """
-        if self._view.processes.has_ended(reply.incarnation):
-            raise HandshakeError(f"agent {reply.incarnation} is recorded as ended")
-        agent = self.agents.get(reply.incarnation)
+        """Return the agent that replied, and mark a different one known at its address as lost."""
+        agent = self.agents.get(reply.incarnation) or self._restore_lost_agent(reply.incarnation)
         if agent is not None:
             return agent
         previous = self._agent_at(address)
@@ -255,6 +248,17 @@
         self.agents[agent.incarnation] = agent
         return agent
 
+    def _restore_lost_agent(self, incarnation: str) -> Agent | None:
+        """Return an agent that answers although it was recorded as ended; it keeps its tasks."""
+        for agent in self._lost_agents:
+            if agent.incarnation == incarnation:
+                logs.event("agent_answers_again", agent=incarnation, tasks=len(agent.outstanding))
+                self._lost_agents.remove(agent)
+                agent.lost = False
+                self.agents[incarnation] = agent
+                return agent
+        return None
+
     async def _async_run_link(
         self, agent: Agent, link: Link, reply: HelloReply, listener: AgentListener, now_s: float
     ) -> None:
@@ -298,6 +302,7 @@
                     self._check_link(agent, agent.link, now_s)
                 if agent.link is None and agent.outstanding and now_s > agent.runs_end_s():
                     self._report_runs_ended(agent, listener, now_s, "lease ended")
+                self._remove_ended_agent(agent, listener)
             self._report_expired_leases(listener, now_s)
 
     def _report_expired_leases(self, listener: AgentListener, now_s: float) -> None:
