--- a/pistachiohill/agent/spec.py
+++ b/pistachiohill/agent/spec.py
@@ -23,11 +23,13 @@
 | send stamp | `entry.agents.AgentDirectory._check_link`, `view_stamp` |
 | deliver stamp | `agent.runner.TaskRunner.merge_stamp`, `agent.leases.EntryLeases.renew` |
 | deliver start | `TaskRunner.start_tasks`, `agent.start_table.StartTable.admit` |
-| start | `TaskRunner._start_queued`, `agent.leased_target.LeasedTarget._async_start` |
+| start | `TaskRunner._start_refusal`, `agent.leased_target.LeasedTarget._async_start` |
 | hold | `LeasedTarget._async_hold_once`, `_async_resolve_start`, `_apply_run_list` |
+| may a hold renew | `LeasedTarget._next_lease`, `Run.is_overdue` |
 | lease of the entry ends, withdraw | `TaskRunner.end_orphaned_tasks` |
 | stop | `LeasedTarget.stop`, `_async_stop` |
-| runner is silent | `LeasedTarget._async_handle_failed_hold` |
+| runner is silent | `LeasedTarget._handle_lease_end`, `runner_lease.RunnerLease` |
+| runner restarted | `LeasedTarget._handle_restart` |
 | report | `agent.reports.ReportSender`, `entry.dispatcher.Dispatcher.tasks_reported` |
 | hear | `AgentDirectory._record_clock`, `view_stamp` |
 | relink | `Dispatcher.link_opened`, `StartTable.query`, `TaskRunner.cancel` |
--- a/tests/agent/test_run_proofs.py
+++ b/tests/agent/test_run_proofs.py
@@ -15,6 +15,7 @@
 RUN_S = 5.0
 IDLE_S = 2.0  # between the last reading of the runner's clock and the next start
 WITHIN_S = 3.0
+UP_S = 60.0  # for how long the runner has been up
 
 
 class RunProofsTest(TestCase):
@@ -62,6 +63,29 @@
 
         await self._async_run_scenario(scenario)
 
+    async def test_start_without_an_answer_is_not_carried_out_after_its_lease_and_a_restart(
+        self,
+    ) -> None:
+        """The runner is silent until its lease has ended, and restarts before it is listed."""
+
+        async def scenario(harness: TargetHarness) -> None:
+            harness.runner.model.born_s -= UP_S
+            harness.start(call("read"))
+            await harness.async_result("read#1")
+            harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, 1.5
+            harness.start(call("a", RUN_S))
+            await trio.sleep(0.02)
+            harness.runner.silent = True
+            with trio.move_on_after(1.2):
+                await harness.async_result("a#1")
+            harness.runner.model.restart(clock.boot_s())
+            with trio.move_on_after(WITHIN_S):
+                while not harness.runner.model.running:
+                    await trio.sleep(0.005)
+            self.assertNotIn("a#1", harness.results)
+
+        await self._async_run_scenario(scenario)
+
     async def _async_check_lease(self, harness: TargetHarness) -> None:
         """Check that the agent knows when a new run's lease has certainly expired."""
         harness.start(call("a", RUN_S))
