Take over the ends in the list that shows a runner's restart

Callers: a task that had ended done at a runner's next process was placed again and ran twice, one run after the other (found in review). Cause: the first request at that process carries the acknowledgements of the earlier one, whose numbers are higher; the response shows the end, and was dropped because of its other birth, while the runner took the end for acknowledged. Result: test_end_at_an_unnoticed_incarnation_is_not_acknowledged_before_it_was_listed failed before and passes. Open: an end that the first request acknowledges before it is listed at all; its run has ended then, and counts as lost.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -470,6 +470,9 @@
             restarted = RunnerIdentity(identity.runner_id, identity.address, run_list.born_ms)
             self._set_identity(restarted, now_s)
             self._handle_restart(now_s)
+            # The request may have acknowledged these ends, so that no later list shows them.
+            for ended in run_list.ended:
+                self._apply_ended_run(ended)
             return
         if run_list.clock_s < self._newest_list_clock_s:
             self._response_missing = False
