Notice a runner's restart by the clock in its response to a start

Callers: a task was placed again while its run went on: its runner had restarted beside an idle agent, confirmed the start, and was cut off before it listed its runs (two faults; found in review). Cause: the lease that the start carried was a time on the earlier clock, far ahead of the new one, so the new incarnation granted its longest lease of 1 s, while the agent counted on LEASE_S. Change: a response whose clock is before a time that the clock had reached already shows the restart; the longest lease is then allowed for, and the runs are listed at once. Ends are acknowledged only while some are left to acknowledge, since the first request at an incarnation that the agent doesn't know of would acknowledge its ends in advance.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -265,6 +265,14 @@
         self._reset_runner_state(now_s)
         self._list_runs_soon()
 
+    def _next_ack(self) -> int:
+        """Return the number up to which ends are acknowledged, 0 if none is left to acknowledge.
+
+        A restarted runner that the agent doesn't know of yet counts its ends anew, and would take
+        them for acknowledged.
+        """
+        return self._ack_cursor if self._ack_pending else 0
+
     def _set_identity(self, identity: RunnerIdentity, now_s: float) -> None:
         self._identity = identity
         self._identified_at_s = now_s
@@ -383,7 +391,7 @@
         wait_s = HOLD_WAIT_S if self._can_long_poll() else 0.0
         lease = self._next_lease(sent_at_s)
         outcome = await self._runner_client.async_hold(
-            identity, lease, self._ack_cursor, wait_s, wait_s + HOLD_TIMEOUT_S
+            identity, lease, self._next_ack(), wait_s, wait_s + HOLD_TIMEOUT_S
         )
         now_s = clock.boot_s()
         if identity != self._identity:
@@ -545,9 +553,23 @@
             return
         outcome = await self._runner_client.async_start(identity, run.call, lease, START_TIMEOUT_S)
         now_s = clock.boot_s()
+        if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
+            self._handle_reset_clock(now_s)
         if run.result is None:
             self._apply_start_outcome(run, outcome, token, now_s)
 
+    def _handle_reset_clock(self, now_s: float) -> None:
+        """Look at a runner whose clock has begun anew, so that it has restarted.
+
+        Its next incarnation may have granted the longest lease, as the one that was requested was a
+        time on the earlier clock.
+        """
+        logs.event("runner_clock_reset", runner=self._identity.runner_id if self._identity else "")
+        self._lease.record_unknown_lease(now_s)
+        self._ack_pending = False
+        self._require_sync()
+        self._list_runs_soon()
+
     def _apply_start_outcome(
         self, run: Run, outcome: StartOutcome, token: int, now_s: float
     ) -> None:
@@ -597,7 +619,7 @@
             sent_at_s = clock.boot_s()
             lease = self._next_lease(sent_at_s)
             outcome = await self._runner_client.async_hold(
-                identity, lease, self._ack_cursor, 0.0, HOLD_TIMEOUT_S
+                identity, lease, self._next_ack(), 0.0, HOLD_TIMEOUT_S
             )
             if identity != self._identity:
                 return
--- a/pistachiohill/agent/runner_lease.py
+++ b/pistachiohill/agent/runner_lease.py
@@ -42,6 +42,15 @@
         """Record a reading of the runner's clock from one of its responses."""
         self._clock.record(clock_s, now_s, ALWAYS_RUNNING_S)
 
+    def is_reset_clock(self, clock_s: float, sent_at_s: float) -> bool:
+        """Return whether a response's clock is before a time that the clock had reached already.
+
+        `sent_at_s` is the boot time at which the request was sent.
+        """
+        return (
+            clock_s < self._clock.lower_bound_s(sent_at_s, ALWAYS_RUNNING_S) - RUNNER_CLOCK_STEP_S
+        )
+
     def clock_age_s(self, now_s: float) -> float:
         """Return how long ago the runner's clock was read, infinity if never."""
         return now_s - self._clock.received_at_s
