--- a/pistachiohill/consortium/processes.py
+++ b/pistachiohill/consortium/processes.py
@@ -9,13 +9,12 @@
 
 from attrs import define, evolve, field
 
-from ..const import Role
+from ..const import MAX_PORT, Role
 from ..protocol.models import AnnounceRecord, EndRecord, ProcessRecord
 from .const import ENDED_ADDRESS_RETENTION_S, ENDED_PROCESS_RETENTION_S, NO_OFFSET
 
 MAX_HOST_CHARS = 253
 HOST_NAME_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*")
-MAX_PORT = 65535
 
 
 def has_valid_address(process: AnnounceRecord | ProcessRecord) -> bool:
--- a/pistachiohill/const.py
+++ b/pistachiohill/const.py
@@ -5,6 +5,7 @@
 
 PROTOCOL_VERSION: Final = 2
 MAX_JOB_TASKS: Final = 1400
+MAX_PORT: Final = 65535
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 VIEW_EXCHANGE_INTERVAL_S: Final = 1.0
 
--- a/pistachiohill/platform/address.py
+++ b/pistachiohill/platform/address.py
@@ -2,13 +2,12 @@
 
 import ipaddress
 import re
-from typing import Final
 
 from attrs import frozen
 
+from ..const import MAX_PORT
 from .errors import WireError
 
-MAX_PORT: Final = 65535
 ADDRESS_PATTERN = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})")
 
 
--- a/pistachiohill/platform/announcement_order.py
+++ b/pistachiohill/platform/announcement_order.py
@@ -60,8 +60,8 @@
 class AnnouncementOrder:
     """Decides whether an announcement is in order.
 
-    Example: after sequence numbers 4, 5 and an odd 10**12, the numbers 6 and 7 are out of order
-    at first, but 8 and later ones are in order again, if they arrive at the pace of heartbeats.
+    Example: after sequence numbers 4, 5 and an odd 10**12, the numbers from 6 on are out of order
+    at first, but in order again once they have gone on for longer than two heartbeats.
     """
 
     def __init__(self) -> None:
--- a/tests/platform/test_odd_responses.py
+++ b/tests/platform/test_odd_responses.py
@@ -59,6 +59,8 @@
     max_leaves=8,
 )
 
+ENDED_ROWS = st.tuples(st.integers(0, 9), st.just("a.0.0.1"), st.integers(0, 9), JSON).map(list)
+
 
 class RunListTest(TestCase):
     async def _async_hold(self, body: bytes) -> object:
@@ -106,7 +108,11 @@
 
     @seed(20261205)
     @settings(max_examples=500, deadline=None, database=None)
-    @given(JSON, st.lists(JSON, max_size=2), st.lists(st.lists(JSON, max_size=6), max_size=2))
+    @given(
+        st.integers(0, 9) | JSON,
+        st.lists(JSON, max_size=2),
+        st.lists(ENDED_ROWS | st.lists(JSON, max_size=6), max_size=2),
+    )
     def test_fuzzed_run_list_raises_only_wire_error(
         self, clock_ms: object, running: list[object], finished: list[object]
     ) -> None:
