Test that fails today: runs that lapse because renewals pause count as faults of their target

Callers: after one entry is lost and its stops go unanswered, jobs of the other entries find fewer targets. Cause: since the agent lets all runs at its runner lapse while one is overdue, and reports them as `target_lost`, a reason in `TARGET_FAULT_REASONS`. With `CONSECUTIVE_FAILURES` = 3 such runs in a row the quarantine rule of an entry takes the runner for faulty, though the agent itself ended them; its own starts of that time lapse likewise, since `ready` stays true. That an entry quarantines the target was read, not run.

--- a/tests/agent/test_two_faults.py
+++ b/tests/agent/test_two_faults.py
@@ -19,6 +19,7 @@
 from pistachiohill.agent.models import Fenced, HoldOutcome, TargetState
 from pistachiohill.agent.runner import TaskRunner
 from pistachiohill.entry.agent import Agent
+from pistachiohill.entry.retry_rules import TARGET_FAULT_REASONS
 from pistachiohill.protocol.models import CancelTasks, StartTasks, TaskStart, ViewStamp
 from pistachiohill.scheduling.models import TargetLoad
 from pistachiohill.settings.models import AgentSettings
@@ -194,6 +195,24 @@
             self.assertEqual({"a/0": "stopped", "b/0": "done"}, outcomes)
 
 
+    async def test_runs_that_end_because_renewals_pause_are_not_counted_as_faults_of_the_target(
+        self,
+    ) -> None:
+        async with open_agent() as agent:
+            agent.nursery.start_soon(agent.async_echo_for, agent.other_entry, ECHO_INTERVAL_S)
+            agent.start(agent.lost_entry, "a")
+            agent.start(agent.other_entry, "b")
+            await agent.async_started("a", "b")
+            agent.runner.unanswered_stops, agent.runner.execution_delay_s = 1000, math.inf
+            agent.echo(agent.lost_entry)
+            await agent.async_end_s("b")
+            with trio.fail_after(1.0):
+                while not agent.other_entry.reports():
+                    await trio.sleep(0.005)
+            (report,) = agent.other_entry.reports()
+            self.assertNotIn(report[2], TARGET_FAULT_REASONS)
+
+
 class SlowAgentTest(TestCase):
     async def test_run_ends_although_the_check_of_its_entrys_lease_never_comes(self) -> None:
         async with open_agent(watch_leases=False) as agent:
