Report runs that lapse because renewals pause as ended by the agent

Callers: after one entry was lost and its stops went unanswered, jobs of the other entries found fewer targets (found in review). Cause: the agent lets all runs at its runner lapse then, and reported them as target_lost, which counts towards quarantine. Result: test_runs_that_end_because_renewals_pause_are_not_counted_as_faults_of_the_target failed before and passes.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -501,8 +501,12 @@
     def _apply_ended_run(self, ended: EndedRun) -> None:
         self._ack_cursor = max(self._ack_cursor, ended.number)
         run = self._runs.get(ended.name)
-        if run is not None:
-            run.end(Verdict.RAN, RUN_END_REASONS[ended.outcome])
+        if run is None:
+            return
+        reason = RUN_END_REASONS[ended.outcome]
+        if ended.outcome == RunEnd.LAPSED and self._renewal_paused:
+            reason = RefusalReason.LEASE_ENDED  # by this agent, not by a fault of the runner
+        run.end(Verdict.RAN, reason)
 
     def _reconcile_run(
         self, run: Run, run_list: RunList, token: int, sent_at_s: float, now_s: float
--- a/tests/agent/test_two_faults.py
+++ b/tests/agent/test_two_faults.py
@@ -194,7 +194,6 @@
             outcomes = {past.task: past.outcome for past in agent.runner.model.history}
             self.assertEqual({"a/0": "stopped", "b/0": "done"}, outcomes)
 
-
     async def test_runs_that_end_because_renewals_pause_are_not_counted_as_faults_of_the_target(
         self,
     ) -> None:
