Answer a placement that arrives while an earlier one of its task is in progress

Callers: a job waited for its deadline and was answered 504 although its agent was idle (found in review). Cause: an agent that wakes from a freeze still has the run that its entry has taken for ended; a new placement of the task there was answered with the state of the earlier one, which reports leave out, and nothing was said of it later. Change: the later placement is kept and reported as not run once the earlier one has ended; its entry places the task again then.

--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -479,6 +479,7 @@
         self._reports.task_settled(task.record.submission_id)
         self._start_queued(now_s)
         self._reports.report(task.record.submission_id, report)
+        self._refuse_superseding(task)
         self._signal_load_changed()
         if not self.occupied:
             self._idle.set()
@@ -552,10 +553,17 @@
         if report is None:
             return False
         self._reports.report(task.record.submission_id, report)
+        self._refuse_superseding(task)
         if not self.occupied:
             self._idle.set()
         return True
 
+    def _refuse_superseding(self, task: AdmittedTask) -> None:
+        """Report a later placement of a task, which its entry places again, as not run."""
+        report = self.table.refuse_superseding(task.record, task.ref.index)
+        if report is not None:
+            self._reports.report(task.record.submission_id, report)
+
     def _signal_load_changed(self) -> None:
         self._load_changed.set()
 
--- a/pistachiohill/agent/start_table.py
+++ b/pistachiohill/agent/start_table.py
@@ -17,7 +17,8 @@
 class SubmissionRecord:
     """State of one submission at this incarnation.
 
-    With `best_effort`, a task may start again under a later attempt once its run has ended.
+    With `best_effort`, a task may start again under a later attempt once its run has ended. A later
+    placement that arrived before is kept in `superseding`, by the task's index.
     """
 
     submission_id: str
@@ -27,6 +28,7 @@
     sealed: bool = False
     best_effort: bool = False
     tasks: dict[int, TaskReport] = field(factory=dict)
+    superseding: dict[int, TaskRef] = field(factory=dict)
 
 
 class StartTable:
@@ -72,6 +74,8 @@
             return self.refuse(record, ref, RefusalReason.SEALED)
         known = record.tasks.get(ref.index)
         if known is not None and not _is_replaceable(record, known, ref.attempt):
+            if known.attempt < ref.attempt:
+                record.superseding[ref.index] = ref
             return known
         record.tasks[ref.index] = TaskReport(
             ref.index, ref.attempt, TaskState.QUEUED, Verdict.NOT_RUN
@@ -94,6 +98,14 @@
         """Store the outcome of a started task."""
         record.tasks[report.index] = report
 
+    def refuse_superseding(self, record: SubmissionRecord, index: int) -> TaskReport | None:
+        """Fence the placement that arrived while an earlier one of its task was in progress.
+
+        Return its report, or None if there is no such placement.
+        """
+        ref = record.superseding.pop(index, None)
+        return None if ref is None else self.refuse(record, ref, RefusalReason.FENCED)
+
     def withdraw(
         self, record: SubmissionRecord, ref: TaskRef, reason: RefusalReason
     ) -> TaskReport | None:
