Let a process survive a peer that closes its connection right after Hello

Entries accept their peers in the same way. Cause: Hello and the close arrive together when a cut heals that held them back, or when the opener gives up while it waits. Hello is read, the connection is then closed, and sending the reply raises ConnectionClosedError, which nobody handles: it ends the nursery that serves links, and the process. Change: a peer that has closed before the reply is refused like one whose Hello is.

--- a/pistachiohill/protocol/link.py
+++ b/pistachiohill/protocol/link.py
@@ -143,14 +143,18 @@
 
 
 async def async_accept(connection: WebSocket, secret: str, reply: HelloReply) -> Hello | None:
-    """Reply to a peer's Hello; close the connection and return None if the Hello is refused."""
+    """Reply to a peer's Hello; return None if the Hello is refused or the peer has closed."""
     try:
         hello = await async_receive_hello(connection, secret, reply.incarnation)
     except HandshakeError as err:
         logs.warning("hello_refused", detail=err)
         connection.close(CLOSE_POLICY, str(err)[:MAX_CLOSE_REASON_CHARS])
         return None
-    await connection.async_send(encode_frame([reply]))
+    try:
+        await connection.async_send(encode_frame([reply]))
+    except ConnectionClosed as err:
+        logs.warning("hello_refused", detail=err)
+        return None
     return hello
 
 
