Agent: runs and fencing tokens in modules of their own

Run, with the reasons that it reports, moves to agent/run.py, the initial token to agent/fencing.py; nothing else changes. tests/agent/test_leased_target.py, test_two_faults.py and tests/test_mutants.py pass.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -647,7 +647,7 @@
         "test_run_ends_although_the_check_of_its_entrys_lease_never_comes",
         (
             Edit(
-                "pistachiohill/agent/leased_target.py",
+                "pistachiohill/agent/run.py",
                 "min(self.stop_requested_at_s, self.permission.ends_at_s())",
                 "self.stop_requested_at_s",
             ),
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -19,10 +19,8 @@
 """
 
 import math
-import random
 
 import trio
-from attrs import define, field
 
 from .. import clock, logs
 from ..errors import RefusalReason, Verdict
@@ -35,10 +33,9 @@
     LATE_START_S,
     RETRY_DELAY_S,
     START_TIMEOUT_S,
-    STOP_CONFIRM_S,
     STOP_TIMEOUT_S,
-    TOKENS_PER_MS,
 )
+from .fencing import initial_token
 from .models import (
     UNRESTRICTED,
     EndedRun,
@@ -60,92 +57,10 @@
     TargetCall,
     TargetResult,
 )
+from .run import RUN_END_REASONS, START_REFUSAL_REASONS, Run
 from .runner_discovery import ConfirmedRunner, RunnerDiscovery
 from .runner_lease import RunnerLease
 
-START_REFUSAL_REASONS = {
-    StartRefusal.FENCED: RefusalReason.FENCED,
-    StartRefusal.LEASE_ENDED: RefusalReason.FENCED,
-    StartRefusal.OLD_RUN: RefusalReason.OLD_RUN,
-    StartRefusal.NO_CAPACITY: RefusalReason.BUSY,
-    StartRefusal.UNHEALTHY: RefusalReason.TARGET_REFUSED,
-    StartRefusal.INVALID: RefusalReason.INVALID,
-    StartRefusal.UNREACHABLE: RefusalReason.TARGET_LOST,
-    StartRefusal.OTHER_INCARNATION: RefusalReason.TARGET_LOST,
-}
-RUN_END_REASONS = {
-    RunEnd.DONE: None,
-    RunEnd.FAILED: RefusalReason.TARGET_FAILED,
-    RunEnd.STOPPED: RefusalReason.CANCELLED,
-    RunEnd.LAPSED: RefusalReason.TARGET_LOST,
-}
-
-
-def initial_token(now_wall_s: float) -> int:
-    """Return a token from the wall clock that is probably above the tokens of earlier processes.
-
-    The random part makes it unlikely that two processes get the same token. If the wall clock was
-    set back, the runner reports that it has seen a higher token, and the agent raises its own.
-    """
-    return int(now_wall_s * 1000) * TOKENS_PER_MS + random.randrange(TOKENS_PER_MS)
-
-
-@define(eq=False)
-class Run:
-    """One run that this agent has requested.
-
-    Fields:
-        call: Request for the task.
-        permission: Whether it may start, and until when it may go on.
-        acknowledged_at_s: Boot time at which the runner confirmed the start, None before.
-        fencing_token: Lowest token under which a list of runs shows whether an unanswered start
-            was executed; None if no start is unresolved.
-        result: How the run ended, None before.
-        runner_restarted: Whether the runner has restarted since it was asked to start the run; only
-            a list of the new incarnation shows whether that one has executed the start.
-        unsettled_until_s: Boot time until which the end of the lease does not settle the run.
-        stop_requested_at_s: Boot time from which the runner has been asked to stop the run.
-        done: Set together with the result.
-        removed: Set when the call has returned, so that the task may be run again.
-    """
-
-    call: TargetCall
-    permission: RunPermission = UNRESTRICTED
-    acknowledged_at_s: float | None = None
-    fencing_token: int | None = None
-    result: TargetResult | None = None
-    runner_restarted: bool = False
-    unsettled_until_s: float = -math.inf
-    stop_requested_at_s: float = math.inf
-    done: trio.Event = field(factory=trio.Event)
-    removed: trio.Event = field(factory=trio.Event)
-
-    @property
-    def name(self) -> RunName:
-        """Return the task id and run number."""
-        return RunName(self.call.task_id, self.call.run)
-
-    def is_overdue(self, now_s: float) -> bool:
-        """Return whether the run should have ended a while ago and is not known to have."""
-        must_end_at_s = min(self.stop_requested_at_s, self.permission.ends_at_s())
-        return self.result is None and now_s > must_end_at_s + STOP_CONFIRM_S
-
-    def end(self, verdict: Verdict, reason: RefusalReason | None) -> None:
-        """Set the result, unless it is already set."""
-        if self.result is None:
-            self.result = TargetResult(verdict, reason)
-            self.done.set()
-
-    def end_unlisted(self) -> None:
-        """Set the result of a run that is not listed under its fencing token.
-
-        If the runner has restarted, its earlier incarnation may have executed the start.
-        """
-        if self.runner_restarted:
-            self.end(Verdict.RAN, RefusalReason.TARGET_LOST)
-        else:
-            self.end(Verdict.NOT_RUN, RefusalReason.FENCED)
-
 
 class LeasedTarget:
     """Starts, stops and monitors runs at the runner beside this agent."""
--- a/tests/agent/test_leased_target.py
+++ b/tests/agent/test_leased_target.py
@@ -6,7 +6,8 @@
 
 from pistachiohill import clock
 from pistachiohill.agent.const import CLOCK_REFRESH_S, LEASE_S, MAX_CLOCK_DRIFT
-from pistachiohill.agent.leased_target import LeasedTarget, initial_token
+from pistachiohill.agent.fencing import initial_token
+from pistachiohill.agent.leased_target import LeasedTarget
 from pistachiohill.agent.models import RunnerIdentity, TargetCall, TargetResult
 from pistachiohill.errors import RefusalReason, Verdict
 from standins.runner_model import find_overlapping_runs
