--- a/standins/processes.py
+++ b/standins/processes.py
@@ -14,6 +14,7 @@
 FIRST_PORT = 12000
 PORT_COUNT = 18000
 PORT_STRIDE = 397
+PORT_PARTS = 30
 
 
 @define(eq=False)
@@ -69,13 +70,26 @@
 
     def __init__(self) -> None:
         """Start at a port that depends on the process id, so that test processes rarely collide."""
+        self._first_port = FIRST_PORT
+        self._port_count = PORT_COUNT
         self._last_port = FIRST_PORT + (os.getpid() * PORT_STRIDE) % PORT_COUNT
 
+    def use_part(self, part: int) -> None:
+        """Allocate only ports of one of PORT_PARTS parts, any number of which may be given.
+
+        A port that its owner leaves for a while, as a relay does that refuses connections, is then
+        not taken by another process.
+        """
+        self._port_count = PORT_COUNT // PORT_PARTS
+        self._first_port = FIRST_PORT + part % PORT_PARTS * self._port_count
+        self._last_port = self._first_port
+
     def allocate(self, count: int) -> list[int]:
         """Return `count` ports on which nothing listens."""
         ports: list[int] = []
         while len(ports) < count:
-            self._last_port = FIRST_PORT + (self._last_port + 1 - FIRST_PORT) % PORT_COUNT
+            next_port = self._last_port + 1 - self._first_port
+            self._last_port = self._first_port + next_port % self._port_count
             if _is_free(self._last_port):
                 ports.append(self._last_port)
         return ports
@@ -91,4 +105,6 @@
         return True
 
 
-free_ports = PortAllocator().allocate
+_ALLOCATOR = PortAllocator()
+free_ports = _ALLOCATOR.allocate
+use_port_part = _ALLOCATOR.use_part
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -1,11 +1,14 @@
 """Short soak plans, and every seed that has ever found a violation."""
 
 import multiprocessing
+import os
 import re
 from concurrent.futures import Future, ProcessPoolExecutor
+from typing import Any
 
 from experiments.soak import Findings, Soak, run_seed
 from experiments.soak_plan import make_plan
+from standins.processes import use_port_part
 
 from ..base import TestCase
 
@@ -15,6 +18,13 @@
 SEED_TEST_NAME = re.compile(r"test_seed_(\d+)_")
 
 
+def use_next_port_part(parts: Any) -> None:
+    """Let a worker process use ports that the others don't; `parts` is a shared counter."""
+    with parts.get_lock():
+        parts.value += 1
+        use_port_part(parts.value)
+
+
 class SeedRuns:
     """Plays regression seeds a few at a time, in the order of their tests.
 
@@ -29,7 +39,10 @@
         """Return the findings of a seed, one of the ordered `seeds`."""
         if self._executor is None:
             context = multiprocessing.get_context("spawn")
-            self._executor = ProcessPoolExecutor(RUNS_AT_A_TIME, context)
+            parts = context.Value("i", os.getpid())
+            self._executor = ProcessPoolExecutor(
+                RUNS_AT_A_TIME, context, initializer=use_next_port_part, initargs=(parts,)
+            )
         position = seeds.index(seed)
         for item in seeds[position : position + RUNS_AT_A_TIME]:
             if item not in self._runs:
