--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,77 +1,106 @@
-"""A cancel that reaches another node than the job is acknowledged, and the job runs on.
+"""A node that was frozen starts jobs whose clients have left and sent them again elsewhere.
 
-`TROUBLE=0` adds no machine; the cancel then reaches the node that has the job.
+A node is frozen for 4 s. Clients whose requests wait there give up at their time limit and send the
+jobs again to other nodes, which run them. `TROUBLE=0` freezes nothing.
 """
 
 import asyncio
+import secrets
+import signal
 import sys
-import time
 from pathlib import Path
-from zlib import crc32
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.harness.deployment import PREFIX, Deployment, Machine, Outcome, job_body, run_case
+from review.harness.deployment import (
+    PREFIX,
+    RESEND_S,
+    ZONES,
+    Deployment,
+    Outcome,
+    job_body,
+    run_case,
+)
+from review.harness.http import NO_RESPONSE
+from review.harness.runner import Run
 
-ZONE = "bern-a"
-JOB = "5c0e7a21d94b36f8"
-TASKS = 4
-RUN_S = 18.0
-TIME_LIMIT_S = 25.0
-CANCEL_AFTER_S = 6.0  # later than contactMs after the change of the machines
-ACK_S = 4.0  # ackMs
-CANCEL_S = 3.0  # cancel_ms
-STOP_S = 0.05  # stopMs
-CHECK_MARGIN_S = 0.5
+SIDES = 11
+FREEZE_S = 4.0
+TIME_LIMIT_S = 1.5
+CLIENTS = 20  # of the frozen node's zone, one job each
+FIRST_JOB_S = 0.1  # after the beginning of the freeze
+LAST_JOB_S = 1.1  # the balancer drops a node after two missed checks, a second apart
+TASKS = 2
+RUN_S = 0.9
+OTHER_CLIENTS = 3  # in each of the other zones, one job after the other
+OTHER_RUN_S = 0.12
+MAX_SENDS = 3
+LOST = (NO_RESPONSE, 502, 504)
 
 
-def choose_client() -> str:
-    """Return a client whose channels move to the second node of a zone when there is one."""
-    names = (f"loft-{number}" for number in range(1000))
-    return next(name for name in names if crc32(name.encode()) % 2 == 1)
+async def async_submit(deployment: Deployment, client: str, zone: str, run_s: float) -> None:
+    """Submit a job, and send it again after a loss, like the platform's clients."""
+    path = PREFIX + secrets.token_hex(8)
+    for _ in range(MAX_SENDS):
+        node = deployment.node_of(client, zone)
+        body = job_body(TASKS, run_s)
+        answer = await deployment.async_request(node, "POST", path, body, TIME_LIMIT_S)
+        if answer.status not in LOST:
+            return
+        await asyncio.sleep(RESEND_S)
+
+
+async def async_submit_always(deployment: Deployment, client: str, zone: str) -> None:
+    """Submit one job after the other until cancelled."""
+    while True:
+        await async_submit(deployment, client, zone, OTHER_RUN_S)
+
+
+async def async_submit_later(deployment: Deployment, number: int) -> None:
+    """Submit a job of the frozen node's zone at its time."""
+    await asyncio.sleep(FIRST_JOB_S + (LAST_JOB_S - FIRST_JOB_S) * number / CLIENTS)
+    await async_submit(deployment, f"loft-{number}", ZONES[0], RUN_S)
 
 
 async def async_run(deployment: Deployment, trouble: bool) -> Outcome:
-    """Submit a job, add a machine, cancel the job, and look whether its tasks still run."""
-    client = choose_client()
-    home = deployment.node_of(client, ZONE)
-    path = PREFIX + JOB
-    submitted = asyncio.ensure_future(
-        deployment.async_request(home, "POST", path, job_body(TASKS, RUN_S), TIME_LIMIT_S)
-    )
-    await deployment.async_wait(lambda: _running(deployment) == TASKS)
-    added: Machine | None = None
+    """Freeze a node while clients submit jobs there, and look for runs that overlap."""
+    background = [
+        asyncio.ensure_future(async_submit_always(deployment, f"clerk-{zone}-{number}", zone))
+        for zone in ZONES[1:]
+        for number in range(OTHER_CLIENTS)
+    ]
+    await asyncio.sleep(2.0)
+    node = deployment.node_of("loft-0", ZONES[0])
+    jobs = [
+        asyncio.ensure_future(async_submit_later(deployment, number)) for number in range(CLIENTS)
+    ]
     if trouble:
-        added = deployment.add_machine("entry", ZONE)
-        await deployment.async_wait(lambda: added.in_rotation)
-    await asyncio.sleep(CANCEL_AFTER_S)
-    if submitted.done():
-        return Outcome.NOT_RUN
-    node = deployment.node_of(client, ZONE)
-    if (node is added) != trouble:
-        return Outcome.NOT_RUN
-    sent_s = time.time()
-    answer = await deployment.async_request(node, "DELETE", path)
-    state = await deployment.async_request(node, "GET", path)
-    acknowledged = answer.status in (200, 410)
-    wait_s = CANCEL_S if acknowledged else ACK_S + CANCEL_S
-    await asyncio.sleep(wait_s + STOP_S + CHECK_MARGIN_S)
-    running = _running(deployment)
-    deployment.record(
-        "check",
-        cancel=answer.status,
-        state=state.status,
-        after_s=round(time.time() - sent_s, 2),
-        tasks_at_work=running,
-    )
-    outcome = await submitted
-    deployment.record("job", status=outcome.status)
-    return Outcome.BROKEN if running else Outcome.HELD
-
-
-def _running(deployment: Deployment) -> int:
-    return sum(len(runner.boot.running) for runner in deployment.runners)
+        deployment.signal(node, signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    if trouble:
+        deployment.signal(node, signal.SIGCONT)
+    await asyncio.gather(*jobs)
+    for task in background:
+        task.cancel()
+    await asyncio.sleep(2.0)
+    overlaps = find_overlaps(deployment)
+    for first, second, overlap_s in overlaps:
+        deployment.record("two_runs", task=first.task, runs=(first.run, second.run), s=overlap_s)
+    deployment.record("check", overlaps=len(overlaps))
+    return Outcome.BROKEN if overlaps else Outcome.HELD
+
+
+def find_overlaps(deployment: Deployment) -> list[tuple[Run, Run, float]]:
+    """Return the runs of one task that went on at the same time, and for how long."""
+    runs = [run for runner in deployment.runners for run in runner.runs]
+    runs.sort(key=lambda run: (run.task, run.started_s))
+    found = []
+    for first, second in zip(runs, runs[1:], strict=False):
+        ended_s = min(run.ended_s or run.ends_s for run in (first, second))
+        if first.task == second.task and second.started_s < (first.ended_s or first.ends_s):
+            found.append((first, second, round(ended_s - second.started_s, 3)))
+    return found
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, async_run)
+    run_case(Path(__file__).parent, async_run, SIDES)
