--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -21,13 +21,16 @@
 from typing import Any
 from zlib import crc32
 
-from .http import Response, async_call
+from .http import NO_RESPONSE, Channel, Response, async_call
 from .runner import Runner
 from .store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST_NAME = "nony24.example"
-PREFIX = "/lohu930/"
+PREFIX = "/lohu930/"  # of the queue for stamps
+RANK_PREFIX = "/lohu931/"
+CONFIRM_PREFIX = "/lohu932/"
+ROUTE_TIMEOUT_MS = 1500
 SERVICE = "huvo11a"
 ZONES = ("bern-a", "solothurn-b", "aarau-c")
 RESEND_S = 1.3
@@ -178,14 +181,26 @@
         return ready[crc32(client.encode()) % len(ready)]
 
     async def async_request(
-        self, node: Machine, method: str, path: str, body: Any = None, deadline_s: float = 2.0
+        self,
+        node: Machine,
+        method: str,
+        path: str,
+        body: Any = None,
+        deadline_s: float = 2.0,
+        channel: Channel | None = None,
     ) -> Response:
-        """Send a client's request to a node, and record it and its answer."""
+        """Send a client's request to a node, and record it and its answer.
+
+        It goes over a new channel if none is given.
+        """
         headers = {"Host": HOST_NAME, "X-Deadline-Ms": str(int(deadline_s * 1000))}
         data = b"" if body is None else json.dumps(body).encode()
         self.record("request", method=method, path=path, node=node.name)
-        address = node.address("front")
-        response = await async_call(address, method, path, headers, data, deadline_s)
+        if channel is None:
+            address = node.address("front")
+            response = await async_call(address, method, path, headers, data, deadline_s)
+        else:
+            response = await _async_call_on(channel, method, path, headers, data, deadline_s)
         text = response.body.decode(errors="replace")
         self.record(
             "answer", method=method, path=path, node=node.name, status=response.status, body=text
@@ -240,6 +255,21 @@
         return re.sub(r"\{\{([^}]+)\}\}", lambda match: values[match[1]], template)
 
 
+async def _async_call_on(
+    channel: Channel,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    data: bytes,
+    deadline_s: float,
+) -> Response:
+    try:
+        async with asyncio.timeout(deadline_s):
+            return await channel.async_call(method, path, headers, data)
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return Response(NO_RESPONSE)
+
+
 AsyncCase = Callable[[Deployment, bool], Awaitable[Outcome]]
 
 
@@ -267,16 +297,23 @@
 
 
 def _manifest() -> dict[str, Any]:
-    route = {
-        "name": "stamp",
-        "host": HOST_NAME,
-        "pathPrefix": PREFIX,
-        "service": SERVICE,
-        "priority": 0,
-        "maxAttempts": 2,
-        "slackFactor": 1.6,
-        "targetLatencyMs": 60,
-        "timeoutMs": 30000,
-    }
+    routes = [
+        {
+            "name": name,
+            "host": HOST_NAME,
+            "pathPrefix": prefix,
+            "service": SERVICE,
+            "priority": priority,
+            "maxAttempts": max_attempts,
+            "slackFactor": 1.6,
+            "targetLatencyMs": 60,
+            "timeoutMs": ROUTE_TIMEOUT_MS,
+        }
+        for name, prefix, priority, max_attempts in (
+            ("stamp", PREFIX, 0, 2),
+            ("rank", RANK_PREFIX, 2, 4),
+            ("confirm", CONFIRM_PREFIX, 1, 2),
+        )
+    ]
     services = [{"name": SERVICE, "healthPath": "/healthz", "admissionControl": False}]
-    return {"version": 3, "routes": [route], "services": services, "limits": {}}
+    return {"version": 3, "routes": routes, "services": services, "limits": {}}
--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -91,6 +91,38 @@
     return await asyncio.start_server(async_handle, host, port)
 
 
+class Channel:
+    """A client's channel to a server, which stays open between calls."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Use an open connection."""
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def async_open(cls, address: str) -> "Channel":
+        """Open a channel."""
+        host, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    async def async_call(
+        self, method: str, path: str, headers: dict[str, str], body: bytes = b""
+    ) -> Response:
+        """Call and return the response, with status NO_RESPONSE if the channel ends before it."""
+        lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        self._writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        start, received = await async_read_head(self._reader)
+        if len(start) < 2:
+            return Response(NO_RESPONSE)
+        data = await self._reader.readexactly(int(received.get("content-length", "0")))
+        return Response(int(start[1]), data, received)
+
+    def close(self) -> None:
+        """Close the channel."""
+        self._writer.close()
+
+
 async def async_call(
     address: str,
     method: str,
@@ -100,21 +132,13 @@
     timeout_s: float = 2.0,
 ) -> Response:
     """Call on a new channel; the status is NO_RESPONSE if there is no complete response in time."""
-    host, _, port = address.rpartition(":")
-    writer = None
+    channel = None
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(body)}"]
-            lines += [f"{name}: {value}" for name, value in (headers or {"Host": address}).items()]
-            writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-            start, received = await async_read_head(reader)
-            if len(start) < 2:
-                return Response(NO_RESPONSE)
-            data = await reader.readexactly(int(received.get("content-length", "0")))
-            return Response(int(start[1]), data, received)
+            channel = await Channel.async_open(address)
+            return await channel.async_call(method, path, headers or {"Host": address}, body)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return Response(NO_RESPONSE)
     finally:
-        if writer is not None:
-            writer.close()
+        if channel is not None:
+            channel.close()
