--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
     run_case,
 )
 from review.harness.http import NO_RESPONSE
-from review.harness.runner import Run
+from review.harness.runner import find_overlaps
 
 SIDES = 11
 FREEZE_S = 4.0
@@ -83,24 +83,12 @@
     for task in background:
         task.cancel()
     await asyncio.sleep(2.0)
-    overlaps = find_overlaps(deployment)
+    overlaps = find_overlaps(deployment.runners)
     for first, second, overlap_s in overlaps:
         deployment.record("two_runs", task=first.task, runs=(first.run, second.run), s=overlap_s)
     deployment.record("check", overlaps=len(overlaps))
     return Outcome.BROKEN if overlaps else Outcome.HELD
 
 
-def find_overlaps(deployment: Deployment) -> list[tuple[Run, Run, float]]:
-    """Return the runs of one task that went on at the same time, and for how long."""
-    runs = [run for runner in deployment.runners for run in runner.runs]
-    runs.sort(key=lambda run: (run.task, run.started_s))
-    found = []
-    for first, second in zip(runs, runs[1:], strict=False):
-        ended_s = min(run.ended_s or run.ends_s for run in (first, second))
-        if first.task == second.task and second.started_s < (first.ended_s or first.ends_s):
-            found.append((first, second, round(ended_s - second.started_s, 3)))
-    return found
-
-
 if __name__ == "__main__":
     run_case(Path(__file__).parent, async_run, SIDES)
--- a/review/harness/runner.py
+++ b/review/harness/runner.py
@@ -20,6 +20,18 @@
 Record = Callable[..., None]
 
 
+def find_overlaps(runners: "list[Runner]") -> "list[tuple[Run, Run, float]]":
+    """Return the runs of one task that went on at the same time, and for how long."""
+    runs = [run for runner in runners for run in runner.runs]
+    runs.sort(key=lambda run: (run.task, run.started_s))
+    found = []
+    for first, second in zip(runs, runs[1:], strict=False):
+        ended_s = min(run.ended_s or run.ends_s for run in (first, second))
+        if first.task == second.task and second.started_s < (first.ended_s or first.ends_s):
+            found.append((first, second, round(ended_s - second.started_s, 3)))
+    return found
+
+
 @dataclass
 class Run:
     """One run of a task on this runner; times are seconds since the epoch."""
@@ -61,12 +73,17 @@
         control: str,
         record: Record,
     ) -> None:
-        """Create a runner that announces itself at `control`."""
+        """Create a runner that announces itself at `control`.
+
+        `on_start` may be set to a function that is asked at each start. It returns None, or after
+        how many seconds the start, which gets no answer then, is carried out.
+        """
         self.runner_id = runner_id
         self.runs: list[Run] = []
         self.boots = 0
         self.up = True
-        self.lose_starts: list[float] = []
+        self.on_start: Callable[[Runner], float | None] | None = None
+        self._late_orders: list[tuple[float, dict[str, Any]]] = []
         self._service = service
         self._zone = zone
         self._host = host
@@ -113,6 +130,7 @@
         self.boot = self._new_boot()
         self.up = True
         self._record("runner_starts_again", runner=self.runner_id, born=self.boot.born_ms)
+        self._carry_out_late_orders(time.time())
 
     async def async_announce(self) -> None:
         """Send one heartbeat."""
@@ -148,6 +166,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._end_due(time.time())
+            if self.up:
+                self._carry_out_late_orders(time.time())
 
     def _end_due(self, now_s: float) -> None:
         boot = self.boot
@@ -173,11 +193,13 @@
             return Response.of_json({"clockMs": self.clock_ms()}, 421)
         value = json.loads(request.body)
         if request.target == "/api/run-start":
-            if self.lose_starts:
-                late_s = self.lose_starts.pop(0)
-                self._spawn(self._async_start_late(value, late_s))
-                return None
-            return self._respond(self._start(value))
+            late_s = self.on_start(self) if self.on_start is not None else None
+            if late_s is None:
+                return self._respond(self._start(value))
+            task = value["task"]
+            self._record("start_unanswered", runner=self.runner_id, task=task, late_s=late_s)
+            self._late_orders.append((time.time() + late_s, value))
+            return None
         if request.target == "/api/run-stop":
             return self._respond(self._stop(value))
         if request.target == "/api/hold":
@@ -190,11 +212,18 @@
             {**clock, "reason": refusal} if refusal else clock, 409 if refusal else 200
         )
 
-    async def _async_start_late(self, value: dict[str, Any], late_s: float) -> None:
-        self._record("start_unanswered", runner=self.runner_id, task=value["task"], late_s=late_s)
-        await asyncio.sleep(late_s)
-        refusal = self._start(value) if self.up else "down"
-        self._record("start_carried_out_late", task=value["task"], refused=refusal or "no")
+    def _carry_out_late_orders(self, now_s: float) -> None:
+        """Carry out the starts that got no answer and whose time has come."""
+        due = [order for order in self._late_orders if order[0] <= now_s]
+        self._late_orders = [order for order in self._late_orders if order[0] > now_s]
+        for _, value in due:
+            refusal = self._start(value)
+            self._record(
+                "start_carried_out_late",
+                runner=self.runner_id,
+                task=value["task"],
+                refused=refusal or "no",
+            )
 
     def _accept(self, value: dict[str, Any]) -> bool:
         """Apply the token and lease of a call; return False if the token is too low."""
