Entry: no work for requests that were given up before they were read

Cause: nobody knew how old a request is. Its time limit counted from the reading; the close behind it is handled some rounds of the event loop later; and leases were renewed, and waiting jobs placed, before the closes that came during the pause were read.

Ruled out: the agents (their leases end during the freeze); a check for a closed channel alone (leaves callers whose close is lost); the stall detector alone (knows neither the listener's queue nor pauses in series).

Change: the server records when it last saw a socket, or the listener's queue, without anything to read; a request arrived after that, and its time limit counts from then. Jobs past it, or with a closed channel, are refused as not run. Before placing and before renewing a lease, callers are looked at again.

--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -86,9 +86,18 @@
         self._served_among: tuple[set[Address], set[Address]] = (set(), set())
         self._lost_agents: list[Agent] = []
         self._stalls = StallDetector(clock.boot_s())
+        self._check_renewal: Callable[[float], None] = lambda _now_s: None
+
+    def set_renewal_check(self, check: Callable[[float], None]) -> None:
+        """Set what is called with the boot time before this entry's lease at an agent is renewed.
+
+        It cancels the tasks that are no longer wanted, so that the renewal doesn't prolong them.
+        """
+        self._check_renewal = check
 
     def view_stamp(self, agent: Agent, now_s: float) -> ViewStamp:
-        """Return the view stamp to send to an agent."""
+        """Return the view stamp to send to an agent, which renews this entry's lease there."""
+        self._check_renewal(now_s)
         state = self._view.state
         age_s = now_s - self._view_confirmed_at(now_s)
         running_since_s = self._stalls.running_since_s(now_s)
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -8,11 +8,12 @@
 import math
 
 import trio
-from attrs import define, evolve
+from attrs import define, evolve, field
 
 from .. import clock, logs
 from ..consortium.view import ConsortiumView
 from ..errors import RefusalReason
+from ..http.origin import RequestOrigin
 from ..settings.models import JobSettings
 from ..submissions.identifiers import IdIssuer
 from ..submissions.models import (
@@ -36,24 +37,28 @@
 
 @define(eq=False)
 class KeyedJob:
-    """A job and the number of requests waiting for its answer.
+    """A job and the requests waiting for its answer.
 
     Fields:
         submission: The accepted job, None while it is neither accepted nor refused, and afterwards
             if it was refused.
         refusal: Why it was refused, None if it was not.
-        waiters: Number of requests with the job's key that are not answered.
+        waiting: Origins of the requests with the job's key that are not answered.
     """
 
     submission: Submission | None = None
     refusal: JobAnswer | None = None
-    waiters: int = 0
+    waiting: list[RequestOrigin] = field(factory=list)
 
     @property
     def decided(self) -> bool:
         """Return whether the job was accepted or refused."""
         return self.submission is not None or self.refusal is not None
 
+    def has_caller_left(self) -> bool:
+        """Return whether the callers of all waiting requests have closed their connections."""
+        return all(origin.has_left() for origin in self.waiting)
+
 
 class BestEffortJobs:
     """Accepts, answers and cancels best-effort jobs."""
@@ -125,11 +130,14 @@
         A second request with the same key waits for the same job. The job is cancelled when the
         last waiting request is cancelled.
         """
+        arrived_after_s = min(request.origin.arrived_after_s, clock.boot_s())
+        origin = evolve(request.origin, arrived_after_s=arrived_after_s)
+        request = evolve(request, origin=origin)
         job = self._jobs.setdefault(request.key, KeyedJob())
-        job.waiters += 1
+        job.waiting.append(origin)
         try:
-            request = await self._async_wait_for_earlier_runs(job, request, settings)
-            request = await self._async_wait_for_target(job, request, settings)
+            await self._async_wait_for_earlier_runs(job, request, settings)
+            await self._async_wait_for_target(job, request, settings)
             if not job.decided:
                 self._decide(job, request, settings, clock.boot_s())
             if job.refusal is not None:
@@ -138,28 +146,24 @@
             await job.submission.done.wait()
             return job.submission.progress()
         finally:
-            job.waiters -= 1
-            if job.waiters == 0:
+            job.waiting.remove(origin)
+            if not job.waiting:
                 self._remove(request.key, job)
 
     async def _async_wait_for_earlier_runs(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings
-    ) -> JobRequest:
-        """Delay a job that is sent again until its earlier runs are known to have ended.
-
-        Returns the request with its deadline reduced by the time waited.
-        """
+    ) -> None:
+        """Delay a job that is sent again until its earlier runs are known to have ended."""
         wait_started_s = now_s = clock.boot_s()
-        deadline_s = request.deadline_s or settings.deadline_s
         while not job.decided and self._has_earlier_runs(request.key):
-            if now_s - wait_started_s >= deadline_s:
+            if _time_left_s(request, settings, now_s) <= 0.0:
                 detail = "its earlier runs did not end in time"
                 job.refusal = refused_answer(RefusalReason.DEADLINE, detail, RETRY_AFTER_S)
                 self._record_refusal(request, job.refusal, now_s)
-                return request
+                return
             await trio.sleep(STARTUP_POLL_S)
             now_s = clock.boot_s()
-        return _after_wait(request, settings, now_s - wait_started_s)
+        _log_wait(request, now_s - wait_started_s)
 
     def _has_earlier_runs(self, key: str) -> bool:
         """Return whether an earlier job with a key may still have runs at agents."""
@@ -168,37 +172,62 @@
 
     async def _async_wait_for_target(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings
-    ) -> JobRequest:
+    ) -> None:
         """Delay a job that arrives shortly after startup, while too few targets are known.
 
         After a full outage, callers connect as soon as the port is open, and most of them don't
-        retry. Returns the request with its deadline reduced by the time waited.
+        retry.
         """
         wait_started_s = now_s = clock.boot_s()
-        wait_until_s = now_s + self._admission.max_target_wait_s(request, settings)
+        if now_s >= self._startup_ends_at_s:
+            return
+        limited = _with_time_left(request, settings, now_s)
+        wait_until_s = now_s + self._admission.max_target_wait_s(limited, settings)
         wait_until_s = min(wait_until_s, self._startup_ends_at_s)
         while (
             now_s < wait_until_s
             and not job.decided
-            and self._admission.should_wait(request, settings, now_s)
+            and self._admission.should_wait(limited, settings, now_s)
         ):
             has_target = self._admission.has_target(settings)
             await trio.sleep(STARTUP_RECHECK_S if has_target else STARTUP_POLL_S)
             now_s = clock.boot_s()
-        return _after_wait(request, settings, now_s - wait_started_s)
+        _log_wait(request, now_s - wait_started_s)
 
     def _decide(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings, now_s: float
     ) -> None:
         """Accept or refuse a job."""
-        job.refusal = self._check_admission(request, settings, now_s)
+        request = _with_time_left(request, settings, now_s)
+        job.refusal = self._check_caller(job, request, now_s)
         if job.refusal is None:
-            job.submission = self._accept(request, settings, now_s)
+            job.refusal = self._check_admission(request, settings, now_s)
+        if job.refusal is None:
+            job.submission = self._accept(job, request, settings, now_s)
+
+    def _check_caller(self, job: KeyedJob, request: JobRequest, now_s: float) -> JobAnswer | None:
+        """Return the refusal of a job that its caller has given up, None if the caller waits.
 
-    def _accept(self, request: JobRequest, settings: JobSettings, now_s: float) -> Submission:
+        The caller may have sent the job to another entry, so that its tasks must not start here.
+        """
+        if request.deadline_s <= 0.0:
+            reason, detail = RefusalReason.DEADLINE, "its time limit passed before it was read"
+        elif job.has_caller_left():
+            reason, detail = RefusalReason.CANCELLED, "its caller left before it was read"
+        else:
+            return None
+        logs.event("job_read_late", key=request.key, age_s=request.origin.age_s(now_s), why=reason)
+        refusal = refused_answer(reason, detail, RETRY_AFTER_S)
+        self._record_refusal(request, refusal, now_s)
+        return refusal
+
+    def _accept(
+        self, job: KeyedJob, request: JobRequest, settings: JobSettings, now_s: float
+    ) -> Submission:
         offset = self._view.processes.offset
         submission_id = self._issuer.issue(request.member, offset, clock.wall_s())
         submission = new_submission(submission_id, request, settings, now_s)
+        submission.has_caller_left = job.has_caller_left
         self._dispatcher.submit(submission, now_s)
         return submission
 
@@ -243,10 +272,16 @@
         )
 
 
-def _after_wait(request: JobRequest, settings: JobSettings, waited_s: float) -> JobRequest:
-    """Return a request that has waited, with its deadline reduced by that time."""
-    if waited_s <= 0.0:
-        return request
-    logs.event("job_waited", key=request.key, waited_s=waited_s)
-    left_s = (request.deadline_s or settings.deadline_s) - waited_s
-    return evolve(request, deadline_s=max(STARTUP_POLL_S, left_s))
+def _time_left_s(request: JobRequest, settings: JobSettings, now_s: float) -> float:
+    """Return for how long the caller certainly waits; its time limit counts from the arrival."""
+    return (request.deadline_s or settings.deadline_s) - request.origin.age_s(now_s)
+
+
+def _with_time_left(request: JobRequest, settings: JobSettings, now_s: float) -> JobRequest:
+    """Return a request whose deadline counts from now."""
+    return evolve(request, deadline_s=_time_left_s(request, settings, now_s))
+
+
+def _log_wait(request: JobRequest, waited_s: float) -> None:
+    if waited_s > 0.0:
+        logs.event("job_waited", key=request.key, waited_s=waited_s)
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -56,7 +56,7 @@
         self._view_confirmed_at = view_confirmed_at
         self.submissions: dict[str, Submission] = {}
         self._unanswered: dict[str, Submission] = {}
-        self._next_expiry_check_s = 0.0
+        self._next_caller_check_s = 0.0
         self.waiting = WaitingTasks(view, directory, accounting)
         self._view = view
         self._directory = directory
@@ -64,6 +64,7 @@
         self._quarantine = Quarantine()
         self._wakeup = trio.Event()
         self._listeners: list[AgentListener] = []
+        directory.set_renewal_check(self.end_unwanted)
 
     def add_listener(self, listener: AgentListener) -> None:
         """Add a receiver of seal replies and of all task reports, such as the recovery."""
@@ -79,7 +80,6 @@
             self._wakeup = trio.Event()
             now_s = clock.boot_s()
             self.refuse_useless(now_s)
-            self._expire_overdue(now_s)
             self.place(now_s)
 
     def submit(self, submission: Submission, now_s: float) -> None:
@@ -119,6 +119,7 @@
 
     def place(self, now_s: float) -> None:
         """Place waiting tasks in fair-queue order up to capacity, unless the view is stale."""
+        self.end_unwanted(now_s)
         root = self._view.state.settings(ROOT_PATH)
         if now_s - self._view_confirmed_at(now_s) > root.view_max_age_s:
             return
@@ -427,15 +428,25 @@
             elapsed_s=now_s - submission.submitted_at_s,
         )
 
-    def _expire_overdue(self, now_s: float) -> None:
-        """Fail submissions whose deadline has passed; checked at most once per POLL_INTERVAL_S."""
-        if now_s < self._next_expiry_check_s:
+    def end_unwanted(self, now_s: float) -> None:
+        """Fail submissions whose deadline has passed or whose callers have left.
+
+        The connections of callers are looked at here as well as by their readers: after a pause of
+        this process, tasks would else start or go on for callers who have left during the pause.
+        Checked at most once per POLL_INTERVAL_S, and before this entry's lease at any agent is
+        renewed.
+        """
+        if now_s < self._next_caller_check_s:
             return
-        self._next_expiry_check_s = now_s + POLL_INTERVAL_S
+        self._next_caller_check_s = now_s + POLL_INTERVAL_S
         for submission in list(self._unanswered.values()):
             if now_s >= submission.deadline_s:
                 detail = "not answered in time"
                 self._fail(submission, RefusalReason.DEADLINE, detail, now_s)
+            elif submission.has_caller_left():
+                key = submission.request.key
+                logs.event("caller_left", key=key, submission=submission.submission_id)
+                self.cancel(submission, now_s)
 
     def refuse_useless(self, now_s: float) -> None:
         """Refuse waiting submissions that have not run and whose answers would be useless."""
--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -6,16 +6,20 @@
 serve.
 """
 
+import errno
+import math
+import socket
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable
+from functools import partial
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 
 import httptools
 import trio
 from attrs import define, field
 
-from .. import logs
+from .. import clock, logs
 from ..errors import RefusalReason, Verdict
 from .app import (
     BODY_TIMEOUT_S,
@@ -26,23 +30,31 @@
     async_send_response,
 )
 from .models import Problem, problem_response
+from .origin import EmptySince, RequestOrigin, has_peer_closed, is_readable, poll_times
 
 MAX_RECEIVE_BYTES: Final = 65536
 MAX_PIPELINED_REQUESTS: Final = 16  # further unanswered requests end reading from the client
 SEND_TIMEOUT_S: Final = 10.0  # a client that takes longer to read a response is disconnected
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 LISTEN_BACKLOG: Final = 1024
+# Errors of accepting a connection that pass once other connections or files are closed.
+CAPACITY_ERRORS: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
+CAPACITY_RETRY_S: Final = 0.1
 
 
 @define(eq=False)
 class ReceivedRequest:
-    """An HTTP request, filled in by RequestReader while it is received."""
+    """An HTTP request, filled in by RequestReader while it is received.
+
+    `arrived_after_s` is a boot time after which its first byte arrived.
+    """
 
     method: str = ""
     target: bytes = b""
     headers: list[tuple[bytes, bytes]] = field(factory=list)
     body: bytearray = field(factory=bytearray)
     keep_alive: bool = True
+    arrived_after_s: float = math.inf
 
     def scope(self) -> Scope:
         """Return the request's ASGI scope; raise HttpParserError for an invalid target."""
@@ -69,11 +81,13 @@
         self._header_bytes = 0
         self._in_body = False
         self._max_body_bytes = max_body_bytes
+        self._arrived_after_s = math.inf
         self._request = ReceivedRequest()
         self._parser = httptools.HttpRequestParser(self)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes, arrived_after_s: float = math.inf) -> None:
         """Parse received bytes; raise HttpParserError if they are not valid HTTP."""
+        self._arrived_after_s = arrived_after_s
         if not self._in_body:
             self._header_bytes += len(data)
         self._parser.feed_data(data)
@@ -82,7 +96,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        self._request = ReceivedRequest()
+        self._request = ReceivedRequest(arrived_after_s=self._arrived_after_s)
         self.in_request = True
         self._in_body = False
 
@@ -164,10 +178,18 @@
 class HttpConnection:
     """A client's connection, on which requests are handled one after the other."""
 
-    def __init__(self, app: AsgiApp, stream: trio.SocketStream, max_body_bytes: int) -> None:
-        """Initialize the connection for a stream."""
+    def __init__(
+        self,
+        app: AsgiApp,
+        client_socket: socket.socket,
+        max_body_bytes: int,
+        connected_after_s: float,
+    ) -> None:
+        """Initialize the connection for a socket, to which nothing was sent before a boot time."""
         self._app = app
-        self._stream = stream
+        self._socket = client_socket
+        self._stream = trio.SocketStream(trio.socket.from_stdlib_socket(client_socket))
+        self._empty = EmptySince(connected_after_s)
         self._reader = RequestReader(max_body_bytes)
         self._disconnected = trio.Event()
         self._request_ready = trio.Event()
@@ -200,7 +222,7 @@
                 data = await self._async_receive()
                 if not data:
                     break
-                self._reader.feed(data)
+                self._reader.feed(data, self._empty.seen_at_s)
                 if self._reader.too_large:
                     await self._async_send_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
                     break
@@ -209,7 +231,12 @@
                     await self._stream.send_all(CONTINUE_RESPONSE)
                 if self._reader.complete:
                     self._request_ready.set()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.BusyResourceError,
+            OSError,
+        ):
             pass
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             logs.event("request_unreadable", detail=err)
@@ -222,13 +249,28 @@
         while True:
             timeout_s = BODY_TIMEOUT_S if self._reader.in_request else KEEP_ALIVE_TIMEOUT_S
             with trio.move_on_after(timeout_s):
-                return bytes(await self._stream.receive_some(MAX_RECEIVE_BYTES))
+                return await self._async_receive_some()
             if self._reader.in_request:
                 await self._async_send_error(HTTPStatus.REQUEST_TIMEOUT)
                 return b""
             if not self._busy:
                 return b""
 
+    async def _async_receive_some(self) -> bytes:
+        """Return received bytes, empty at the end; raise OSError if the connection is broken."""
+        waited = False
+        while True:
+            now_s = clock.boot_s()
+            try:
+                data = self._socket.recv(MAX_RECEIVE_BYTES)
+                break
+            except BlockingIOError:
+                await self._empty.async_wait_readable(self._socket, now_s)
+                waited = True
+        if not waited:
+            await trio.lowlevel.cancel_shielded_checkpoint()
+        return data
+
     async def _async_send_error(self, status: HTTPStatus) -> None:
         """Send an error for an unreadable request, unless an earlier request is pending."""
         if self._busy or self._reader.complete:
@@ -268,6 +310,8 @@
             self._busy = False
             await self._async_send_error(HTTPStatus.BAD_REQUEST)
             return False
+        has_left = partial(has_peer_closed, self._socket)
+        scope["origin"] = RequestOrigin(request.arrived_after_s, has_left)
         try:
             await self._app(scope, exchange.async_receive, exchange.async_send)
         except Exception as err:
@@ -300,8 +344,8 @@
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=LISTEN_BACKLOG)
     connections: set[HttpConnection] = set()
 
-    async def async_handle(stream: trio.SocketStream) -> None:
-        connection = HttpConnection(app, stream, max_body_bytes)
+    async def async_handle(client_socket: socket.socket, connected_after_s: float) -> None:
+        connection = HttpConnection(app, client_socket, max_body_bytes, connected_after_s)
         connections.add(connection)
         try:
             await connection.async_run()
@@ -309,7 +353,8 @@
             connections.discard(connection)
 
     async with trio.open_nursery() as handler_nursery, trio.open_nursery() as accept_nursery:
-        await accept_nursery.start(_async_accept, async_handle, listeners, handler_nursery)
+        for listener in listeners:
+            accept_nursery.start_soon(_async_accept_all, listener, async_handle, handler_nursery)
         task_status.started()
         await stopping.wait()
         accept_nursery.cancel_scope.cancel()
@@ -318,15 +363,29 @@
             connection.stop()
 
 
-async def _async_accept(
-    handler: Any,
-    listeners: Sequence[trio.SocketListener],
+async def _async_accept_all(
+    listener: trio.SocketListener,
+    async_handle: Callable[[socket.socket, float], Awaitable[None]],
     handler_nursery: trio.Nursery,
-    task_status: trio.TaskStatus[Any],
 ) -> None:
-    await trio.serve_listeners(
-        handler, list(listeners), handler_nursery=handler_nursery, task_status=task_status
-    )
+    """Accept connections until cancelled, and handle each one in a task."""
+    poll_times()  # recorded from now on
+    queue_empty = EmptySince(clock.boot_s())
+    async with listener:
+        while True:
+            now_s = clock.boot_s()
+            if not is_readable(listener.socket):
+                await queue_empty.async_wait_readable(listener.socket, now_s)
+            try:
+                stream = await listener.accept()
+            except OSError as err:
+                if err.errno not in CAPACITY_ERRORS:
+                    raise
+                logs.warning("accept_failed", detail=err)
+                await trio.sleep(CAPACITY_RETRY_S)
+                continue
+            client_socket = socket.socket(fileno=stream.socket.detach())
+            handler_nursery.start_soon(async_handle, client_socket, queue_empty.seen_at_s)
 
 
 def _reason_phrase(status: int) -> str:
--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -17,6 +17,7 @@
 from ..errors import RefusalReason, Verdict
 from ..http.app import BodyError, Scope, async_handle_lifespan, async_read_body, async_send_response
 from ..http.models import Problem, Response, json_response, problem_response
+from ..http.origin import UNKNOWN_ORIGIN, RequestOrigin
 from ..scheduling.models import Demand
 from ..submissions.models import JobAnswer, JobRequest, TaskSpec
 from .const import (
@@ -142,7 +143,8 @@
             return
         method = scope["method"]
         if method == "POST":
-            await self._async_submit(match, headers, receive, send)
+            origin = scope.get("origin", UNKNOWN_ORIGIN)
+            await self._async_submit(match, headers, origin, receive, send)
             return
         response = self._handle_immediate(method, match)
         await async_send_response(send, self._close_if_stopping(response))
@@ -176,12 +178,16 @@
         return _problem(410, RefusalReason.UNKNOWN_ID, "no such job here")
 
     async def _async_submit(
-        self, match: RouteMatch, headers: dict[bytes, str], receive: Receive, send: Send
+        self,
+        match: RouteMatch,
+        headers: dict[bytes, str],
+        origin: RequestOrigin,
+        receive: Receive,
+        send: Send,
     ) -> None:
         try:
-            request = _build_job_request(
-                match, headers, await async_read_body(receive, MAX_JOB_BODY_BYTES)
-            )
+            body = await async_read_body(receive, MAX_JOB_BODY_BYTES)
+            request = evolve(_build_job_request(match, headers, body), origin=origin)
         except BodyError as err:
             await async_send_response(send, self._close_if_stopping(problem_response(err.problem)))
             return
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -1,12 +1,14 @@
 """Submissions as stored by their owner, and the answers to callers."""
 
 from collections import deque
+from collections.abc import Callable
 
 import trio
 from attrs import define, field, frozen
 
 from ..const import JobState
 from ..errors import RefusalReason, Verdict
+from ..http.origin import UNKNOWN_ORIGIN, RequestOrigin
 from ..protocol.models import ForwardReply, TaskReport
 from ..scheduling.models import Demand
 from ..scheduling.urgency import Urgency
@@ -32,6 +34,7 @@
         tasks: The tasks.
         deadline_s: Time that the caller allows, in seconds; 0 for the deadline in the job settings.
         key: Name that the caller gave the job, empty if the submission id is the only name.
+        origin: Age of the request, and whether its caller has left.
     """
 
     member: str
@@ -39,6 +42,7 @@
     tasks: tuple[TaskSpec, ...]
     deadline_s: float = 0.0
     key: str = ""
+    origin: RequestOrigin = UNKNOWN_ORIGIN
 
     @property
     def path(self) -> str:
@@ -138,6 +142,7 @@
         repeated_verdict: Verdict on ended runs whose tasks were started again.
         outstanding: Number of tasks that are placed at agents.
         urgency: Whether the waiting tasks can still end in time.
+        has_caller_left: Returns whether all callers who wait for the answer have left.
     """
 
     submission_id: str
@@ -152,6 +157,7 @@
     repeated_verdict: Verdict = Verdict.NOT_RUN
     outstanding: int = 0
     urgency: Urgency = Urgency.ON_TIME
+    has_caller_left: Callable[[], bool] = UNKNOWN_ORIGIN.has_left
     failure: RefusalReason | None = None
     failure_detail: str = ""
     answer: JobAnswer | None = None
--- a/tests/entry/test_best_effort.py
+++ b/tests/entry/test_best_effort.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import trio
+import trio.testing
 from attrs import define, evolve, field
 
 from pistachiohill import clock
@@ -17,6 +18,7 @@
 from pistachiohill.entry.const import STARTUP_GRACE_S
 from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.errors import RefusalReason, Verdict
+from pistachiohill.http.origin import RequestOrigin
 from pistachiohill.settings.models import JobSettings
 from pistachiohill.submissions.identifiers import IdIssuer
 from pistachiohill.submissions.models import (
@@ -181,3 +183,45 @@
             answer = await jobs.async_run(evolve(REQUEST, deadline_s=0.1), SETTINGS)
         self.assertEqual(1, len(dispatcher.submitted))
         self.assertEqual(Verdict.NOT_RUN, answer.verdict)
+
+
+class LateRequestTest(TestCase):
+    """Jobs that were read long after they had been sent."""
+
+    async def test_job_whose_time_limit_passed_before_it_was_read_is_refused_as_not_run(
+        self,
+    ) -> None:
+        jobs, dispatcher = make_jobs(StubAdmission(0.0, target=True), 60.0)
+        origin = RequestOrigin(clock.boot_s() - REQUEST.deadline_s)
+        answer = await jobs.async_run(evolve(REQUEST, origin=origin), SETTINGS)
+        self.assertEqual([], dispatcher.submitted)
+        self.assertEqual((Verdict.NOT_RUN, RefusalReason.DEADLINE), (answer.verdict, answer.reason))
+
+    async def test_deadline_counts_from_the_arrival(self) -> None:
+        jobs, dispatcher = make_jobs(StubAdmission(0.0, target=True), 60.0)
+        sent_at_s = clock.boot_s() - 1.5
+        await jobs.async_run(evolve(REQUEST, origin=RequestOrigin(sent_at_s)), SETTINGS)
+        self.assertLessEqual(
+            dispatcher.submitted[0].deadline_s, sent_at_s + REQUEST.deadline_s + 1e-6
+        )
+
+    async def test_job_whose_caller_has_left_is_not_accepted(self) -> None:
+        jobs, dispatcher = make_jobs(StubAdmission(0.0, target=True), 60.0)
+        origin = RequestOrigin(clock.boot_s(), lambda: True)
+        answer = await jobs.async_run(evolve(REQUEST, origin=origin), SETTINGS)
+        self.assertEqual([], dispatcher.submitted)
+        self.assertEqual(Verdict.NOT_RUN, answer.verdict)
+
+    async def test_job_is_wanted_while_one_of_its_callers_waits(self) -> None:
+        dispatcher = PlacingDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        left: list[bool] = []
+        origin = RequestOrigin(clock.boot_s(), lambda: bool(left))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(jobs.async_run, evolve(REQUEST, origin=origin), SETTINGS)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.start_soon(jobs.async_run, REQUEST, SETTINGS)
+            await trio.testing.wait_all_tasks_blocked()
+            left.append(True)
+            self.assertFalse(dispatcher.submitted[0].has_caller_left())
+            nursery.cancel_scope.cancel()
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -18,6 +18,8 @@
 from pistachiohill.protocol.models import (
     AgentLoad,
     CancelTasks,
+    Freshness,
+    FreshnessRequest,
     Message,
     StartTasks,
     TaskReport,
@@ -209,3 +211,31 @@
         self.assertEqual(0.0, directory.silence_s(agent, 0.7))
         directory._stalls.tick(0.7)
         self.assertAlmostEqual(0.1, directory.silence_s(agent, 0.8))
+
+
+class GivenUpJobsTest(TestCase):
+    """Jobs whose callers left, or whose deadlines passed, while the entry was paused."""
+
+    def test_waiting_tasks_of_a_caller_who_has_left_are_not_placed(self) -> None:
+        fixture = DispatcherFixture(agents=1)
+        submission = fixture.submit(tasks=1)
+        submission.has_caller_left = lambda: True
+        fixture.dispatcher.place(5.0)
+        self.assertEqual([], fixture.links[0].starts())
+        self.assertEqual(Verdict.NOT_RUN, submission.verdict())
+
+    def test_lease_is_renewed_only_after_unwanted_tasks_were_cancelled(self) -> None:
+        for given_up in ("left", "deadline"):
+            fixture = DispatcherFixture(agents=1)
+            submission = fixture.submit(tasks=1)
+            fixture.dispatcher.place(0.0)
+            self.assertEqual(1, len(fixture.links[0].starts()))
+            if given_up == "left":
+                submission.has_caller_left = lambda: True
+            now_s = 5.0 if given_up == "left" else submission.deadline_s
+            fixture.directory._handle_answer(
+                FreshnessRequest(0.0), fixture.agents[0], fixture.dispatcher, now_s
+            )
+            cancel, stamp = fixture.links[0].sent[-2:]
+            self.assertIsInstance(cancel, CancelTasks)
+            self.assertIsInstance(stamp, Freshness)
--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import secrets
 import signal
 import socket
 import time
@@ -12,6 +13,7 @@
 from typing import Any
 
 import trio
+from attrs import frozen
 
 from standins.platform_deployment import (
     CALLER_HOST,
@@ -29,6 +31,8 @@
 # The load balancer sends new callers until two checks, one a second, have failed; an entry waits
 # 2.3 s for that.
 UNREADY_LIMIT_S = 0.3
+GIVEN_UP_JOBS = 12
+GIVEN_UP_LIMIT_S = 1.0
 CLOCK_TOLERANCE_S = 0.05  # checker and stand-ins read their clocks at different moments
 
 
@@ -63,6 +67,29 @@
         return self.answers
 
 
+@frozen(eq=False)
+class GivenUpJob:
+    """A job on a connection of its own, which is not read."""
+
+    key: str
+    stream: trio.SocketStream
+
+    @classmethod
+    async def async_send(cls, url: str) -> "GivenUpJob":
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        key = secrets.token_hex(8)
+        step = {"count": 1, "cpu": 1000, "memMb": 16, "estDurationMs": 500}
+        job = {"spec": json.dumps({"run_s": 0.5}), "bestEffort": True, "steps": [step]}
+        body = json.dumps(job)
+        head = (
+            f"POST /stamp/{key} HTTP/1.1\r\nHost: {CALLER_HOST}\r\n"
+            f"X-Deadline-Ms: {int(GIVEN_UP_LIMIT_S * 1000)}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all((head + body).encode())
+        return cls(key, stream)
+
+
 class PlatformJobsTest(TestCase):
     @asynccontextmanager
     async def load(
@@ -150,6 +177,42 @@
             await trio.sleep(1.0)
             self.assertIn(2, {answer.sent for answer in await load.async_finish()})
 
+    async def _async_run_given_up_jobs(self, close: bool) -> None:
+        """Freeze an entry, send it jobs that are given up during the freeze, and wake it.
+
+        The callers close their connections at their time limit, or leave them open.
+        """
+        async with self.load(PlatformSpec(cores=16), 8.0, tasks=1) as (deployment, _):
+            frozen = deployment.entries[0]
+            await trio.sleep(1.0)
+            frozen.signal(signal.SIGSTOP)
+            callers = [await GivenUpJob.async_send(frozen.url) for _ in range(GIVEN_UP_JOBS)]
+            await trio.sleep(GIVEN_UP_LIMIT_S)
+            if close:
+                for caller in callers:
+                    await caller.stream.aclose()
+            await trio.sleep(1.0)
+            frozen.signal(signal.SIGCONT)
+            await trio.sleep(1.0)
+            given_up = tuple(caller.key for caller in callers)
+            started = [
+                run.task
+                for history in await deployment.async_run_histories()
+                for run in history
+                if run.task.startswith(given_up)
+            ]
+            self.assertEqual([], started, deployment.directory)
+            for caller in callers:
+                await trio.aclose_forcefully(caller.stream)
+
+    async def test_a_frozen_entry_starts_no_job_whose_caller_has_left(self) -> None:
+        """The caller sends the job elsewhere, so that its tasks would run twice at once."""
+        await self._async_run_given_up_jobs(close=True)
+
+    async def test_a_frozen_entry_starts_no_job_whose_time_limit_has_passed(self) -> None:
+        """The end of the caller's connection doesn't arrive, but the job runs elsewhere by now."""
+        await self._async_run_given_up_jobs(close=False)
+
     async def test_an_agent_is_killed(self) -> None:
         async with self.load(PlatformSpec(), tasks=3, run_s=0.4) as (deployment, load):
             await trio.sleep(1.0)
--- a/tests/http/test_direct_server.py
+++ b/tests/http/test_direct_server.py
@@ -1,20 +1,28 @@
 """Tests of the direct server: valid and malformed requests, disconnects and graceful stops."""
 
 import random
+import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
 import trio
 
+from pistachiohill import clock
 from pistachiohill.http.app import async_send_response
 from pistachiohill.http.direct_server import async_serve_directly
 from pistachiohill.http.models import json_response
+from pistachiohill.http.origin import RequestOrigin
 
 from ..base import TestCase
 
 SEED = 20261204
 MAX_BODY_BYTES = 2000
+PAUSE_S = 0.4
+QUEUED_CONNECTIONS = 20
+TICK_S = 0.1  # an entry's event loop polls at least as often
+MAX_IMPRECISION_S = 0.3  # two polls, and the time of a slow machine
 POST = b"POST /a?b=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 GET = b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -24,12 +32,14 @@
 
     def __init__(self) -> None:
         self.requests: list[tuple[str, str, bytes]] = []
+        self.origins: list[RequestOrigin] = []
         self.disconnects = 0
         self.release = trio.Event()
         self.extra_headers: dict[str, str] = {}
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         body = (await receive())["body"]
+        self.origins.append(scope["origin"])
         self.requests.append((scope["method"], scope["path"], body))
         if scope["path"] == "/fail":
             raise RuntimeError("failed on purpose")
@@ -219,3 +229,74 @@
             await trio.sleep(0.05)
             server.stopping.set()
             self.assertEqual(b"<end>", await async_read(stream, 1.0))
+
+
+class RequestOriginTest(TestCase):
+    """What the server tells of a request that was read late."""
+
+    def connect(self, server: ServerHandle) -> socket.socket:
+        client = socket.create_connection(("127.0.0.1", server.port))
+        self.addCleanup(client.close)
+        return client
+
+    async def _async_origins(self, server: ServerHandle, count: int) -> list[RequestOrigin]:
+        with trio.fail_after(5.0):
+            while len(server.app.origins) < count:
+                await trio.sleep(0.005)
+        return server.app.origins
+
+    async def test_age_includes_a_pause_on_an_open_connection(self) -> None:
+        async with running_server() as server:
+            client = self.connect(server)
+            await trio.sleep(0.2)
+            before_s = clock.boot_s()
+            client.sendall(POST)
+            time.sleep(PAUSE_S)  # noqa: ASYNC251
+            (origin,) = await self._async_origins(server, 1)
+            self.assertLessEqual(origin.arrived_after_s, before_s)
+            self.assertGreater(origin.arrived_after_s, before_s - MAX_IMPRECISION_S)
+
+    async def test_age_includes_the_wait_in_the_queue_of_the_listener(self) -> None:
+        async with running_server() as server:
+            await trio.sleep(0.2)
+            before_s = clock.boot_s()
+            for _ in range(QUEUED_CONNECTIONS):
+                self.connect(server).sendall(POST)
+            time.sleep(PAUSE_S)  # noqa: ASYNC251
+            for origin in await self._async_origins(server, QUEUED_CONNECTIONS):
+                self.assertLessEqual(origin.arrived_after_s, before_s)
+
+    async def test_age_includes_pauses_in_series_while_requests_are_unread(self) -> None:
+        """Each pause is shorter than those that are noticed, and the request waits for its turn."""
+        async with running_server() as server:
+            client = self.connect(server)
+            await trio.sleep(0.2)
+            before_s = clock.boot_s()
+            client.sendall(POST[:20])
+            for _ in range(5):
+                time.sleep(0.1)  # noqa: ASYNC251
+                await trio.sleep(0.005)
+            client.sendall(POST[20:])
+            (origin,) = await self._async_origins(server, 1)
+            self.assertLessEqual(origin.arrived_after_s, before_s)
+
+    async def test_age_is_small_without_a_pause(self) -> None:
+        async with running_server() as server, await server.async_open() as stream:
+            for _ in range(3):
+                for _ in range(5):
+                    await trio.sleep(TICK_S)
+                sent_at_s = clock.boot_s()
+                await stream.send_all(POST)
+                await async_read(stream)
+                arrived_after_s = server.app.origins[-1].arrived_after_s
+                self.assertGreater(arrived_after_s, sent_at_s - MAX_IMPRECISION_S)
+
+    async def test_client_that_has_left_is_noticed_behind_unread_bytes(self) -> None:
+        async with running_server() as server:
+            client = self.connect(server)
+            client.sendall(GET)
+            (origin,) = await self._async_origins(server, 1)
+            self.assertFalse(origin.has_left())
+            client.sendall(POST * 3)
+            client.close()
+            self.assertTrue(origin.has_left())
