Entry: no job is accepted once the drain of a planned stop has ended

Cause: the drain ends at a moment without jobs, but the server goes on accepting them for 0.2 s; nobody cancels and answers those in time.

Ruled out: the declared run time; the same job half a second earlier is cancelled and answered as intended.

Change: the drain first closes the entry for jobs, those that wait for a target or for earlier runs included (503, not run, Retry-After 0.1 s), then cancels what is left. Cancelled jobs are answered after 0.4 s although their agents don't report.

--- a/pistachiohill/entry/admission.py
+++ b/pistachiohill/entry/admission.py
@@ -41,9 +41,7 @@
             detail = "no target is large enough for a task of this job"
             return refused_answer(RefusalReason.NO_TARGET, detail, RETRY_AFTER_S, count)
         if forecast.end_s > stop_at_s:
-            return refused_answer(
-                RefusalReason.STOPPING, "this entry is stopping", STOPPING_RETRY_AFTER_S, count
-            )
+            return stopping_answer(count)
         if forecast.end_s - now_s > latency_goal_s(settings, forecast.run_s):
             # A job that will be late waits for all others of its priority.
             forecast = self._waiting.forecast(request, settings, now_s, Urgency.LATE)
@@ -80,3 +78,9 @@
         """Return the time from arrival within which a job must finish to be useful."""
         limit_s = request.deadline_s or settings.deadline_s
         return min(limit_s, MAX_LATENCY_FACTOR * latency_goal_s(settings, run_s))
+
+
+def stopping_answer(task_count: int) -> JobAnswer:
+    """Return the refusal of a job by an entry that is about to stop."""
+    detail = "this entry is stopping"
+    return refused_answer(RefusalReason.STOPPING, detail, STOPPING_RETRY_AFTER_S, task_count)
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -24,8 +24,9 @@
     refused_answer,
 )
 from .accounting import Accounting
-from .admission import Admission
+from .admission import Admission, stopping_answer
 from .const import (
+    CANCEL_REPORT_S,
     DRAIN_POLL_S,
     RETRY_AFTER_S,
     STARTUP_GRACE_S,
@@ -75,6 +76,7 @@
         """Initialize without jobs; `started_at_s` is the boot time at which this entry started."""
         self._startup_ends_at_s = started_at_s + STARTUP_GRACE_S
         self._stop_at_s = math.inf
+        self._closed = False
         self._issuer = issuer
         self._view = view
         self._dispatcher = dispatcher
@@ -93,11 +95,20 @@
         self._stop_at_s = stop_at_s
 
     async def async_drain(self) -> None:
-        """Wait for the jobs in progress; cancel those that are left at the scheduled stop."""
+        """Wait for the jobs in progress, and refuse all others from then on.
+
+        Jobs that are left at the scheduled stop are cancelled. All jobs that were accepted are
+        answered when this returns, without waiting long for agents that don't report.
+        """
         while self._jobs and clock.boot_s() < self._stop_at_s:
             await trio.sleep(DRAIN_POLL_S)
+        self._closed = True
         for submission in self._accepted():
             self._dispatcher.cancel(submission, clock.boot_s(), RefusalReason.STOPPING)
+        with trio.move_on_after(CANCEL_REPORT_S):
+            await self._dispatcher.async_wait_answered()
+        for submission in self._accepted():
+            self._dispatcher.answer_cancelled(submission, clock.boot_s())
 
     def find(self, key: str) -> Submission | None:
         """Return the job in progress with a key, None if there is none."""
@@ -155,7 +166,7 @@
     ) -> None:
         """Delay a job that is sent again until its earlier runs are known to have ended."""
         wait_started_s = now_s = clock.boot_s()
-        while not job.decided and self._has_earlier_runs(request.key):
+        while not (job.decided or self._closed) and self._has_earlier_runs(request.key):
             if _time_left_s(request, settings, now_s) <= 0.0:
                 detail = "its earlier runs did not end in time"
                 job.refusal = refused_answer(RefusalReason.DEADLINE, detail, RETRY_AFTER_S)
@@ -186,7 +197,7 @@
         wait_until_s = min(wait_until_s, self._startup_ends_at_s)
         while (
             now_s < wait_until_s
-            and not job.decided
+            and not (job.decided or self._closed)
             and self._admission.should_wait(limited, settings, now_s)
         ):
             has_target = self._admission.has_target(settings)
@@ -248,7 +259,10 @@
         self, request: JobRequest, settings: JobSettings, now_s: float
     ) -> JobAnswer | None:
         """Return the refusal of a new job, None if it is admitted; a refused job has not run."""
-        answer = self._admission.check(request, settings, now_s, self._stop_at_s)
+        if self._closed:
+            answer: JobAnswer | None = stopping_answer(len(request.tasks))
+        else:
+            answer = self._admission.check(request, settings, now_s, self._stop_at_s)
         if answer is None:
             self._accounting.record_offered(request.member, len(request.tasks))
             return None
--- a/pistachiohill/entry/const.py
+++ b/pistachiohill/entry/const.py
@@ -26,5 +26,6 @@
 STARTUP_POLL_S: Final = 0.02
 STARTUP_RECHECK_S: Final = 0.1  # a check plans the job, which takes about a millisecond
 DRAIN_POLL_S: Final = 0.05
+CANCEL_REPORT_S: Final = 0.4  # for the agents' reports on tasks that are cancelled at a stop
 RETRY_AFTER_S: Final = 1.0
 MAX_IDS_PER_REQUEST: Final = 1000
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -112,6 +112,11 @@
         if submission.answer is None:
             self._fail(submission, reason, f"ended before it was complete: {reason}", now_s)
 
+    def answer_cancelled(self, submission: Submission, now_s: float) -> None:
+        """Answer a cancelled submission although it is not known whether its tasks have run."""
+        if submission.failure is not None:
+            self._answer_failed(submission, now_s, force=True)
+
     async def async_wait_answered(self) -> None:
         """Wait until every submission accepted so far is answered."""
         for submission in list(self._unanswered.values()):
--- a/tests/entry/test_best_effort.py
+++ b/tests/entry/test_best_effort.py
@@ -225,3 +225,61 @@
             left.append(True)
             self.assertFalse(dispatcher.submitted[0].has_caller_left())
             nursery.cancel_scope.cancel()
+
+
+class SilentAgentDispatcher(PlacingDispatcher):
+    """Cancels jobs without ever learning whether their tasks have run."""
+
+    async def async_wait_answered(self) -> None:
+        for submission in self.submitted:
+            await submission.done.wait()
+
+    def cancel(
+        self, submission: Submission, now_s: float, reason: RefusalReason = RefusalReason.CANCELLED
+    ) -> None:
+        submission.failure = reason
+
+    def answer_cancelled(self, submission: Submission, now_s: float) -> None:
+        submission.answer = refused_answer(RefusalReason.STOPPING, "stopping")
+        submission.done.set()
+
+
+class StopTest(TestCase):
+    """Jobs that arrive, or are in progress, when an entry is stopped as planned."""
+
+    async def test_no_job_is_accepted_once_the_drain_has_ended(self) -> None:
+        """The process would end under it, and cut its caller's connection without an answer."""
+        dispatcher = SilentAgentDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        jobs.schedule_stop(clock.boot_s() + 60.0)
+        await jobs.async_drain()
+        with trio.fail_after(0.5):
+            answer = await jobs.async_run(REQUEST, SETTINGS)
+        self.assertEqual([], dispatcher.submitted)
+        self.assertEqual((Verdict.NOT_RUN, RefusalReason.STOPPING), (answer.verdict, answer.reason))
+
+    async def test_job_that_waits_for_a_target_is_refused_when_the_drain_ends(self) -> None:
+        jobs, dispatcher = make_jobs(StubAdmission(3.0), 0.0, SilentAgentDispatcher())
+        jobs.schedule_stop(clock.boot_s() + 0.1)
+        answers: list[JobAnswer] = []
+
+        async def async_request() -> None:
+            answers.append(await jobs.async_run(REQUEST, SETTINGS))
+
+        with trio.fail_after(1.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(async_request)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.start_soon(jobs.async_drain)
+        self.assertEqual(RefusalReason.STOPPING, answers[0].reason)
+
+    async def test_job_whose_agent_does_not_report_is_answered_before_the_stop(self) -> None:
+        dispatcher = SilentAgentDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        jobs.schedule_stop(clock.boot_s() + 0.1)
+        with trio.fail_after(0.8):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(jobs.async_run, REQUEST, SETTINGS)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.start_soon(jobs.async_drain)
+        self.assertIsNotNone(dispatcher.submitted[0].answer)
