HTTP server: one sender at a time, and errors end only their connection

Cause: the reader and the responder of a connection both send a 400 in the same round of the event loop. Nothing catches the error; it ends the server's nursery and the process.

Ruled out: the body of the heartbeat, which isn't looked at.

Change: bytes are sent under a lock; the responder stays busy until its error is sent. An unexpected error of a connection is logged and ends that connection.

Two tests of tests/http/test_direct_server.py failed before, pass now; the one of an interim response held before as well.

--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -193,6 +193,7 @@
         self._reader = RequestReader(max_body_bytes)
         self._disconnected = trio.Event()
         self._request_ready = trio.Event()
+        self._send_lock = trio.Lock()
         self._busy = False
         self._stopping = False
         self._scope = trio.CancelScope()
@@ -224,11 +225,11 @@
                     break
                 self._reader.feed(data, self._empty.seen_at_s)
                 if self._reader.too_large:
-                    await self._async_send_error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                    await self._async_refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
                     break
                 if self._reader.expects_continue:
                     self._reader.expects_continue = False
-                    await self._stream.send_all(CONTINUE_RESPONSE)
+                    await self._async_send(CONTINUE_RESPONSE)
                 if self._reader.complete:
                     self._request_ready.set()
         except (
@@ -240,7 +241,7 @@
             pass
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             logs.event("request_unreadable", detail=err)
-            await self._async_send_error(HTTPStatus.BAD_REQUEST)
+            await self._async_refuse(HTTPStatus.BAD_REQUEST)
         self._disconnected.set()
         self._request_ready.set()
 
@@ -251,7 +252,7 @@
             with trio.move_on_after(timeout_s):
                 return await self._async_receive_some()
             if self._reader.in_request:
-                await self._async_send_error(HTTPStatus.REQUEST_TIMEOUT)
+                await self._async_refuse(HTTPStatus.REQUEST_TIMEOUT)
                 return b""
             if not self._busy:
                 return b""
@@ -271,19 +272,32 @@
             await trio.lowlevel.cancel_shielded_checkpoint()
         return data
 
-    async def _async_send_error(self, status: HTTPStatus) -> None:
-        """Send an error for an unreadable request, unless an earlier request is pending."""
+    async def _async_refuse(self, status: HTTPStatus) -> None:
+        """Send an error for bytes that are no request, unless an earlier request is pending."""
         if self._busy or self._reader.complete:
             return
+        await self._async_send_error(status)
+
+    async def _async_send_error(self, status: HTTPStatus) -> None:
         title = _reason_phrase(status)
         problem = Problem(status, RefusalReason.INVALID, Verdict.NOT_RUN, title)
         exchange = Exchange(ReceivedRequest(keep_alive=False), self._disconnected)
         await async_send_response(exchange.async_send, problem_response(problem))
+        await self._async_send(exchange.response)
+
+    async def _async_send(self, data: bytes) -> bool:
+        """Send bytes, and return whether the client took them in time.
+
+        Both tasks of the connection send, and a stream can be used by one at a time.
+        """
         with trio.move_on_after(SEND_TIMEOUT_S):
-            try:
-                await self._stream.send_all(exchange.response)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
+            async with self._send_lock:
+                try:
+                    await self._stream.send_all(data)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    return False
+                return True
+        return False
 
     async def _async_respond_all(self) -> None:
         """Respond to requests in the order received, until the connection is to be closed."""
@@ -307,7 +321,6 @@
             scope = request.scope()
         except httptools.HttpParserError as err:
             logs.event("request_unreadable", detail=err)
-            self._busy = False
             await self._async_send_error(HTTPStatus.BAD_REQUEST)
             return False
         has_left = partial(has_peer_closed, self._socket)
@@ -319,12 +332,7 @@
         if not exchange.response:
             # No response from the application: the client disconnected or the handler failed.
             return False
-        with trio.move_on_after(SEND_TIMEOUT_S) as sending:
-            try:
-                await self._stream.send_all(exchange.response)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return False
-        return not exchange.close and not sending.cancelled_caught
+        return await self._async_send(exchange.response) and not exchange.close
 
 
 async def async_serve_directly(
@@ -338,7 +346,7 @@
     """Serve an ASGI application at `address` (host:port) until `stopping` is set.
 
     Requests in progress then have up to `grace_s` seconds to finish. Bodies over `max_body_bytes`
-    are refused with status 413.
+    are refused with status 413. An unexpected error is logged and ends only its own connection.
     """
     host, _, port = address.rpartition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=LISTEN_BACKLOG)
@@ -349,6 +357,8 @@
         connections.add(connection)
         try:
             await connection.async_run()
+        except Exception as err:
+            logs.exception("connection_failed", err)
         finally:
             connections.discard(connection)
 
--- a/tests/http/test_direct_server.py
+++ b/tests/http/test_direct_server.py
@@ -6,12 +6,13 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
+from unittest.mock import patch
 
 import trio
 
 from pistachiohill import clock
 from pistachiohill.http.app import async_send_response
-from pistachiohill.http.direct_server import async_serve_directly
+from pistachiohill.http.direct_server import MAX_RECEIVE_BYTES, RequestReader, async_serve_directly
 from pistachiohill.http.models import json_response
 from pistachiohill.http.origin import RequestOrigin
 
@@ -92,7 +93,9 @@
 
 
 @asynccontextmanager
-async def running_server(grace_s: float = 2.0) -> AsyncIterator[ServerHandle]:
+async def running_server(
+    grace_s: float = 2.0, max_body_bytes: int = MAX_BODY_BYTES
+) -> AsyncIterator[ServerHandle]:
     app, stopping = App(), trio.Event()
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listener.socket.getsockname()[1]
@@ -103,7 +106,7 @@
             await async_serve_directly(
                 app,
                 f"127.0.0.1:{port}",
-                MAX_BODY_BYTES,
+                max_body_bytes,
                 stopping,
                 grace_s,
                 task_status=task_status,
@@ -192,6 +195,40 @@
                     await async_read(stream, 0.01)
             self.assertIn(b"200 OK", await server.async_exchange(POST))
 
+    async def test_request_with_an_odd_target_and_more_bytes_does_not_stop_the_server(self) -> None:
+        """Reader and responder both have an error to send, in the same round of the event loop."""
+        head = b"PUT http:///a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+        for size in (MAX_RECEIVE_BYTES, 20000):  # the bytes that follow are read separately, or not
+            length = size - len(head) - len(b"00000\r\n\r\n")
+            data = head + b"%d\r\n\r\n" % length + b"\xff" * length + b"\x00\xff\xfe\x01\r\n\r\n"
+            async with running_server(max_body_bytes=MAX_RECEIVE_BYTES) as server:
+                for _ in range(20):
+                    async with await server.async_open() as stream:
+                        await stream.send_all(data)
+                        await async_read(stream, 0.01)
+                self.assertIn(b"200 OK", await server.async_exchange(POST))
+
+    async def test_response_beside_an_interim_response_does_not_stop_the_server(self) -> None:
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+        async with running_server() as server:
+            for rounds in range(20):
+                async with await server.async_open() as stream:
+                    await stream.send_all(GET)
+                    await trio.sleep(0.01)
+                    await stream.send_all(head)
+                    for _ in range(rounds):
+                        await trio.lowlevel.checkpoint()
+                    server.app.release.set()
+                    server.app.release = trio.Event()
+                    await async_read(stream, 0.02)
+            self.assertIn(b"200 OK", await server.async_exchange(POST))
+
+    async def test_unexpected_error_of_a_connection_does_not_stop_the_server(self) -> None:
+        async with running_server() as server:
+            with patch.object(RequestReader, "feed", side_effect=RuntimeError("on purpose")):
+                self.assertEqual(b"<end>", await server.async_exchange(POST))
+            self.assertIn(b"200 OK", await server.async_exchange(POST))
+
     async def test_application_is_notified_of_disconnect(self) -> None:
         async with running_server() as server:
             stream = await server.async_open()
