Agent: a start without an answer stays with its runner while it may be executed

Cause: lists and leases prove something of the runner's present process. The next one has seen no token, and the old lease's end is ahead on its clock.

Ruled out: starts that a next process refuses (refused by each process); a quicker list (the start may come first).

A refused connection is no proof for such a run.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -1,10 +1,14 @@
 """Target that runs tasks at a runner under a lease, with fencing tokens.
 
 All requests to the runner carry the agent's current fencing token. After an unanswered start the
-agent raises the token and lists the runner's runs. A response under the new token proves that no
-request under an older token will be executed any more, so a run that is not listed has not started
-and never will. It does the same after an unanswered hold with a lease, which might be executed
-later and prolong runs that should end.
+agent raises the token and lists the runner's runs. A response under the new token proves that this
+process of the runner will execute no request under an older token any more, so a run that is not
+listed has not started there and never will. After an unanswered hold with a lease it does the same,
+since the hold might be executed later and prolong runs that should end.
+
+The runner's next process has seen no token and may still execute an unanswered start. So the agent
+sends the start again to this runner, instead of reporting the task as not run. While the runner is
+silent, the run is not settled before the start can't be executed any more.
 
 Runs end when the lease expires; the agent renews it while the runner responds. When a response is
 missing, the agent stops renewing the lease. If the runner stays silent, its runs are only known to
@@ -31,6 +35,7 @@
     HOLD_WAIT_S,
     INITIAL_TOKEN_STEP,
     LATE_START_S,
+    MAX_STARTS_SENT,
     RETRY_DELAY_S,
     START_TIMEOUT_S,
     STOP_TIMEOUT_S,
@@ -441,13 +446,26 @@
         elif run.fencing_token is not None:
             if token < run.fencing_token:
                 return
-            if run.runner_restarted:
-                logs.warning("run_missing", task=run.call.task_id, run=run.call.run)
-            run.end_unlisted()
+            self._settle_unlisted(run)
         elif run.acknowledged_at_s is not None and run.acknowledged_at_s < sent_at_s:
             logs.warning("run_missing", task=run.call.task_id, run=run.call.run)
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
 
+    def _settle_unlisted(self, run: Run) -> None:
+        """Send an unresolved start again, as this process of the runner will not execute it.
+
+        If the runner has restarted, its earlier process may have executed the start.
+        """
+        if run.runner_restarted:
+            logs.warning("run_missing", task=run.call.task_id, run=run.call.run)
+            run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
+        elif run.starts_sent >= MAX_STARTS_SENT:
+            run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
+        else:
+            run.fencing_token = None
+            assert self._nursery is not None
+            self._nursery.start_soon(self._async_start, run)
+
     def _adopt_late_start(self, run: Run, now_s: float) -> None:
         """Monitor a run that the runner has started since its restart.
 
@@ -470,6 +488,7 @@
         if lease.until_clock_s is None:
             run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
             return
+        run.starts_sent += 1
         outcome = await self._runner_client.async_start(identity, run.call, lease, START_TIMEOUT_S)
         now_s = clock.boot_s()
         if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
@@ -498,7 +517,7 @@
             self._record_response(outcome.clock_s, now_s)
             run.acknowledged_at_s = now_s
             return
-        if isinstance(outcome, NotStarted):
+        if isinstance(outcome, NotStarted) and not run.is_unreachable(outcome, now_s):
             run.end(Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])
             logs.event(
                 "start_refused",
@@ -517,8 +536,9 @@
             task=run.call.task_id,
             run=run.call.run,
             token=token,
-            detail=outcome.detail,
+            detail=outcome,
         )
+        run.unsettled_until_s = now_s + LATE_START_S
         self._fence_start(run, token)
 
     def _fence_start(self, run: Run, token: int) -> None:
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -9,6 +9,7 @@
 from .const import STOP_CONFIRM_S
 from .models import (
     UNRESTRICTED,
+    NotStarted,
     RunEnd,
     RunName,
     RunPermission,
@@ -48,7 +49,9 @@
         result: How the run ended, None before.
         runner_restarted: Whether the runner has restarted since it was asked to start the run; only
             a list of the new incarnation shows whether that one has executed the start.
-        unsettled_until_s: Boot time until which the end of the lease does not settle the run.
+        starts_sent: How many times the start was sent.
+        unsettled_until_s: Boot time until which the end of the lease does not settle the run, as
+            the next process of the runner may execute an unanswered start.
         stop_requested_at_s: Boot time from which the runner has been asked to stop the run.
         done: Set together with the result.
         removed: Set when the call has returned, so that the task may be run again.
@@ -60,6 +63,7 @@
     fencing_token: int | None = None
     result: TargetResult | None = None
     runner_restarted: bool = False
+    starts_sent: int = 0
     unsettled_until_s: float = -math.inf
     stop_requested_at_s: float = math.inf
     done: trio.Event = field(factory=trio.Event)
@@ -75,18 +79,13 @@
         must_end_at_s = min(self.stop_requested_at_s, self.permission.ends_at_s())
         return self.result is None and now_s > must_end_at_s + STOP_CONFIRM_S
 
+    def is_unreachable(self, refusal: NotStarted, now_s: float) -> bool:
+        """Return whether the runner has gone while an earlier start may still be executed."""
+        unreachable = refusal.refusal == StartRefusal.UNREACHABLE
+        return unreachable and now_s < self.unsettled_until_s
+
     def end(self, verdict: Verdict, reason: RefusalReason | None) -> None:
         """Set the result, unless it is already set."""
         if self.result is None:
             self.result = TargetResult(verdict, reason)
             self.done.set()
-
-    def end_unlisted(self) -> None:
-        """Set the result of a run that is not listed under its fencing token.
-
-        If the runner has restarted, its earlier incarnation may have executed the start.
-        """
-        if self.runner_restarted:
-            self.end(Verdict.RAN, RefusalReason.TARGET_LOST)
-        else:
-            self.end(Verdict.NOT_RUN, RefusalReason.FENCED)
