Agent: the end of a lease settles no run whose start is under way

Cause: all leases known to the agent have ended, but the starts are under way to a process whose lease it doesn't know.

Ruled out: the lease sent with those starts (the old process would refuse it); late orders (none in the case).

Change: a run whose start has no outcome yet isn't settled by the end of the lease; the outcome shows the restart, and a list settles or adopts the run.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -489,7 +489,9 @@
             run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
             return
         run.starts_sent += 1
+        run.is_start_pending = True
         outcome = await self._runner_client.async_start(identity, run.call, lease, START_TIMEOUT_S)
+        run.is_start_pending = False
         now_s = clock.boot_s()
         if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
             self._handle_reset_clock(now_s)
@@ -639,7 +641,7 @@
 
     def _handle_lease_end(self, now_s: float) -> None:
         """End the runs whose lease must have expired, if there are any."""
-        runs = [run for run in self._runs.values() if now_s > run.unsettled_until_s]
+        runs = [run for run in self._runs.values() if run.ends_with_lease(now_s)]
         if runs:
             self._end_runs(runs, "lease ended")
             self._require_sync()
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -49,6 +49,7 @@
         result: How the run ended, None before.
         runner_restarted: Whether the runner has restarted since it was asked to start the run; only
             a list of the new incarnation shows whether that one has executed the start.
+        is_start_pending: Whether a start was sent whose outcome is not known yet.
         starts_sent: How many times the start was sent.
         unsettled_until_s: Boot time until which the end of the lease does not settle the run, as
             the next process of the runner may execute an unanswered start.
@@ -63,6 +64,7 @@
     fencing_token: int | None = None
     result: TargetResult | None = None
     runner_restarted: bool = False
+    is_start_pending: bool = False
     starts_sent: int = 0
     unsettled_until_s: float = -math.inf
     stop_requested_at_s: float = math.inf
@@ -79,6 +81,13 @@
         must_end_at_s = min(self.stop_requested_at_s, self.permission.ends_at_s())
         return self.result is None and now_s > must_end_at_s + STOP_CONFIRM_S
 
+    def ends_with_lease(self, now_s: float) -> bool:
+        """Return whether the end of every lease that the runner may have shows the run's end.
+
+        A start that is under way may reach the next process of the runner, whose lease isn't known.
+        """
+        return not self.is_start_pending and now_s > self.unsettled_until_s
+
     def is_unreachable(self, refusal: NotStarted, now_s: float) -> bool:
         """Return whether the runner has gone while an earlier start may still be executed."""
         unreachable = refusal.refusal == StartRefusal.UNREACHABLE
