Admission: the refusal of a late job without a forecast can be sent

Cause: only the first forecast was checked for being finite, not the second one for the class of late jobs.

Change: such a job is refused as overload, not run, with the usual Retry-After.

Measured: test_refusal_of_a_late_job_without_a_forecast_can_be_sent failed before, passes now.

--- a/pistachiohill/entry/admission.py
+++ b/pistachiohill/entry/admission.py
@@ -45,6 +45,9 @@
         if forecast.end_s - now_s > latency_goal_s(settings, forecast.run_s):
             # A job that will be late waits for all others of its priority.
             forecast = self._waiting.forecast(request, settings, now_s, Urgency.LATE)
+            if not math.isfinite(forecast.end_s):
+                detail = "no target takes more tasks of late jobs for now"
+                return refused_answer(RefusalReason.OVERLOAD, detail, RETRY_AFTER_S, count)
         limit_s = self._time_limit_s(request, settings, forecast.run_s)
         if forecast.end_s - now_s <= limit_s:
             return None
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -1,9 +1,15 @@
-"""Tests for the maximum time that a job waits for a first target."""
+"""Tests for the maximum time that a job waits for a first target, and for refusals."""
 
-from attrs import define
+import math
+from typing import Any
+
+from attrs import define, evolve
 
 from pistachiohill.entry.admission import Admission
-from pistachiohill.scheduling.urgency import MAX_LATENCY_FACTOR
+from pistachiohill.entry.waiting import Forecast
+from pistachiohill.errors import RefusalReason, Verdict
+from pistachiohill.http.models import Problem, problem_response
+from pistachiohill.scheduling.urgency import MAX_LATENCY_FACTOR, Urgency
 from pistachiohill.settings.models import JobSettings
 from pistachiohill.submissions.models import JobRequest, TaskSpec
 
@@ -20,6 +26,13 @@
     def longest_run_s(self, request: JobRequest) -> float:
         return RUN_S
 
+    def has_target(self, service: str) -> bool:
+        return True
+
+    def forecast(self, *args: Any) -> Forecast:
+        """Forecast a late end, and none for the class of late jobs."""
+        return Forecast(math.inf if Urgency.LATE in args else 100.0, RUN_S)
+
 
 class MaxTargetWaitTest(TestCase):
     def setUp(self) -> None:
@@ -39,3 +52,16 @@
     def test_job_with_a_short_deadline_does_not_wait(self) -> None:
         request = JobRequest("lofts", "stamp", REQUEST.tasks, deadline_s=0.3)
         self.assertEqual(0.0, self.admission.max_target_wait_s(request, JobSettings()))
+
+
+class RefusalTest(TestCase):
+    def test_refusal_of_a_late_job_without_a_forecast_can_be_sent(self) -> None:
+        """An infinite Retry-After can't be written, and the connection was closed without it."""
+        admission = Admission(StubWaiting())  # type: ignore[arg-type]
+        settings = JobSettings(slack_factor=1.6, target_latency_s=0.06)
+        answer = admission.check(REQUEST, settings, 0.0)
+        assert answer is not None
+        problem = Problem(503, RefusalReason.OVERLOAD, Verdict.NOT_RUN, answer.detail)
+        self.assertTrue(math.isfinite(answer.retry_after_s))
+        response = problem_response(evolve(problem, retry_after_s=answer.retry_after_s))
+        self.assertEqual("2", response.headers["retry-after"])
