Daemons: SIGHUP doesn't end a process that is just starting

Seen (review, by reading): SIGHUP before its handler is set up ends the process, by the default action of the signal.

Cause: the modules are imported before, which takes a few tenths of a second.

Change: the signal is ignored from the first step of the program on, and handled as before once the event loop runs. The settings are read later, so no change is missed. What is left is the start of the interpreter itself.

Measured: test_sighup_does_not_end_a_process_that_imports_its_modules failed before (ended by the signal), passes now.

--- a/pistachiohill/daemon/__main__.py
+++ b/pistachiohill/daemon/__main__.py
@@ -4,20 +4,25 @@
 import the command line's modules, which saves memory.
 """
 
+import signal
 import sys
 
-from .start import EXIT_INVALID, start_agent, start_entry
 
-STARTERS = {"entry": start_entry, "agent": start_agent}
+def main() -> None:
+    """Run the daemon named by the first argument.
 
+    SIGHUP is ignored until it is handled: by default it ends a process that still imports modules.
+    The settings are read after that, so that no change is missed.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from .start import EXIT_INVALID, start_agent, start_entry
 
-def main() -> None:
-    """Run the daemon named by the first argument."""
+    starters = {"entry": start_entry, "agent": start_agent}
     role, *files = sys.argv[1:] or [""]
-    if role not in STARTERS or len(files) > 1:
+    if role not in starters or len(files) > 1:
         print(__doc__, file=sys.stderr)
         sys.exit(EXIT_INVALID)
-    STARTERS[role](files[0] if files else "", {})
+    starters[role](files[0] if files else "", {})
 
 
 if __name__ == "__main__":
