--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -31,6 +31,10 @@
 PEER_TESTS = "tests/failures/test_bad_peers.py::BadPeerTest::"
 FOLLOW_TESTS = "tests/consortium/test_follow.py::FollowAfterOutageTest::"
 HTTP_CLIENT_TESTS = "tests/platform/test_http_client.py::HttpClientTest::"
+BEST_EFFORT_TESTS = "tests/entry/test_best_effort.py::"
+GIVEN_UP_TESTS = "tests/entry/test_dispatcher.py::GivenUpJobsTest::"
+ORIGIN_TESTS = "tests/http/test_direct_server.py::RequestOriginTest::"
+RUN_PROOFS_TESTS = "tests/agent/test_run_proofs.py::RunProofsTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
 
 MUTANTS = (
@@ -690,4 +694,129 @@
             ),
         ),
     ),
+    Mutant(
+        "a job's time limit counts from the reading of its request",
+        BEST_EFFORT_TESTS + "LateRequestTest::test_deadline_counts_from_the_arrival",
+        (
+            Edit(
+                "pistachiohill/entry/best_effort.py",
+                " - request.origin.age_s(now_s)\n",
+                "\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the connection of a job's caller is not looked at",
+        BEST_EFFORT_TESTS + "LateRequestTest::test_job_whose_caller_has_left_is_not_accepted",
+        (
+            Edit(
+                "pistachiohill/entry/best_effort.py",
+                "        elif job.has_caller_left():\n",
+                "        elif False:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "callers are not looked at before tasks are placed",
+        GIVEN_UP_TESTS + "test_waiting_tasks_of_a_caller_who_has_left_are_not_placed",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "        self.end_unwanted(now_s)\n" "        root",
+                "        root",
+            ),
+        ),
+    ),
+    Mutant(
+        "a lease is renewed before unwanted tasks are cancelled",
+        GIVEN_UP_TESTS + "test_lease_is_renewed_only_after_unwanted_tasks_were_cancelled",
+        (
+            Edit(
+                "pistachiohill/entry/agents.py",
+                "        self._check_renewal(now_s)\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "a request's wait in the listener's queue is not counted",
+        ORIGIN_TESTS + "test_age_includes_the_wait_in_the_queue_of_the_listener",
+        (
+            Edit(
+                "pistachiohill/http/direct_server.py",
+                "client_socket, queue_empty.seen_at_s)",
+                "client_socket, clock.boot_s())",
+            ),
+        ),
+    ),
+    Mutant(
+        "a request's wait in its socket is not counted",
+        ORIGIN_TESTS + "test_age_includes_a_pause_on_an_open_connection",
+        (
+            Edit(
+                "pistachiohill/http/direct_server.py",
+                "self._reader.feed(data, self._empty.seen_at_s)",
+                "self._reader.feed(data, clock.boot_s())",
+            ),
+        ),
+    ),
+    Mutant(
+        "jobs are accepted after the drain of a planned stop",
+        BEST_EFFORT_TESTS + "StopTest::test_no_job_is_accepted_once_the_drain_has_ended",
+        (
+            Edit(
+                "pistachiohill/entry/best_effort.py",
+                "        self._closed = True\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "an unexpected error of a connection ends the server",
+        "tests/http/test_direct_server.py::DirectServerTest::"
+        "test_unexpected_error_of_a_connection_does_not_stop_the_server",
+        (
+            Edit(
+                "pistachiohill/http/direct_server.py",
+                "        except Exception as err:\n"
+                '            logs.exception("connection_failed", err)\n',
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "a start that was fenced once is reported as not run",
+        RUN_PROOFS_TESTS + "test_start_that_was_fenced_is_not_carried_out_after_a_restart",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "        elif run.starts_sent >= MAX_STARTS_SENT:\n",
+                "        elif True:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run with an unanswered start is settled by the end of a lease",
+        RUN_PROOFS_TESTS
+        + "test_start_without_an_answer_is_not_carried_out_after_its_lease_and_a_restart",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "        run.unsettled_until_s = now_s + LATE_START_S\n" "        self._fence",
+                "        self._fence",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run whose start is under way is settled by the end of a lease",
+        "tests/agent/test_next_incarnation.py::NextIncarnationTest::"
+        "test_start_that_is_under_way_when_a_lease_has_ended_is_not_taken_for_ended",
+        (
+            Edit(
+                "pistachiohill/agent/run.py",
+                "return not self.is_start_pending and now_s",
+                "return now_s",
+            ),
+        ),
+    ),
 )
