Logs: one search by a caller's id or a task's name finds its runs

Change: every line on a placement, start, stop, end, query, cancellation or settling names its tasks as the platform does (KEY.0.0.INDEX). New: run_started, run_stopped, run_ended (runner, verdict, reason), task_stopped (entry, reason), tasks_received (entry, age of its lease), tasks_settled, task_presumed_ended.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -230,6 +230,7 @@
         try:
             await self._async_start(run)
             await run.done.wait()
+            self._log_end(run)
         finally:
             del self._runs[run.name]
             run.removed.set()
@@ -245,7 +246,7 @@
         name_used = False
         earlier = self._find_run_of(name.task_id)
         while earlier is not None:
-            logs.event("run_in_progress", task=name.task_id, run=name.run)
+            logs.event("run_in_progress", name=earlier.call.name, run=earlier.call.run)
             name_used |= earlier.name == name
             await earlier.removed.wait()
             earlier = self._find_run_of(name.task_id)
@@ -263,6 +264,7 @@
         if run is None or run.call is not call or run.stop_requested_at_s < math.inf:
             return
         run.stop_requested_at_s = clock.boot_s()
+        logs.event("run_stopped", name=call.name, run=call.run, runner=self._runner_id)
         assert self._nursery is not None
         self._nursery.start_soon(self._async_stop, run)
 
@@ -442,13 +444,13 @@
             if run.runner_restarted:
                 self._adopt_late_start(run, now_s)
             run.fencing_token = None
-            run.acknowledged_at_s = run.acknowledged_at_s or now_s
+            self._confirm_start(run, now_s)
         elif run.fencing_token is not None:
             if token < run.fencing_token:
                 return
             self._settle_unlisted(run)
         elif run.acknowledged_at_s is not None and run.acknowledged_at_s < sent_at_s:
-            logs.warning("run_missing", task=run.call.task_id, run=run.call.run)
+            logs.warning("run_missing", name=run.call.name, run=run.call.run)
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
 
     def _settle_unlisted(self, run: Run) -> None:
@@ -457,7 +459,7 @@
         If the runner has restarted, its earlier process may have executed the start.
         """
         if run.runner_restarted:
-            logs.warning("run_missing", task=run.call.task_id, run=run.call.run)
+            logs.warning("run_missing", name=run.call.name, run=run.call.run)
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
         elif run.starts_sent >= MAX_STARTS_SENT:
             run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
@@ -471,7 +473,7 @@
 
         The start's lease was meant for the previous incarnation's clock and may be the longest one.
         """
-        logs.event("late_start_found", task=run.call.task_id, run=run.call.run)
+        logs.event("late_start_found", name=run.call.name, run=run.call.run)
         run.runner_restarted = False
         self._lease.record_unknown_lease(now_s)
 
@@ -504,7 +506,7 @@
         Its next incarnation may have granted the longest lease, as the one that was requested was a
         time on the earlier clock.
         """
-        logs.event("runner_clock_reset", runner=self._identity.runner_id if self._identity else "")
+        logs.event("runner_clock_reset", runner=self._runner_id)
         self._lease.record_unknown_lease(now_s)
         self._ack_pending = False
         self._require_sync()
@@ -517,13 +519,13 @@
             return
         if isinstance(outcome, Started):
             self._record_response(outcome.clock_s, now_s)
-            run.acknowledged_at_s = now_s
+            self._confirm_start(run, now_s)
             return
         if isinstance(outcome, NotStarted) and not run.is_unreachable(outcome, now_s):
             run.end(Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])
             logs.event(
                 "start_refused",
-                task=run.call.task_id,
+                name=run.call.name,
                 run=run.call.run,
                 reason=outcome.refusal,
                 token=token,
@@ -535,7 +537,7 @@
             return
         logs.warning(
             "start_unanswered",
-            task=run.call.task_id,
+            name=run.call.name,
             run=run.call.run,
             token=token,
             detail=outcome,
@@ -586,7 +588,7 @@
             if isinstance(outcome, NoAnswer):
                 logs.event(
                     "stop_unanswered",
-                    task=run.call.task_id,
+                    name=run.call.name,
                     run=run.call.run,
                     stopping_s=clock.boot_s() - requested_at_s,
                 )
@@ -663,6 +665,30 @@
         self._signal_changed()
         self._signal_ready_changed()
 
+    @property
+    def _runner_id(self) -> str:
+        """Return the id of the runner in use for log lines, empty before any has answered."""
+        return self._identity.runner_id if self._identity is not None else ""
+
+    def _confirm_start(self, run: Run, now_s: float) -> None:
+        """Record that the runner has executed the start of a run."""
+        if run.acknowledged_at_s is not None:
+            return
+        run.acknowledged_at_s = now_s
+        logs.event("run_started", name=run.call.name, run=run.call.run, runner=self._runner_id)
+
+    def _log_end(self, run: Run) -> None:
+        assert run.result is not None
+        logs.event(
+            "run_ended",
+            name=run.call.name,
+            run=run.call.run,
+            runner=self._runner_id,
+            verdict=run.result.verdict,
+            reason=run.result.reason or "none",
+            starts_sent=run.starts_sent,
+        )
+
     def _end_runs(self, runs: list[Run], why: str) -> None:
         for run in runs:
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
--- a/pistachiohill/agent/models.py
+++ b/pistachiohill/agent/models.py
@@ -10,6 +10,7 @@
 
 from ..errors import RefusalReason, Verdict
 from ..scheduling.models import Demand
+from ..submissions.identifiers import task_name
 
 
 @frozen
@@ -35,6 +36,12 @@
     refusal_is_not_run: bool
     demand: Demand = Demand()
 
+    @property
+    def name(self) -> str:
+        """Return the name of the task in logs."""
+        job, _, index = self.task_id.rpartition("/")
+        return task_name(job, index)
+
 
 @frozen(eq=False)
 class RunPermission:
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -29,6 +29,7 @@
 )
 from ..scheduling.models import Demand
 from ..settings.models import AgentSettings
+from ..submissions.identifiers import task_name
 from .admission import start_refusal, submission_refusal
 from .const import (
     ENTRY_LEASE_S,
@@ -193,6 +194,7 @@
         record.best_effort = message.best_effort
         self._reports.subscribe(message.submission_id, link)
         refusal = self._batch_refusal(message, now_s)
+        _log_arrival(link, message, refusal, self.leases.age_s(link.peer_incarnation, now_s))
         for task in message.tasks:
             self._admit(record, link, refusal, message, task, now_s)
         due = self.leases.needs_renewal(link.peer_incarnation, now_s)
@@ -328,6 +330,7 @@
             logs.event(
                 "task_refused",
                 submission=record.submission_id,
+                name=_task_name(message, ref.index),
                 task=ref.index,
                 attempt=ref.attempt,
                 reason=refusal,
@@ -493,6 +496,7 @@
             logs.event(
                 "task_failed",
                 submission=task.record.submission_id,
+                name=task.call.name,
                 task=report.index,
                 attempt=report.attempt,
                 verdict=report.verdict,
@@ -505,6 +509,7 @@
             logs.event(
                 "task_ran",
                 submission=task.record.submission_id,
+                name=task.call.name,
                 task=report.index,
                 attempt=report.attempt,
                 waited_s=waited_s,
@@ -517,7 +522,9 @@
         """Stop the running best-effort tasks that match, and return their number."""
         found = [task for task in self._running if task.best_effort and predicate(task)]
         for task in found:
-            task.stop_reason = task.stop_reason or reason
+            if task.stop_reason is None:
+                task.stop_reason = reason
+                _log_stop(task)
             self._target_client.stop(task.call)
         return len(found)
 
@@ -544,6 +551,7 @@
         logs.event(
             "task_withdrawn",
             submission=task.record.submission_id,
+            name=task.call.name,
             task=task.ref.index,
             attempt=task.ref.attempt,
             reason=reason,
@@ -572,6 +580,35 @@
         self._load_changed = trio.Event()
 
 
+def _log_arrival(
+    link: Link, message: StartTasks, refusal: RefusalReason | None, lease_age_s: float
+) -> None:
+    logs.event(
+        "tasks_received",
+        submission=message.submission_id,
+        entry=link.peer_incarnation,
+        names=",".join(_task_name(message, task.index) for task in message.tasks),
+        attempts=",".join(str(task.attempt) for task in message.tasks),
+        refusal=refusal or "none",
+        lease_age_s=lease_age_s,
+    )
+
+
+def _log_stop(task: AdmittedTask) -> None:
+    logs.event(
+        "task_stopped",
+        submission=task.record.submission_id,
+        name=task.call.name,
+        attempt=task.ref.attempt,
+        entry=task.reservation.owner,
+        reason=task.stop_reason,
+    )
+
+
+def _task_name(message: StartTasks, index: int) -> str:
+    return task_name(message.job_key or message.submission_id, index)
+
+
 def _target_call(message: StartTasks, task: TaskStart, demand: Demand) -> TargetCall:
     name = message.job_key or message.submission_id
     return TargetCall(
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -145,17 +145,22 @@
 
         Cancellations are repeated, since they may have been lost with the previous link.
         """
-        by_submission: dict[str, list[TaskRef]] = {}
-        cancelled: set[str] = set()
-        for (submission_id, index), (submission, task) in agent.outstanding.items():
-            by_submission.setdefault(submission_id, []).append(TaskRef(index, task.attempt))
-            if submission.failure is not None:
-                cancelled.add(submission_id)
-        for submission_id in cancelled:
-            self._send_cancellation(agent, submission_id)
-        for submission_id, refs in by_submission.items():
-            logs.event("tasks_queried", submission=submission_id, tasks=len(refs))
+        placed: dict[str, list[tuple[Submission, Task]]] = {}
+        for (submission_id, _), item in agent.outstanding.items():
+            placed.setdefault(submission_id, []).append(item)
+        for submission_id, items in placed.items():
+            if items[0][0].failure is not None:
+                self._send_cancellation(agent, submission_id)
+        for submission_id, items in placed.items():
+            logs.event(
+                "tasks_queried",
+                submission=submission_id,
+                agent=agent.incarnation,
+                names=_names(items),
+                attempts=",".join(str(task.attempt) for _, task in items),
+            )
             if agent.link is not None:
+                refs = [TaskRef(task.index, task.attempt) for _, task in items]
                 agent.link.send(QueryTasks(submission_id, refs))
 
     def agent_changed(self, agent: Agent, now_s: float) -> None:
@@ -183,6 +188,13 @@
         for submission, task in list(agent.outstanding.values()):
             if submission.settings.best_effort != best_effort:
                 continue
+            logs.event(
+                "task_presumed_ended",
+                submission=submission.submission_id,
+                name=submission.task_name(task.index),
+                attempt=task.attempt,
+                agent=agent.incarnation,
+            )
             report = TaskReport(
                 task.index,
                 task.attempt,
@@ -195,12 +207,16 @@
 
     def tasks_reported(self, agent: Agent, message: TaskReports, now_s: float) -> None:
         """Settle reported tasks and forward the reports to the listeners."""
+        settled: list[tuple[Submission, TaskReport]] = []
         for report in message.reports:
             placed = agent.outstanding.get((message.submission_id, report.index))
             if placed is None or placed[1].attempt != report.attempt:
                 self._accounting.record_wasted("duplicate")
                 continue
+            settled.append((placed[0], report))
             self._settle(agent, placed[0], placed[1], report, now_s)
+        if settled:
+            _log_settled(agent, settled)
         for listener in self._listeners:
             listener.tasks_reported(agent, message, now_s)
         self._wakeup.set()
@@ -246,6 +262,7 @@
         logs.event(
             "tasks_placed",
             submission=submission.submission_id,
+            names=",".join(submission.task_name(task.index) for task in tasks),
             agent=agent.incarnation,
             domain=agent.domain,
             tasks=",".join(f"{task.index}.{task.attempt}" for task in tasks),
@@ -328,6 +345,7 @@
         logs.event(
             "task_again",
             submission=submission.submission_id,
+            name=submission.task_name(task.index),
             task=task.index,
             attempt=task.attempt,
             agent=agent.incarnation,
@@ -379,11 +397,12 @@
 
     def _send_cancellation(self, agent: Agent, submission_id: str) -> None:
         """Cancel a submission at an agent; without a link, it is cancelled when one is opened."""
+        placed = [item for key, item in agent.outstanding.items() if key[0] == submission_id]
         logs.event(
             "tasks_cancelled",
             submission=submission_id,
             agent=agent.incarnation,
-            tasks=sum(key[0] == submission_id for key in agent.outstanding),
+            names=_names(placed),
             linked=agent.link is not None,
         )
         if agent.link is not None:
@@ -469,3 +488,19 @@
         for submission_id in expired:
             del self.submissions[submission_id]
         return len(expired)
+
+
+def _names(placed: list[tuple[Submission, Task]]) -> str:
+    return ",".join(submission.task_name(task.index) for submission, task in placed)
+
+
+def _log_settled(agent: Agent, settled: list[tuple[Submission, TaskReport]]) -> None:
+    """Log the reports of one message, which are of one submission."""
+    logs.event(
+        "tasks_settled",
+        submission=settled[0][0].submission_id,
+        names=",".join(submission.task_name(report.index) for submission, report in settled),
+        agent=agent.incarnation,
+        attempts=",".join(str(report.attempt) for _, report in settled),
+        outcomes=",".join(report.reason or report.verdict for _, report in settled),
+    )
--- a/pistachiohill/explain/timeline.py
+++ b/pistachiohill/explain/timeline.py
@@ -86,6 +86,5 @@
     submission = line.text("submission")
     if submission:
         return keys.get(submission, submission)
-    # Requests to a runner name a task as JOB/INDEX.
-    job, slash, _ = line.text("task").partition("/")
-    return job if slash else ""
+    # Lines on requests to a runner name the task only: JOB.OCCURRENCE.STEP.INDEX.
+    return line.text("name").rpartition(".")[0].rpartition(".")[0].rpartition(".")[0]
--- a/pistachiohill/platform/runner_client.py
+++ b/pistachiohill/platform/runner_client.py
@@ -22,6 +22,7 @@
     Stopping,
     TargetCall,
 )
+from ..submissions.identifiers import task_name
 from .address import parse_runner_address
 from .const import (
     HEADER_TARGET_INSTANCE,
@@ -140,12 +141,9 @@
 
 
 def encode_task_id(task_id: str) -> str:
-    """Convert a task id to the platform's format: job, occurrence, step and index.
-
-    Occurrence and step are always 0, because jobs have a single occurrence and a single step here.
-    """
+    """Convert a task id to the platform's format: job, occurrence, step and index."""
     job, _, index = task_id.rpartition("/")
-    return f"{job}.0.0.{index}"
+    return task_name(job, index)
 
 
 def decode_task_id(name: str) -> str:
--- a/pistachiohill/submissions/identifiers.py
+++ b/pistachiohill/submissions/identifiers.py
@@ -33,6 +33,15 @@
     tag: str
 
 
+def task_name(job: str, index: int | str) -> str:
+    """Return the name of a task in logs and at runners, such as `5c0e7a21d94b36f8.0.0.17`.
+
+    It consists of the job's key (or its submission id), occurrence, step and index. Occurrence and
+    step are always 0, because jobs have a single occurrence and a single step here.
+    """
+    return f"{job}.0.0.{index}"
+
+
 def new_incarnation() -> str:
     """Return a random name for a process, unique across all processes and restarts."""
     return secrets.token_hex(_INCARNATION_BYTES)
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -13,7 +13,7 @@
 from ..scheduling.models import Demand
 from ..scheduling.urgency import Urgency
 from ..settings.models import JobSettings
-from .identifiers import parse_submission_id
+from .identifiers import parse_submission_id, task_name
 
 
 @frozen
@@ -163,6 +163,10 @@
     answer: JobAnswer | None = None
     done: trio.Event = field(factory=trio.Event)
 
+    def task_name(self, index: int) -> str:
+        """Return the name of one of its tasks in logs."""
+        return task_name(self.request.key or self.submission_id, index)
+
     @property
     def has_certainly_not_run(self) -> bool:
         """Return whether all tasks wait, and no start of any of them is unaccounted for."""
--- a/tests/explain/test_cause.py
+++ b/tests/explain/test_cause.py
@@ -129,7 +129,7 @@
         self.assertIsNone(find_timeline(timelines, "0000000000000000"))
 
     def test_requests_to_a_runner_are_in_the_timeline(self) -> None:
-        unanswered = line(1.1, "agent1", "start_unanswered", task=f"{KEY}/0", run=1, token=7)
+        unanswered = line(1.1, "agent1", "start_unanswered", name=f"{KEY}.0.0.0", run=1, token=7)
         timelines = build_timelines([accepted(), unanswered])
         self.assertEqual(2, len(timelines[KEY].lines))
 
