Entry: a job that was sent to another entry is released before it runs there

Cause: an entry that doesn't see its caller leave (a close that is lost, late or never sent) goes on with the job, and the entry that gets it again knows nothing of that. Class: acting on one's own knowledge alone where another process may hold the same work.

Ruled out by runs on real processes: a caller that closes or resets (0 overlaps), by reading: runs matched by name (a runner refuses the number of an ended run, and a list asked for under an earlier identity is dropped).

Change: entries tell each other the keys of jobs held for 0.6 s; an entry that gets such a job asks the holder to release it and waits until its runs have ended. A holder that doesn't answer, was killed or has ended is waited for until its runs have ended without it, and 0.1 s more for late timers.

Why it works: a caller sends a job again 1.3 s after it gave it up, so the key was announced before; a release is answered only when no task is outstanding.

The test now has six tasks in place of three, as both entries may choose the same agents, where the second run waits.

--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -22,6 +22,7 @@
 from ..entry.caller_api import CallerApi
 from ..entry.dispatcher import Dispatcher
 from ..entry.fairness import FairnessReporter
+from ..entry.job_holders import JobHolders
 from ..entry.metrics import EntryMetrics
 from ..entry.operator_api import OperatorApi
 from ..entry.peers import PeerDirectory
@@ -90,9 +91,18 @@
             self.accounting,
         )
         admission = Admission(self.dispatcher.waiting)
+        self.holders = JobHolders(self.peers)
         self.jobs = BestEffortJobs(
-            issuer, view, self.dispatcher, admission, self.accounting, clock.boot_s()
+            issuer,
+            view,
+            self.dispatcher,
+            admission,
+            self.accounting,
+            clock.boot_s(),
+            self.holders,
         )
+        self.holders.set_jobs(self.jobs)
+        self.peers.set_listener(self.holders)
         self.routes = RouteTable(view)
         self.peers.set_handlers(
             self.submissions.async_answer_forward,
@@ -154,6 +164,7 @@
         """Start the components that every entry needs."""
         await self.nursery.start(self.peers.async_serve)
         self.nursery.start_soon(self.peers.async_run)
+        self.nursery.start_soon(self.holders.async_run)
         self.nursery.start_soon(self.directory.async_run, self.dispatcher)
         self.nursery.start_soon(self.dispatcher.async_run)
         self.nursery.start_soon(self._async_expire)
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -34,6 +34,7 @@
     STARTUP_RECHECK_S,
 )
 from .dispatcher import Dispatcher
+from .job_holders import Holding, JobHolders, Release
 
 
 @define(eq=False)
@@ -60,6 +61,16 @@
         """Return whether the callers of all waiting requests have closed their connections."""
         return all(origin.has_left() for origin in self.waiting)
 
+    def age_s(self, now_s: float) -> float:
+        """Return the age of the newest request."""
+        return min((origin.age_s(now_s) for origin in self.waiting), default=math.inf)
+
+    @property
+    def is_answered(self) -> bool:
+        """Return whether the job was refused or answered."""
+        answered = self.submission is not None and self.submission.answer is not None
+        return answered or self.refusal is not None
+
 
 class BestEffortJobs:
     """Accepts, answers and cancels best-effort jobs."""
@@ -72,8 +83,13 @@
         admission: Admission,
         accounting: Accounting,
         started_at_s: float,
+        holders: JobHolders,
     ) -> None:
-        """Initialize without jobs; `started_at_s` is the boot time at which this entry started."""
+        """Initialize without jobs; `started_at_s` is the boot time at which this entry started.
+
+        `holders` knows which jobs other entries hold.
+        """
+        self._holders = holders
         self._startup_ends_at_s = started_at_s + STARTUP_GRACE_S
         self._stop_at_s = math.inf
         self._closed = False
@@ -127,6 +143,42 @@
     def _accepted(self) -> list[Submission]:
         return [job.submission for job in self._jobs.values() if job.submission is not None]
 
+    def held_keys(self, before_s: float) -> set[str]:
+        """Return the keys of jobs accepted before a boot time whose tasks may run."""
+        items = [(key, job.submission) for key, job in self._jobs.items()]
+        items += self._ending.items()
+        return {
+            key
+            for key, submission in items
+            if submission is not None
+            and submission.submitted_at_s < before_s
+            and (submission.answer is None or submission.outstanding > 0)
+        }
+
+    def age_s(self, key: str, now_s: float) -> float | None:
+        """Return the age of the newest request for a job in progress, None if there is none."""
+        job = self._jobs.get(key)
+        if job is None or job.submission is None or job.is_answered:
+            return None
+        return job.age_s(now_s)
+
+    def release(self, key: str, age_s: float, entry: str, now_s: float) -> Release:
+        """Cancel a job that a caller has sent to another entry, unless it has a newer request.
+
+        `age_s` is the age of the request to the other entry, whose incarnation is `entry`.
+        """
+        job = self._jobs.get(key)
+        if job is not None and not job.is_answered:
+            if job.age_s(now_s) < age_s:
+                logs.event("job_kept", key=key, entry=entry, age_s=job.age_s(now_s))
+                return Release.KEPT
+            logs.event("job_sent_elsewhere", key=key, entry=entry, age_s=age_s)
+            if job.submission is None:
+                job.refusal = _sent_elsewhere(0)
+            else:
+                self._dispatcher.cancel(job.submission, now_s, RefusalReason.SENT_ELSEWHERE)
+        return Release.ENDING if key in self.held_keys(now_s) else Release.ENDED
+
     def cancel(self, key: str) -> bool:
         """Cancel a job; return whether it was in progress at this entry."""
         submission = self.find(key)
@@ -147,8 +199,8 @@
         job = self._jobs.setdefault(request.key, KeyedJob())
         job.waiting.append(origin)
         try:
-            await self._async_wait_for_earlier_runs(job, request, settings)
             await self._async_wait_for_target(job, request, settings)
+            await self._async_wait_for_earlier_runs(job, request, settings)
             if not job.decided:
                 self._decide(job, request, settings, clock.boot_s())
             if job.refusal is not None:
@@ -164,9 +216,19 @@
     async def _async_wait_for_earlier_runs(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings
     ) -> None:
-        """Delay a job that is sent again until its earlier runs are known to have ended."""
+        """Delay a job that is sent again until its earlier runs are known to have ended.
+
+        They may be runs of this entry or of another one.
+        """
         wait_started_s = now_s = clock.boot_s()
-        while not (job.decided or self._closed) and self._has_earlier_runs(request.key):
+        while not (job.decided or self._closed):
+            holding = self._holding(request, now_s)
+            if holding == Holding.FREE:
+                break
+            if holding == Holding.KEPT:
+                job.refusal = _sent_elsewhere(len(request.tasks))
+                self._record_refusal(request, job.refusal, now_s)
+                return
             if _time_left_s(request, settings, now_s) <= 0.0:
                 detail = "its earlier runs did not end in time"
                 job.refusal = refused_answer(RefusalReason.DEADLINE, detail, RETRY_AFTER_S)
@@ -176,10 +238,12 @@
             now_s = clock.boot_s()
         _log_wait(request, now_s - wait_started_s)
 
-    def _has_earlier_runs(self, key: str) -> bool:
-        """Return whether an earlier job with a key may still have runs at agents."""
-        submission = self._ending.get(key)
-        return submission is not None and submission.outstanding > 0
+    def _holding(self, request: JobRequest, now_s: float) -> Holding:
+        """Return whether an earlier job with the same key may still have runs at agents."""
+        submission = self._ending.get(request.key)
+        if submission is not None and submission.outstanding > 0:
+            return Holding.HELD
+        return self._holders.check(request.key, request.origin.age_s(now_s), now_s)
 
     async def _async_wait_for_target(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings
@@ -296,6 +360,11 @@
     return evolve(request, deadline_s=_time_left_s(request, settings, now_s))
 
 
+def _sent_elsewhere(task_count: int) -> JobAnswer:
+    detail = "its caller has sent it to another entry since"
+    return refused_answer(RefusalReason.SENT_ELSEWHERE, detail, RETRY_AFTER_S, task_count)
+
+
 def _log_wait(request: JobRequest, waited_s: float) -> None:
     if waited_s > 0.0:
         logs.event("job_waited", key=request.key, waited_s=waited_s)
--- a/pistachiohill/entry/const.py
+++ b/pistachiohill/entry/const.py
@@ -29,3 +29,11 @@
 CANCEL_REPORT_S: Final = 0.4  # for the agents' reports on tasks that are cancelled at a stop
 RETRY_AFTER_S: Final = 1.0
 MAX_IDS_PER_REQUEST: Final = 1000
+# Jobs held by several entries (job_holders). A caller sends a job again 1.3 s after it gave it up.
+HELD_AFTER_S: Final = 0.6  # most jobs end sooner
+HELD_TICK_S: Final = 0.1
+HELD_REPEAT_S: Final = 5.0
+HELD_RETENTION_S: Final = 16.0  # three repetitions
+RELEASE_POLL_S: Final = 0.01
+LATE_TIMERS_S: Final = 0.1  # of processes that are short of processor time
+RELEASE_REPEAT_S: Final = 0.2
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -29,10 +29,13 @@
     HelloReply,
     IdsReply,
     IdsRequest,
+    JobReleased,
+    JobsHeld,
     MemberCounters,
     Message,
     PeerView,
     ProcessRecord,
+    ReleaseJob,
     StateReply,
     StateRequest,
 )
@@ -83,6 +86,25 @@
 ForwardHandler = Callable[[Forward], Awaitable[ForwardReply]]
 
 
+class PeerListener:
+    """Interface for what other entries say about best-effort jobs; `entry` is an incarnation."""
+
+    def peer_linked(self, entry: str, now_s: float) -> None:
+        """Handle a newly opened link."""
+
+    def peer_unlinked(self, entry: str, received_at_s: float, now_s: float) -> None:
+        """Handle the end of a link on which the last message arrived at `received_at_s`."""
+
+    def jobs_held(self, entry: str, message: JobsHeld, now_s: float) -> None:
+        """Handle a change of the jobs that an entry holds."""
+
+    def release_requested(self, entry: str, message: ReleaseJob, now_s: float) -> None:
+        """Handle the request to release a job."""
+
+    def job_released(self, entry: str, message: JobReleased, now_s: float) -> None:
+        """Handle the answer to such a request."""
+
+
 class PeerDirectory:
     """All links to other entries, whichever side opened them."""
 
@@ -113,6 +135,11 @@
         self._async_forward_handler: ForwardHandler | None = None
         self._member_counters: Callable[[], list[MemberCounters]] = list
         self._issue_ids: Callable[[str, int], list[str]] = lambda _member, _count: []
+        self._listener = PeerListener()
+
+    def set_listener(self, listener: PeerListener) -> None:
+        """Set the receiver of messages about best-effort jobs."""
+        self._listener = listener
 
     def set_handlers(
         self,
@@ -293,10 +320,13 @@
         logs.event("peer_linked", peer=peer.link.peer_incarnation)
         self._send_view(peer, clock.boot_s())
         self._view.notify()
+        self._listener.peer_linked(peer.link.peer_incarnation, clock.boot_s())
         try:
             await peer.link.async_run(lambda message, now_s: self._handle(message, peer, now_s))
         finally:
             self.peers.remove(peer)
+            entry, received_at_s = peer.link.peer_incarnation, peer.link.received_at_s
+            self._listener.peer_unlinked(entry, received_at_s, clock.boot_s())
             for pending in self._pending.values():
                 if pending.link is peer.link:
                     pending.done.set()
@@ -347,6 +377,18 @@
                 view_age_s=view_age_s,
             )
 
+    @_handle.register
+    def _(self, message: JobsHeld, peer: Peer, now_s: float) -> None:
+        self._listener.jobs_held(peer.link.peer_incarnation, message, now_s)
+
+    @_handle.register
+    def _(self, message: ReleaseJob, peer: Peer, now_s: float) -> None:
+        self._listener.release_requested(peer.link.peer_incarnation, message, now_s)
+
+    @_handle.register
+    def _(self, message: JobReleased, peer: Peer, now_s: float) -> None:
+        self._listener.job_released(peer.link.peer_incarnation, message, now_s)
+
     @_handle.register
     def _(self, message: CountersRequest, peer: Peer, now_s: float) -> None:
         peer.link.send(CountersReply(message.request_id, self._member_counters()))
--- a/pistachiohill/errors.py
+++ b/pistachiohill/errors.py
@@ -32,6 +32,7 @@
     OVERLOAD = "overload"
     OWNER_LOST = "owner_lost"
     SEALED = "sealed"
+    SENT_ELSEWHERE = "sent_elsewhere"
     STALE_VIEW = "stale_view"
     STOPPING = "stopping"
     TARGET_FAILED = "target_failed"
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -677,6 +677,85 @@
         )
 
 
+@define(slots=True)
+class JobReleased:
+    """Answers ReleaseJob.
+
+    Fields:
+        key: Key of the job.
+        released: Whether no task of the job runs at the sender; otherwise it keeps the job for
+            a newer request.
+    """
+
+    key: str
+    released: bool
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.key, self.released]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "JobReleased":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "JobReleased")
+        return cls(
+            key=wire.read_str(items[0]),
+            released=wire.read_bool(items[1]),
+        )
+
+
+@define(slots=True)
+class ReleaseJob:
+    """Asks an entry that holds a job to cancel it, because its caller has sent it to the sender.
+
+    Fields:
+        key: Key of the job.
+        age_s: Upper bound of the age of the caller's request to the sender in seconds.
+    """
+
+    key: str
+    age_s: float
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.key, self.age_s]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "ReleaseJob":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "ReleaseJob")
+        return cls(
+            key=wire.read_str(items[0]),
+            age_s=wire.read_float(items[1]),
+        )
+
+
+@define(slots=True)
+class JobsHeld:
+    """Tells other entries which best-effort jobs the sender has held for a while, so that they don't run them as well.
+
+    Fields:
+        keys: Keys of jobs whose tasks may run until the sender has released them.
+        released: Keys of jobs that were held and of which no task runs any more.
+    """
+
+    keys: list[str]
+    released: list[str]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.keys, self.released]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "JobsHeld":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "JobsHeld")
+        return cls(
+            keys=[wire.read_str(item) for item in wire.read_list(items[0])],
+            released=[wire.read_str(item) for item in wire.read_list(items[1])],
+        )
+
+
 @define(slots=True)
 class IdsReply:
     """Submission identifiers that the sender owns.
@@ -1392,6 +1471,9 @@
     | CountersReply
     | IdsRequest
     | IdsReply
+    | JobsHeld
+    | ReleaseJob
+    | JobReleased
     | EndRecord
     | AnnounceRecord
     | PublishRecord
@@ -1421,6 +1503,9 @@
     18: CountersReply,
     19: IdsRequest,
     20: IdsReply,
+    21: JobsHeld,
+    22: ReleaseJob,
+    23: JobReleased,
     39: EndRecord,
     40: AnnounceRecord,
     42: PublishRecord,
@@ -1450,6 +1535,9 @@
     CountersReply: 18,
     IdsRequest: 19,
     IdsReply: 20,
+    JobsHeld: 21,
+    ReleaseJob: 22,
+    JobReleased: 23,
     EndRecord: 39,
     AnnounceRecord: 40,
     PublishRecord: 42,
--- a/tests/entry/test_best_effort.py
+++ b/tests/entry/test_best_effort.py
@@ -16,9 +16,11 @@
 from pistachiohill.entry.accounting import Accounting
 from pistachiohill.entry.best_effort import BestEffortJobs
 from pistachiohill.entry.const import STARTUP_GRACE_S
+from pistachiohill.entry.job_holders import JobHolders
 from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.http.origin import RequestOrigin
+from pistachiohill.protocol.link import Link
 from pistachiohill.settings.models import JobSettings
 from pistachiohill.submissions.identifiers import IdIssuer
 from pistachiohill.submissions.models import (
@@ -85,6 +87,16 @@
         return
 
 
+class NoLinks:
+    """An entry that knows no other."""
+
+    def find_link(self, incarnation: str) -> Link | None:
+        return None
+
+    def incarnations(self) -> set[str]:
+        return set()
+
+
 def make_jobs(
     admission: StubAdmission, age_s: float, dispatcher: StubDispatcher | None = None
 ) -> tuple[BestEffortJobs, StubDispatcher]:
@@ -97,6 +109,7 @@
         admission,  # type: ignore[arg-type]
         Accounting(EntryMetrics()),
         clock.boot_s() - age_s,
+        JobHolders(NoLinks()),
     )
     return jobs, dispatcher
 
--- a/tests/failures/test_resent_jobs.py
+++ b/tests/failures/test_resent_jobs.py
@@ -13,7 +13,7 @@
 LEAVE_AFTER_S = 0.4
 RUN_S = 2.5
 DEADLINE_S = 8.0
-TASKS = 3
+TASKS = 6
 
 
 class ResentJobsTest(TestCase):
