Entries: links to all entries of the own failure domain, and among up to eleven

Ruled out: passing such messages on over the ring: each entry would get every key from each of its predecessors. The balancer sends a caller's retries to nodes of its own zone while any of them is ready.

Change: five links along the ring, and links to all entries of the own domain, each opened by one side. What remains: with more than eleven entries, a job that is sent again to another domain, as its own has no ready entry, while the first entry hasn't seen its caller leave.

--- a/pistachiohill/entry/agent_assignment.py
+++ b/pistachiohill/entry/agent_assignment.py
@@ -7,7 +7,9 @@
 entries disagree on a few links only, which is harmless.
 
 Entries exchange views over a ring in which each opens links to the next few; views pass from one
-to the other.
+to the other. What entries tell each other of the jobs that they hold doesn't pass on, so those of
+one failure domain are all linked: a caller reaches the entries of its own domain while any is
+ready. Up to eleven entries are all linked.
 
 This applies only where all jobs are best-effort. The recovery of an at-most-once submission queries
 every agent that may have accepted it, and a submission is forwarded to its owner, so there each
@@ -23,7 +25,7 @@
 Address = tuple[str, int]
 
 ENTRIES_PER_AGENT: Final = 4
-ENTRIES_DIALED: Final = 4
+ENTRIES_DIALED: Final = 5
 ALL_ENTRIES: Final = sys.maxsize
 MAX_CACHED_WEIGHTS: Final = 65536
 
@@ -62,6 +64,11 @@
     return set((following + preceding)[:count])
 
 
+def dialed_in_domain(own: Address, entries_of_domain: Iterable[Address]) -> set[Address]:
+    """Return the entries of its own domain to which an entry opens links; the others dial it."""
+    return {item for item in entries_of_domain if item > own}
+
+
 def _ring_position(address: Address) -> bytes:
     return _rendezvous_weight("ring", format_address(address))
 
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -42,7 +42,7 @@
 from ..protocol.websocket import WebSocket, async_connect, async_serve
 from ..settings.errors import SettingsError
 from ..settings.models import EntrySettings
-from .agent_assignment import ALL_ENTRIES, Address, dialed_entries, parse_address
+from .agent_assignment import ALL_ENTRIES, Address, dialed_entries, dialed_in_domain, parse_address
 from .const import (
     CHANGE_DELAY_S,
     PEER_CHECK_INTERVAL_S,
@@ -230,8 +230,17 @@
         announced = self._view.processes.addresses(Role.ENTRY, clock.wall_s())
         addresses = {parse_address(text) for text in self._settings.peers}
         addresses |= dialed_entries(own, announced, self._entries_dialed)
+        addresses |= dialed_in_domain(own, announced & self._addresses_in_domain())
         return addresses - {own}
 
+    def _addresses_in_domain(self) -> set[Address]:
+        """Return the addresses of the entries in this entry's failure domain."""
+        return {
+            (process.host, process.port)
+            for process in self._view.processes.live(Role.ENTRY)
+            if process.domain == self._settings.domain
+        }
+
     async def _async_exchange_views(self) -> None:
         """Send the view to all peers at regular intervals, and at once when it has changed.
 
--- a/tests/entry/test_agent_assignment.py
+++ b/tests/entry/test_agent_assignment.py
@@ -12,6 +12,7 @@
     ENTRIES_DIALED,
     ENTRIES_PER_AGENT,
     dialed_entries,
+    dialed_in_domain,
     is_served,
 )
 from pistachiohill.protocol.models import AnnounceRecord
@@ -80,3 +81,19 @@
                     entry.view.processes.announce(record, number, 0.0)
             self.assertEqual(len(AGENTS), len(standalone.directory.served_addresses()))
             self.assertLess(len(on_platform.directory.served_addresses()), len(AGENTS))
+
+    def test_up_to_eleven_entries_are_all_linked(self) -> None:
+        for count in (2, 10, 11):
+            addresses = [(f"10.1.0.{number}", 7720) for number in range(count)]
+            links = {
+                frozenset((item, other))
+                for item in addresses
+                for other in dialed_entries(item, addresses, ENTRIES_DIALED)
+            }
+            self.assertEqual(count * (count - 1) // 2, len(links))
+
+    def test_entries_of_one_domain_are_all_linked(self) -> None:
+        addresses = [(f"10.1.0.{number}", 7720) for number in range(40)]
+        links = [(item, other) for item in addresses for other in dialed_in_domain(item, addresses)]
+        self.assertEqual(40 * 39 // 2, len(links))
+        self.assertEqual(len(links), len({frozenset(pair) for pair in links}))
