Entry: an old request is accepted only when no other entry has a newer one

Cause: what is announced after a while can't cover a request that is accepted late. Ruled out by the logs: leases, agents and cancellations (all in order).

Change: a request that is over 1 s old when its job is to be accepted asks all linked entries first, and an entry that is asked for a job knows from then on that the asker holds it. A younger request can't have been sent again (1.3 s).

Measured: test_job_read_behind_another_does_not_run_while_a_newer_request_is_served failed before and passes; three unit tests. The age of a request that its path held back isn't known; docs/design/late-messages.md.

--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -28,6 +28,7 @@
 from .const import (
     CANCEL_REPORT_S,
     DRAIN_POLL_S,
+    OLD_REQUEST_S,
     RETRY_AFTER_S,
     STARTUP_GRACE_S,
     STARTUP_POLL_S,
@@ -221,6 +222,8 @@
         They may be runs of this entry or of another one.
         """
         wait_started_s = now_s = clock.boot_s()
+        if request.origin.age_s(now_s) > OLD_REQUEST_S:
+            self._holders.suspect_all(request.key, now_s)
         while not (job.decided or self._closed):
             holding = self._holding(request, now_s)
             if holding == Holding.FREE:
--- a/pistachiohill/entry/const.py
+++ b/pistachiohill/entry/const.py
@@ -31,6 +31,7 @@
 MAX_IDS_PER_REQUEST: Final = 1000
 # Jobs held by several entries (job_holders). A caller sends a job again 1.3 s after it gave it up.
 HELD_AFTER_S: Final = 0.6  # most jobs end sooner
+OLD_REQUEST_S: Final = 1.0  # younger ones have not been sent again
 HELD_TICK_S: Final = 0.1
 HELD_REPEAT_S: Final = 5.0
 HELD_RETENTION_S: Final = 16.0  # three repetitions
--- a/pistachiohill/entry/job_holders.py
+++ b/pistachiohill/entry/job_holders.py
@@ -12,6 +12,9 @@
 
 Of two requests for a job the newer one is served: its caller has given up the older one. A holder
 that doesn't answer is waited for until its runs have ended without it (`RUNS_END_S`).
+
+A request that is old when its job is to be accepted, since it waited behind another one or for a
+target, may have been sent again just now. So all other entries are asked first.
 """
 
 import math
@@ -126,6 +129,11 @@
 
     # Jobs that come to this entry
 
+    def suspect_all(self, key: str, now_s: float) -> None:
+        """Take all linked entries for holders of a job until they have answered."""
+        for entry in self._links.incarnations():
+            self._holders.setdefault(key, {}).setdefault(entry, Holder(now_s))
+
     def check(self, key: str, age_s: float, now_s: float) -> Holding:
         """Return whether a job may run at another entry, and ask its holders to release it.
 
@@ -220,9 +228,14 @@
                 self._ask(key, entry, holder, age_s, now_s)
 
     def release_requested(self, entry: str, message: ReleaseJob, now_s: float) -> None:
-        """Cancel a job whose caller has sent it to another entry, unless this one is newer."""
+        """Cancel a job whose caller has sent it to another entry, unless this one is newer.
+
+        That entry is going to hold the job.
+        """
         assert self._jobs is not None
         release = self._jobs.release(message.key, message.age_s, entry, now_s)
+        if release != Release.KEPT:
+            self._holders.setdefault(message.key, {})[entry] = Holder(now_s)
         if release == Release.ENDING:
             self._send(entry, JobsHeld([message.key], []))
             self._askers.add((message.key, entry))
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -1,16 +1,29 @@
 """A caller's own channel to an entry, which it can use, leave open, close or reset as it likes."""
 
 import json
+import re
 import socket
 import struct
 
 import trio
-from attrs import define
+from attrs import define, field, frozen
 
 from .platform_deployment import CALLER_HOST
 
 RESPONSE_BYTES = 65536
 NO_RESPONSE = 0  # status of a job whose channel ended, or that got no response in time
+LENGTH_PATTERN = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
+
+
+@frozen
+class JobReply:
+    """The response to a job: its HTTP status and the job's state."""
+
+    status: int
+    state: str = ""
+
+
+LOST = JobReply(NO_RESPONSE)
 
 
 @define(eq=False)
@@ -18,6 +31,7 @@
     """An open connection to an entry."""
 
     stream: trio.SocketStream
+    _received: bytearray = field(factory=bytearray)
 
     @classmethod
     async def async_open(cls, url: str) -> "CallerChannel":
@@ -36,15 +50,38 @@
         )
         await self.stream.send_all((head + body).encode())
 
-    async def async_read_status(self, timeout_s: float) -> int:
-        """Return the status of the next response, NO_RESPONSE if there is none in time."""
+    async def async_read_reply(self, timeout_s: float) -> JobReply:
+        """Return the next response, LOST if there is none in time."""
         with trio.move_on_after(timeout_s):
             try:
-                head = await self.stream.receive_some(RESPONSE_BYTES)
+                return await self._async_read()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return NO_RESPONSE
-            return int(head.split(b" ", 2)[1]) if head else NO_RESPONSE
-        return NO_RESPONSE
+                return LOST
+        return LOST
+
+    async def _async_read(self) -> JobReply:
+        while (end := self._received.find(b"\r\n\r\n")) < 0:
+            if not await self._async_receive():
+                return LOST
+        head = bytes(self._received[: end + 2])
+        length = LENGTH_PATTERN.search(head)
+        body_end = end + 4 + (int(length[1]) if length else 0)
+        while len(self._received) < body_end:
+            if not await self._async_receive():
+                return LOST
+        body = bytes(self._received[end + 4 : body_end])
+        del self._received[:body_end]
+        value = json.loads(body) if body else {}
+        return JobReply(int(head.split(b" ", 2)[1]), str(value.get("state", "")))
+
+    async def _async_receive(self) -> bool:
+        data = await self.stream.receive_some(RESPONSE_BYTES)
+        self._received += data
+        return bool(data)
+
+    async def async_read_status(self, timeout_s: float) -> int:
+        """Return the status of the next response, NO_RESPONSE if there is none in time."""
+        return (await self.async_read_reply(timeout_s)).status
 
     async def async_close(self) -> None:
         """Close the connection in order."""
--- a/tests/entry/test_job_holders.py
+++ b/tests/entry/test_job_holders.py
@@ -205,3 +205,27 @@
         self.assertEqual(Holding.HELD, pair.check(last_s + 0.1))
         pair.second.holders.announce(last_s + HELD_RETENTION_S + 1.0)
         self.assertEqual(Holding.FREE, pair.check(last_s + HELD_RETENTION_S + 1.0))
+
+    def test_an_old_request_waits_until_no_other_entry_has_a_newer_one(self) -> None:
+        pair = Pair()
+        pair.first.jobs.ages[KEY] = 0.1  # accepted just now, so it was not announced
+        pair.second.holders.suspect_all(KEY, 0.1)
+        self.assertEqual(Holding.HELD, pair.check(0.1, age_s=1.4))
+        self.assertEqual(Holding.KEPT, pair.check(0.12, age_s=1.4))
+
+    def test_an_old_request_whose_job_is_nowhere_else_waits_for_one_answer(self) -> None:
+        pair = Pair()
+        pair.first.jobs.accepted.clear()
+        pair.second.holders.suspect_all(KEY, 0.1)
+        self.assertEqual(Holding.HELD, pair.check(0.1, age_s=1.4))
+        self.assertEqual(Holding.FREE, pair.check(0.12, age_s=1.4))
+
+    def test_a_job_that_another_entry_asked_for_is_asked_back_from_it(self) -> None:
+        pair = Pair()
+        pair.first.jobs.accepted.clear()
+        pair.second.holders.suspect_all(KEY, 0.1)
+        pair.check(0.1, age_s=1.4)
+        pair.second.jobs.accepted[KEY], pair.second.jobs.ages[KEY] = 0.12, 1.42
+        self.assertEqual(Holding.HELD, pair.first.holders.check(KEY, 0.0, 0.15))
+        pair.deliver(0.15)
+        self.assertEqual({KEY}, pair.second.jobs.ending)
--- a/tests/failures/test_resent_jobs.py
+++ b/tests/failures/test_resent_jobs.py
@@ -82,3 +82,18 @@
             self.assertEqual([], await deployment.async_overlapping_runs(), deployment.directory)
             await first.async_close()
             await second.async_close()
+
+    async def test_job_read_behind_another_does_not_run_while_a_newer_request_is_served(
+        self,
+    ) -> None:
+        """The first entry accepts it just after the second did, which has told nobody yet."""
+        async with PlatformDeployment(PlatformSpec(cores=8)) as deployment:
+            ahead, key = secrets.token_hex(8), secrets.token_hex(8)
+            first = await CallerChannel.async_open(deployment.entries[0].url)
+            await first.async_send_job(ahead, 1, LEAVE_AFTER_S + RESEND_DELAY_S + 0.2, DEADLINE_S)
+            await first.async_send_job(key, TASKS, RUN_S, DEADLINE_S)
+            await trio.sleep(LEAVE_AFTER_S + RESEND_DELAY_S)
+            second = await self._async_send(deployment, 1, key)
+            await self._async_assert_completes(deployment, second)
+            await first.async_close()
+            await second.async_close()
