Soak: callers on their own channels, signals in series, late timers

New callers keep a channel until its process is gone, send jobs behind each other, and leave by a close, a reset or not at all before they send a job again to the next entry. New faults: planned stops of several processes in series that overlap, with SIGHUPs before and second signals during the drain, and processes that run only for 5 to 30 ms between pauses of 10 to 150 ms.

A second signal could hit the process that was started next; it no longer does.

--- a/experiments/soak.py
+++ b/experiments/soak.py
@@ -16,6 +16,7 @@
 
 from standins.platform_deployment import JobResponse, PlatformDeployment
 
+from .soak_callers import ChannelCallers
 from .soak_faults import EVACUATION_LIMIT_S, FaultInjector
 from .soak_plan import Plan, make_plan
 from .store_outage import async_check_change
@@ -50,6 +51,7 @@
         self._plan = plan
         self._deployment = PlatformDeployment(plan.spec)
         self._faults = FaultInjector(plan, self._deployment)
+        self._callers = ChannelCallers(self._deployment, plan.seed)
         self._answers: list[tuple[JobResponse, int, float]] = []
         self._pending = 0
         self._stopped = False
@@ -60,15 +62,16 @@
         async with self._deployment as deployment, trio.open_nursery() as nursery:
             nursery.start_soon(deployment.async_poll_readiness)
             nursery.start_soon(self._async_submit_jobs, nursery)
+            nursery.start_soon(self._callers.async_run)
             await self._faults.async_inject()
             await trio.sleep(QUIET_PERIOD_S)
-            self._stopped = True
+            self._stopped = self._callers.stopped = True
             await self._async_check_routes(findings)
             findings.violations += await async_check_change(deployment, self._plan.store_outage)
             await self._async_check_recovery(findings)
             await self._async_check_agents(findings)
             with trio.move_on_after(2 * max(DEADLINES_S) + ANSWER_TOLERANCE_S):
-                while self._pending:
+                while self._pending or self._callers.pending:
                     await trio.sleep(0.05)
             await self._async_check(findings)
             nursery.cancel_scope.cancel()
@@ -149,10 +152,12 @@
         findings.violations += [f"agent{index} does not accept tasks" for index in sorted(missing)]
 
     async def _async_check(self, findings: Findings) -> None:
-        findings.jobs = len(self._answers)
-        findings.completed = sum(answer.state == "completed" for answer, _, _ in self._answers)
-        if self._pending:
-            findings.violations.append(f"{self._pending} callers received no final answer")
+        answers = self._answers + self._callers.answers
+        findings.jobs = len(answers)
+        findings.completed = sum(answer.state == "completed" for answer, _, _ in answers)
+        pending = self._pending + self._callers.pending
+        if pending:
+            findings.violations.append(f"{pending} callers received no final answer")
         histories = await self._deployment.async_run_histories()
         for pair in await self._deployment.async_overlapping_runs():
             findings.violations.append(f"two concurrent runs of a task: {pair}")
@@ -163,7 +168,7 @@
             started_jobs.add(job)
             if run.outcome == "done":
                 finished_tasks.setdefault(job, set()).add(index)
-        for answer, tasks, deadline_s in self._answers:
+        for answer, tasks, deadline_s in answers:
             self._check_answer(findings, answer, tasks, deadline_s, finished_tasks, started_jobs)
         findings.violations += self._evacuation_violations(histories) + self._unexpected_exits()
         findings.violations += [
--- a/experiments/soak_faults.py
+++ b/experiments/soak_faults.py
@@ -1,6 +1,7 @@
 """Injects the faults of a soak plan into a deployment, and records what operators were promised."""
 
 import json
+import random
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -17,6 +18,11 @@
 OPERATOR_RETRY_S: Final = 0.2
 EVACUATION_LIMIT_S: Final = 5.0  # evacuateMs in the users' requirements
 LEAVE_SHARE: Final = 0.5  # of the new callers, while callers leave
+SERIES_GAP_S: Final = (0.05, 0.6)
+SIGHUP_SHARE: Final = 0.3  # of the processes of a series, which reload their settings first
+FORCED_SHARE: Final = 0.2  # of the processes of a series, whose drain a second signal ends
+PAUSED_S: Final = (0.01, 0.15)  # shorter than what a process takes for a stall
+RUNNING_S: Final = (0.005, 0.03)
 LATE_SHARE: Final = 0.3  # of the requests to a runner that carries out some of them late
 
 
@@ -88,6 +94,42 @@
         runner = self._deployment.agents[self._agent_index(fault)].runner
         await self.async_signal(fault, runner, signal.SIGKILL)
 
+    async def async_signal_series(self, fault: Fault) -> None:
+        """Stop several processes as planned, one soon after the other; some are signalled again."""
+        rng = random.Random(f"series {fault.index}")
+        processes: list[Process] = [*self._deployment.entries, *self._deployment.agents]
+        chosen = rng.sample(processes, rng.randint(2, min(5, len(processes))))
+        async with trio.open_nursery() as nursery:
+            for process in chosen:
+                if process.name in self._under_fault:
+                    continue
+                if rng.random() < SIGHUP_SHARE:
+                    process.signal(signal.SIGHUP)
+                stopped = process.popen
+                nursery.start_soon(self.async_signal, fault, process, signal.SIGTERM)
+                await trio.sleep(rng.uniform(*SERIES_GAP_S))
+                if rng.random() < FORCED_SHARE and process.popen is stopped:
+                    process.signal(signal.SIGTERM)
+
+    async def async_delay_timers(self, fault: Fault) -> None:
+        """Let some processes run only now and then, as on a machine short of processor time."""
+        rng = random.Random(f"timers {fault.index}")
+        processes: list[Process] = [*self._deployment.entries, *self._deployment.agents]
+        until_s = trio.current_time() + fault.duration_s
+        async with trio.open_nursery() as nursery:
+            for process in rng.sample(processes, rng.randint(1, len(processes))):
+                nursery.start_soon(self._async_run_now_and_then, process, until_s, rng.random())
+
+    async def _async_run_now_and_then(self, process: Process, until_s: float, seed: float) -> None:
+        if process.name in self._under_fault:
+            return
+        rng = random.Random(seed)
+        while trio.current_time() < until_s:
+            process.signal(signal.SIGSTOP)
+            await trio.sleep(rng.uniform(*PAUSED_S))
+            process.signal(signal.SIGCONT)
+            await trio.sleep(rng.uniform(*RUNNING_S))
+
     async def async_relay_fault(self, fault: Fault, restored: dict[str, Any], **mode: Any) -> None:
         """Inject network faults in front of an agent for the fault's duration."""
         index = self._agent_index(fault)
@@ -243,6 +285,8 @@
     FaultKind.LATE_ORDERS: lambda injector, f: injector.async_runner_fault(
         f, {"late_share": 0.0}, late_share=LATE_SHARE, late_lease_moves=False
     ),
+    FaultKind.SIGNAL_SERIES: FaultInjector.async_signal_series,
+    FaultKind.LATE_TIMERS: FaultInjector.async_delay_timers,
     FaultKind.LATE_GRANTS: lambda injector, f: injector.async_runner_fault(
         f, {"late_share": 0.0}, late_share=LATE_SHARE, late_lease_moves=True
     ),
--- a/experiments/soak_plan.py
+++ b/experiments/soak_plan.py
@@ -47,6 +47,8 @@
     REPLACED_RUNNER = "replaced_runner"
     LATE_ORDERS = "late_orders"
     LATE_GRANTS = "late_grants"
+    SIGNAL_SERIES = "signal_series"
+    LATE_TIMERS = "late_timers"
 
 
 SHORT_CUTS: Final = (FaultKind.REFUSE_CONNECT, FaultKind.RESET_LINKS, FaultKind.HOLD_BYTES)
@@ -57,11 +59,19 @@
     FaultKind.LATE_ORDERS,
     FaultKind.LATE_GRANTS,
 )
+PROCESS_KINDS: Final = (FaultKind.SIGNAL_SERIES, FaultKind.LATE_TIMERS)
 # Faults that a plan draws one by one; SILENCE_STORE comes with a change of the manifest.
 RANDOM_KINDS: Final = [
     kind
     for kind in FaultKind
-    if kind not in (FaultKind.SILENCE_STORE, FaultKind.CALLERS_LEAVE, *SHORT_CUTS, *RUNNER_KINDS)
+    if kind
+    not in (
+        FaultKind.SILENCE_STORE,
+        FaultKind.CALLERS_LEAVE,
+        *SHORT_CUTS,
+        *RUNNER_KINDS,
+        *PROCESS_KINDS,
+    )
 ]
 
 
@@ -107,6 +117,7 @@
     faults += _make_changes_after_silence(seed, fault_period_s)
     faults += _make_short_cuts(seed, count, fault_period_s)
     faults += _make_runner_faults(seed, fault_period_s)
+    faults += _make_process_faults(seed, fault_period_s)
     ordered = tuple(sorted(faults, key=lambda fault: fault.at_s))
     return Plan(seed, spec, ordered, make_outage(seed + 3))
 
@@ -150,3 +161,17 @@
         )
         for _ in range(rng.randint(1, 4))
     ]
+
+
+def _make_process_faults(seed: int, fault_period_s: float) -> list[Fault]:
+    """Return series of planned stops, and times in which processes are short of processor time."""
+    rng = random.Random(f"process faults {seed}")
+    return [
+        Fault(
+            rng.uniform(0.0, fault_period_s * 0.9),
+            rng.uniform(0.5, 4.0),
+            rng.choice(PROCESS_KINDS),
+            rng.randrange(1000),
+        )
+        for _ in range(rng.randint(1, 4))
+    ]
