--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -35,6 +35,8 @@
 GIVEN_UP_TESTS = "tests/entry/test_dispatcher.py::GivenUpJobsTest::"
 ORIGIN_TESTS = "tests/http/test_direct_server.py::RequestOriginTest::"
 RUN_PROOFS_TESTS = "tests/agent/test_run_proofs.py::RunProofsTest::"
+RESENT_TESTS = "tests/failures/test_resent_jobs.py::ResentJobsTest::"
+RELEASE_TESTS = "tests/entry/test_best_effort.py::ReleaseTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
 
 MUTANTS = (
@@ -819,4 +821,61 @@
             ),
         ),
     ),
+    Mutant(
+        "a job that another entry holds runs here as well",
+        RESENT_TESTS
+        + "test_job_does_not_run_at_two_entries_if_the_first_did_not_see_its_caller_leave",
+        (
+            Edit(
+                "pistachiohill/entry/best_effort.py",
+                "return self._holders.check(request.key, request.origin.age_s(now_s), now_s)",
+                "return Holding.FREE",
+            ),
+        ),
+    ),
+    Mutant(
+        "a job is released before its runs have ended",
+        RELEASE_TESTS + "test_a_job_is_released_only_when_its_runs_have_ended",
+        (
+            Edit(
+                "pistachiohill/entry/best_effort.py",
+                "return Release.ENDING if key in self.held_keys(now_s) else Release.ENDED",
+                "return Release.ENDED",
+            ),
+        ),
+    ),
+    Mutant(
+        "an older request takes a job from a newer one",
+        RELEASE_TESTS + "test_a_job_is_kept_for_a_newer_request",
+        (
+            Edit(
+                "pistachiohill/entry/best_effort.py",
+                "            if job.age_s(now_s) < age_s:\n",
+                "            if False:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "an old request is accepted without asking the other entries",
+        RESENT_TESTS + "test_job_read_behind_another_does_not_run_while_a_newer_request_is_served",
+        (
+            Edit(
+                "pistachiohill/entry/best_effort.py",
+                "        if request.origin.age_s(now_s) > OLD_REQUEST_S:\n",
+                "        if False:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a holder whose link is closed counts as ended at once",
+        "tests/entry/test_job_holders.py::JobHoldersTest::"
+        "test_a_holder_that_was_killed_is_waited_for_until_its_runs_have_ended",
+        (
+            Edit(
+                "pistachiohill/entry/job_holders.py",
+                "            return self._heard_at_s.get(entry, -math.inf)\n",
+                "            return -math.inf\n",
+            ),
+        ),
+    ),
 )
--- a/tests/entry/test_best_effort.py
+++ b/tests/entry/test_best_effort.py
@@ -16,7 +16,7 @@
 from pistachiohill.entry.accounting import Accounting
 from pistachiohill.entry.best_effort import BestEffortJobs
 from pistachiohill.entry.const import STARTUP_GRACE_S
-from pistachiohill.entry.job_holders import JobHolders
+from pistachiohill.entry.job_holders import JobHolders, Release
 from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.http.origin import RequestOrigin
@@ -83,8 +83,13 @@
         self.submitted.append(submission)
         submission.outstanding = 1
 
-    def cancel(self, submission: Submission, now_s: float) -> None:
-        return
+    def cancel(
+        self,
+        submission: Submission,
+        now_s: float,
+        reason: RefusalReason = RefusalReason.CANCELLED,
+    ) -> None:
+        submission.failure = reason
 
 
 class NoLinks:
@@ -198,6 +203,52 @@
         self.assertEqual(Verdict.NOT_RUN, answer.verdict)
 
 
+class ReleaseTest(TestCase):
+    """Jobs that a caller has sent to another entry."""
+
+    KEY = REQUEST.key
+
+    async def test_a_job_is_released_only_when_its_runs_have_ended(self) -> None:
+        dispatcher = PlacingDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        request = evolve(REQUEST, origin=RequestOrigin(clock.boot_s() - 0.5))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(jobs.async_run, request, SETTINGS)
+            await trio.sleep(0.05)
+            now_s = clock.boot_s()
+            self.assertEqual({self.KEY}, jobs.held_keys(now_s))
+            self.assertEqual(Release.ENDING, jobs.release(self.KEY, 0.0, "entry-2", now_s))
+            [submission] = dispatcher.submitted
+            self.assertEqual(RefusalReason.SENT_ELSEWHERE, submission.failure)
+            submission.answer = COMPLETE
+            self.assertEqual(Release.ENDING, jobs.release(self.KEY, 0.0, "entry-2", now_s))
+            submission.outstanding = 0
+            self.assertEqual(Release.ENDED, jobs.release(self.KEY, 0.0, "entry-2", now_s))
+            nursery.cancel_scope.cancel()
+
+    async def test_a_job_whose_caller_left_is_held_until_its_runs_have_ended(self) -> None:
+        dispatcher = PlacingDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        with trio.move_on_after(0.05):
+            await jobs.async_run(REQUEST, SETTINGS)
+        now_s = clock.boot_s()
+        self.assertEqual(Release.ENDING, jobs.release(self.KEY, 0.0, "entry-2", now_s))
+        dispatcher.submitted[0].answer = COMPLETE
+        dispatcher.submitted[0].outstanding = 0
+        self.assertEqual(Release.ENDED, jobs.release(self.KEY, 0.0, "entry-2", now_s))
+
+    async def test_a_job_is_kept_for_a_newer_request(self) -> None:
+        dispatcher = PlacingDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(jobs.async_run, REQUEST, SETTINGS)
+            await trio.sleep(0.05)
+            now_s = clock.boot_s()
+            self.assertEqual(Release.KEPT, jobs.release(self.KEY, 1.4, "entry-2", now_s))
+            self.assertIsNone(dispatcher.submitted[0].failure)
+            nursery.cancel_scope.cancel()
+
+
 class LateRequestTest(TestCase):
     """Jobs that were read long after they had been sent."""
 
