HTTP server: a refusal isn't lost when the client goes on sending

What callers saw: a broken pipe or a reset in place of the response 413 or 400. Cause: the connection was closed at once after the response, and a close with unread bytes, or bytes that arrive after it, resets it. Class: closing before the other side is done.

Change: after such a response the server ends its own direction and reads on, for 1 s at most, until the client closes.

--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -35,6 +35,7 @@
 MAX_RECEIVE_BYTES: Final = 65536
 MAX_PIPELINED_REQUESTS: Final = 16  # further unanswered requests end reading from the client
 SEND_TIMEOUT_S: Final = 10.0  # a client that takes longer to read a response is disconnected
+DISCARD_TIMEOUT_S: Final = 1.0
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 LISTEN_BACKLOG: Final = 1024
 # Errors of accepting a connection that pass once other connections or files are closed.
@@ -277,6 +278,20 @@
         if self._busy or self._reader.complete:
             return
         await self._async_send_error(status)
+        await self._async_discard()
+
+    async def _async_discard(self) -> None:
+        """Read what the client still sends, until it has seen the response.
+
+        Closing a connection with unread bytes resets it, and the response can be lost.
+        """
+        with trio.move_on_after(DISCARD_TIMEOUT_S):
+            try:
+                await self._stream.send_eof()
+                while await self._async_receive_some():
+                    pass
+            except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+                return
 
     async def _async_send_error(self, status: HTTPStatus) -> None:
         title = _reason_phrase(status)
--- a/tests/http/test_direct_server.py
+++ b/tests/http/test_direct_server.py
@@ -174,6 +174,20 @@
                 self.assertIn(b"not_run", response)
             self.assertEqual([], server.app.requests)
 
+    async def test_refusal_is_not_lost_if_the_client_goes_on_sending(self) -> None:
+        """Closing a connection with unread bytes resets it, and the client loses the response."""
+        async with running_server() as server:
+            for _ in range(5):
+                async with await server.async_open() as stream:
+                    await stream.send_all(b"GET /a HTTP/1.1\r\n" + b"X: y\r\n" * 6_000)
+                    await trio.sleep(0.05)
+                    for _ in range(3):
+                        await stream.send_all(b"X: y\r\n" * 3_000)
+                        await trio.sleep(0.02)
+                    response = await async_read(stream)
+                    self.assertIn(b"413", response)
+                    self.assertTrue(response.endswith(b"<end>"))
+
     async def test_malformed_input_gets_an_error_and_server_keeps_serving(self) -> None:
         rng = random.Random(SEED)
         async with running_server() as server:
