--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 import trio
-from attrs import frozen
 
+from standins.caller import CallerChannel
 from standins.platform_deployment import (
     CALLER_HOST,
     ROUTE,
@@ -67,29 +67,6 @@
         return self.answers
 
 
-@frozen(eq=False)
-class GivenUpJob:
-    """A job on a connection of its own, which is not read."""
-
-    key: str
-    stream: trio.SocketStream
-
-    @classmethod
-    async def async_send(cls, url: str) -> "GivenUpJob":
-        host, _, port = url.removeprefix("http://").rpartition(":")
-        key = secrets.token_hex(8)
-        step = {"count": 1, "cpu": 1000, "memMb": 16, "estDurationMs": 500}
-        job = {"spec": json.dumps({"run_s": 0.5}), "bestEffort": True, "steps": [step]}
-        body = json.dumps(job)
-        head = (
-            f"POST /stamp/{key} HTTP/1.1\r\nHost: {CALLER_HOST}\r\n"
-            f"X-Deadline-Ms: {int(GIVEN_UP_LIMIT_S * 1000)}\r\nContent-Length: {len(body)}\r\n\r\n"
-        )
-        stream = await trio.open_tcp_stream(host, int(port))
-        await stream.send_all((head + body).encode())
-        return cls(key, stream)
-
-
 class PlatformJobsTest(TestCase):
     @asynccontextmanager
     async def load(
@@ -186,15 +163,20 @@
             frozen = deployment.entries[0]
             await trio.sleep(1.0)
             frozen.signal(signal.SIGSTOP)
-            callers = [await GivenUpJob.async_send(frozen.url) for _ in range(GIVEN_UP_JOBS)]
+            callers = {
+                secrets.token_hex(8): await CallerChannel.async_open(frozen.url)
+                for _ in range(GIVEN_UP_JOBS)
+            }
+            for key, caller in callers.items():
+                await caller.async_send_job(key, 1, 0.5, GIVEN_UP_LIMIT_S)
             await trio.sleep(GIVEN_UP_LIMIT_S)
             if close:
-                for caller in callers:
-                    await caller.stream.aclose()
+                for caller in callers.values():
+                    await caller.async_close()
             await trio.sleep(1.0)
             frozen.signal(signal.SIGCONT)
             await trio.sleep(1.0)
-            given_up = tuple(caller.key for caller in callers)
+            given_up = tuple(callers)
             started = [
                 run.task
                 for history in await deployment.async_run_histories()
@@ -202,8 +184,8 @@
                 if run.task.startswith(given_up)
             ]
             self.assertEqual([], started, deployment.directory)
-            for caller in callers:
-                await trio.aclose_forcefully(caller.stream)
+            for caller in callers.values():
+                await caller.async_close()
 
     async def test_a_frozen_entry_starts_no_job_whose_caller_has_left(self) -> None:
         """The caller sends the job elsewhere, so that its tasks would run twice at once."""
