Tests: a returned domain has to run tasks when jobs need all cores

Two tests asked for a run in a domain within 2 or 3 s of its return, at a load that the other two agents can carry (2.4 of 8 cores). KNOWN-RED.txt had both: no such run at times, cause not traced.

Trace, with the factors that tasks_placed logs: the returned target had 2 to 12 of 48 tasks in six runs, fewest where its learned factor was 1.00 to 1.01 against 0.98 of the others. Placing at the targets that are expected to end first is the policy; at this load nothing makes it use the third one. So the check was wrong, not the product.

Now jobs that need all twelve cores are sent until the same limits, all of them have to complete, and the domain must have begun a run within the limit: a fault that keeps it unused fails the test whatever the factors are.

Their entries stay in KNOWN-RED.txt until runs at load 20 have shown it.

--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -28,6 +28,9 @@
 CONFIG_LIMIT_S = 2.0  # configApplyMs in the users' requirements
 EVACUATION_LIMIT_S = 5.0  # evacuateMs in the users' requirements
 DRAIN_LIMIT_S = 2.0  # drainMs in the users' requirements
+RETURN_LIMIT_S = 2.0  # from the return of a domain to its first run
+RESTART_LIMIT_S = 3.0  # from the start of an agent to its first run
+ALL_CORES = 12  # of the three agents
 # The load balancer sends new callers until two checks, one a second, have failed; an entry waits
 # 2.3 s for that.
 UNREADY_LIMIT_S = 0.3
@@ -83,6 +86,19 @@
             self.assertEqual([], await deployment.async_overlapping_runs(), deployment.directory)
             nursery.cancel_scope.cancel()
 
+    async def _async_assert_serves(
+        self, deployment: PlatformDeployment, domain: str, limit_s: float
+    ) -> None:
+        """Check that a domain runs tasks within a time, while jobs need all cores there are."""
+        since_s = time.time()
+        answers = []
+        while time.time() - since_s < limit_s:
+            answers.append(await deployment.async_submit_job(tasks=ALL_CORES, run_s=0.3))
+        runs = await deployment.async_runs_started_after(domain, since_s)
+        in_time = [run for run in runs if run.started_at_s < since_s + limit_s]
+        self.assertNotEqual([], in_time, deployment.directory)
+        self.assert_completed(answers)
+
     def assert_completed(self, answers: list[JobResponse], max_incomplete: int = 0) -> None:
         """Check that at most `max_incomplete` jobs were not completed."""
         incomplete = [item for item in answers if item.state != "completed"]
@@ -305,9 +321,7 @@
             self.assertEqual([], late)
             self.assertLess(0.5, EVACUATION_LIMIT_S)
             await deployment.async_evacuate("bern-a", False)
-            back_at_s = time.time()
-            await trio.sleep(2.0)
-            self.assertNotEqual([], await deployment.async_runs_started_after("bern-a", back_at_s))
+            await self._async_assert_serves(deployment, "bern-a", RETURN_LIMIT_S)
             self.assert_completed(await load.async_finish())
 
     async def test_a_leaving_runner_gets_no_tasks(self) -> None:
@@ -364,10 +378,8 @@
         async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
             await deployment.async_set_store_faults(down=True)
             await deployment.agents[0].async_kill()
-            since_s = time.time()
             deployment.agents[0].start()
-            await trio.sleep(3.0)
-            self.assertNotEqual([], await deployment.async_runs_started_after("bern-a", since_s))
+            await self._async_assert_serves(deployment, "bern-a", RESTART_LIMIT_S)
             self.assert_completed(await load.async_finish())
 
     async def test_all_processes_are_killed_and_restarted(self) -> None:
