Entry: jobs are announced by the age of the request, and holders are asked anew

What callers saw: none yet; found by a simulation of entries that run the real JobHolders (tests/entry/test_job_holders_simulation.py).

Change: the 0.6 s count from the request's arrival; a request asks all entries when it is old at the end of its wait; after 0.4 s without a question a new wait begins; entries whose links were closed just now are waited for by old requests. A job that is being cancelled isn't cancelled again by each repeated question.

The test of a holder that falls silent polls now, as a waiting job does; its bounds are the same.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -861,8 +861,8 @@
         (
             Edit(
                 "pistachiohill/entry/best_effort.py",
-                "        if request.origin.age_s(now_s) > OLD_REQUEST_S:\n",
-                "        if False:\n",
+                "if all_asked or request.origin.age_s(now_s) <= OLD_REQUEST_S:",
+                "if True:",
             ),
         ),
     ),
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -145,14 +145,14 @@
         return [job.submission for job in self._jobs.values() if job.submission is not None]
 
     def held_keys(self, before_s: float) -> set[str]:
-        """Return the keys of jobs accepted before a boot time whose tasks may run."""
+        """Return the keys of jobs requested before a boot time whose tasks may run."""
         items = [(key, job.submission) for key, job in self._jobs.items()]
         items += self._ending.items()
         return {
             key
             for key, submission in items
             if submission is not None
-            and submission.submitted_at_s < before_s
+            and submission.request.origin.arrived_after_s < before_s
             and (submission.answer is None or submission.outstanding > 0)
         }
 
@@ -176,7 +176,7 @@
             logs.event("job_sent_elsewhere", key=key, entry=entry, age_s=age_s)
             if job.submission is None:
                 job.refusal = _sent_elsewhere(0)
-            else:
+            elif job.submission.failure is None:
                 self._dispatcher.cancel(job.submission, now_s, RefusalReason.SENT_ELSEWHERE)
         return Release.ENDING if key in self.held_keys(now_s) else Release.ENDED
 
@@ -222,12 +222,15 @@
         They may be runs of this entry or of another one.
         """
         wait_started_s = now_s = clock.boot_s()
-        if request.origin.age_s(now_s) > OLD_REQUEST_S:
-            self._holders.suspect_all(request.key, now_s)
+        all_asked = False
         while not (job.decided or self._closed):
             holding = self._holding(request, now_s)
             if holding == Holding.FREE:
-                break
+                if all_asked or request.origin.age_s(now_s) <= OLD_REQUEST_S:
+                    break
+                all_asked = True
+                self._holders.suspect_all(request.key, now_s)
+                continue
             if holding == Holding.KEPT:
                 job.refusal = _sent_elsewhere(len(request.tasks))
                 self._record_refusal(request, job.refusal, now_s)
--- a/pistachiohill/entry/job_holders.py
+++ b/pistachiohill/entry/job_holders.py
@@ -5,7 +5,7 @@
 So each entry tells the others which jobs it has held for a while, well before a caller sends a job
 again, and asks the holder to release a job that comes to it:
 
-    entry 1: job K accepted; 0.6 s later it tells the others: I hold K
+    entry 1: K arrives and is accepted; 0.6 s later it tells the others: I hold K
     entry 2: K arrives; asks entry 1 to release K, and lets K wait
     entry 1: stops its tasks of K, and answers once all of them have ended
     entry 2: accepts K
@@ -13,8 +13,8 @@
 Of two requests for a job the newer one is served: its caller has given up the older one. A holder
 that doesn't answer is waited for until its runs have ended without it (`RUNS_END_S`).
 
-A request that is old when its job is to be accepted, since it waited behind another one or for a
-target, may have been sent again just now. So all other entries are asked first.
+A request that is old when its job is to be accepted, since it waited behind another one, for a
+target or for a release, may have been sent again just now. So all other entries are asked first.
 """
 
 import math
@@ -42,6 +42,7 @@
 
 # Entries exchange views, so that a longer silence means that the peer doesn't run or is cut off.
 PEER_HEARD_S = 1.2 * VIEW_EXCHANGE_INTERVAL_S
+ASKING_GAP_S = 2.0 * RELEASE_REPEAT_S  # after this time without a question, a new wait begins
 
 
 class Holding(Enum):
@@ -64,7 +65,7 @@
     """The jobs of this entry."""
 
     def held_keys(self, before_s: float) -> set[str]:
-        """Return the keys of jobs accepted before a boot time whose tasks may run."""
+        """Return the keys of jobs requested before a boot time whose tasks may run."""
 
     def age_s(self, key: str, now_s: float) -> float | None:
         """Return the age of the newest request for a job in progress, None if there is none."""
@@ -130,8 +131,11 @@
     # Jobs that come to this entry
 
     def suspect_all(self, key: str, now_s: float) -> None:
-        """Take all linked entries for holders of a job until they have answered."""
-        for entry in self._links.incarnations():
+        """Take all entries for holders of a job until they have answered.
+
+        Those whose links were closed just now may have runs as well, or be linked again soon.
+        """
+        for entry in self._links.incarnations() | self._heard_at_s.keys():
             self._holders.setdefault(key, {}).setdefault(entry, Holder(now_s))
 
     def check(self, key: str, age_s: float, now_s: float) -> Holding:
@@ -143,7 +147,7 @@
         for entry, holder in list(holders.items()):
             if now_s - holder.kept_at_s < RELEASE_REPEAT_S:
                 return Holding.KEPT
-            if holder.asked_at_s == -math.inf:
+            if now_s - holder.asked_at_s > ASKING_GAP_S:
                 holder.confirmed_at_s = now_s
             if self._runs_have_ended(entry, holder, now_s):
                 logs.event("job_holder_given_up", key=key, entry=entry)
@@ -170,7 +174,7 @@
     def _ask(self, key: str, entry: str, holder: Holder, age_s: float, now_s: float) -> None:
         if now_s - holder.asked_at_s < RELEASE_REPEAT_S:
             return
-        if holder.asked_at_s == -math.inf:
+        if now_s - holder.asked_at_s > ASKING_GAP_S:
             logs.event("job_held_elsewhere", key=key, entry=entry, age_s=age_s)
         holder.asked_at_s = now_s
         self._send(entry, ReleaseJob(key, age_s))
--- a/tests/entry/test_job_holders.py
+++ b/tests/entry/test_job_holders.py
@@ -176,7 +176,10 @@
         self.assertEqual(Holding.HELD, pair.second.holders.check(KEY, 0.0, asked_at_s))
         pair.second.link.received_at_s = 10.0
         ended_s = asked_at_s + RUNS_END_S + LATE_TIMERS_S
-        self.assertEqual(Holding.HELD, pair.second.holders.check(KEY, 0.0, ended_s - 0.01))
+        now_s = asked_at_s
+        while now_s < ended_s - 0.02:
+            now_s += 0.02  # a job that waits is checked as often
+            self.assertEqual(Holding.HELD, pair.second.holders.check(KEY, 0.0, now_s))
         self.assertEqual(Holding.FREE, pair.second.holders.check(KEY, 0.0, ended_s + 0.01))
 
     def test_two_entries_that_run_one_job_leave_it_to_the_newer_request(self) -> None:
@@ -229,3 +232,21 @@
         self.assertEqual(Holding.HELD, pair.first.holders.check(KEY, 0.0, 0.15))
         pair.deliver(0.15)
         self.assertEqual({KEY}, pair.second.jobs.ending)
+
+    def test_a_holder_that_was_asked_long_ago_is_asked_again(self) -> None:
+        pair = Pair()
+        pair.announce(1.0)
+        self.assertEqual(Holding.HELD, pair.check(1.0, age_s=RESEND_S + 1.0))
+        pair.announce(1.1)
+        self.assertEqual(Holding.HELD, pair.check(1.1 + RUNS_END_S + LATE_TIMERS_S + 0.1))
+        self.assertEqual({KEY}, pair.first.jobs.ending)
+
+    def test_an_old_request_waits_for_an_entry_whose_link_was_closed_just_now(self) -> None:
+        pair = Pair()
+        pair.second.link = None
+        pair.second.holders.peer_unlinked("first", 1.0, 1.0)
+        pair.second.holders.suspect_all(KEY, 1.1)
+        self.assertEqual(Holding.HELD, pair.check(1.1, age_s=1.4))
+        pair.second.link = FakeLink(received_at_s=1.2)
+        self.assertEqual(Holding.HELD, pair.check(1.4, age_s=1.7))
+        self.assertEqual(Holding.KEPT, pair.check(1.42, age_s=1.72))
