--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -321,6 +321,16 @@
             self.assertEqual([], late)
             self.assertLess(0.5, EVACUATION_LIMIT_S)
             await deployment.async_evacuate("bern-a", False)
+            back_at_s = time.time()
+            await trio.sleep(2.0)
+            self.assertNotEqual([], await deployment.async_runs_started_after("bern-a", back_at_s))
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_returned_domain_gets_tasks_when_jobs_need_all_cores(self) -> None:
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
+            await deployment.async_evacuate("bern-a", True)
+            await trio.sleep(3.0)
+            await deployment.async_evacuate("bern-a", False)
             await self._async_assert_serves(deployment, "bern-a", RETURN_LIMIT_S)
             self.assert_completed(await load.async_finish())
 
@@ -375,6 +385,16 @@
 
     async def test_jobs_complete_while_the_store_is_down(self) -> None:
         """An agent that restarts at its earlier address during the outage also gets tasks."""
+        async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
+            await deployment.async_set_store_faults(down=True)
+            await deployment.agents[0].async_kill()
+            since_s = time.time()
+            deployment.agents[0].start()
+            await trio.sleep(3.0)
+            self.assertNotEqual([], await deployment.async_runs_started_after("bern-a", since_s))
+            self.assert_completed(await load.async_finish())
+
+    async def test_a_restarted_agent_gets_tasks_while_the_store_is_down(self) -> None:
         async with self.load(PlatformSpec(), tasks=3, run_s=0.1) as (deployment, load):
             await deployment.async_set_store_faults(down=True)
             await deployment.agents[0].async_kill()
