--- /dev/null
+++ b/review/harness2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers for the scripted cases of the second review; standard library only."""
