--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -250,6 +250,11 @@
         self.log("request", method=method, machine=entry.name, path=path, status=status)
         return status
 
+    def evacuate(self, zone: str) -> None:
+        """Let the operator evacuate a zone."""
+        offset = self.store.put(OPERATOR_TOPIC, f"evacuate/{zone}", b"{}")
+        self.log("evacuation", zone=zone, offset=offset)
+
     def runs_of(self, key: str) -> list[Run]:
         """Return all runs of a job's tasks at all runners."""
         return [
--- a/review/harness2/runner.py
+++ b/review/harness2/runner.py
@@ -72,7 +72,7 @@
         self.server = Server(self.handle, self.host, self.port)
         await self.server.start()
         self._spawn(self._tick())
-        self._spawn(self._beat())
+        self._beating = self._spawn(self._beat())
 
     def clock_ms(self) -> int:
         """Return the runner's steady clock."""
@@ -194,7 +194,29 @@
             self._end_due()
             await asyncio.sleep(TICK_S)
 
-    async def _beat(self) -> None:
+    async def crash(self, down_s: float, first_beat_s: float) -> None:
+        """End at once, and start again under the same id without anything of before.
+
+        The first heartbeat of the next process is sent `first_beat_s` after its start. Orders that
+        were left unanswered may still be carried out.
+        """
+        self.log("runner_crashes", runner=self.name)
+        self.server.stop()
+        self._beating.cancel()
+        for run in list(self.running.values()):
+            del self.running[run.task]
+            run.how, run.ended_s = "crashed", time.monotonic()
+        await asyncio.sleep(down_s)
+        self.born_s, self._boot_s = time.time(), time.monotonic()
+        self.token = self.sequence = self.last_end = 0
+        self.lease_s = 0.0
+        self.ended, self.highest = [], {}
+        await self.server.start()
+        self.log("runner_starts_again", runner=self.name)
+        self._beating = self._spawn(self._beat(first_beat_s))
+
+    async def _beat(self, first_s: float = 0.0) -> None:
+        await asyncio.sleep(first_s)
         while True:
             status = await self.send_heartbeat()
             await asyncio.sleep(HEARTBEAT_S if status == 200 else 0.3)
@@ -227,7 +249,8 @@
             "seq": self.sequence,
         }
 
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+    def _spawn(self, work: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
