--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -293,11 +293,14 @@
 
     async def main() -> int:
         deployment = Deployment(**sizes)
+        this_task = asyncio.current_task()
+        assert this_task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
         try:
             async with asyncio.timeout(115):
                 broken = await play(deployment)
             code = BROKEN if broken else HELD
-        except (CannotRunError, OSError, TimeoutError) as err:
+        except (Exception, asyncio.CancelledError) as err:  # nothing was judged
             deployment.log("could_not_run", why=repr(err))
             code = NOT_RUN
         finally:
