Start: callers wait in the queues of sockets that listen before the modules are loaded

Cause: after a loss of power of all machines, processes need 0.3 to 0.7 s of wall time to load their modules; until then connections are refused. Callers of best-effort jobs return only 1.3 s later, and runners announce themselves again up to 0.5 s later.

Change: sockets for callers, readiness, announcements and an agent's links open first; servers take them over, and requests count as old as the socket.

--- a/pistachiohill/daemon/start.py
+++ b/pistachiohill/daemon/start.py
@@ -8,15 +8,15 @@
 
 import trio
 
-from .. import logs
+from .. import early_listeners, logs
 from ..protocol.link import first_error
 from ..settings.daemon import load_daemon_settings
 from ..settings.errors import SettingsError
 from ..settings.models import AGENT_FIELDS, ENTRY_FIELDS, AgentSettings, EntrySettings
+from .early_start import ENV_NODE_FILE
 from .reloading import async_watch_reload
 from .root import async_run_agent, async_run_entry
 
-ENV_NODE_FILE: Final = "PISTACHIOHILL_NODE_FILE"
 EXIT_FAILED: Final = 1
 EXIT_INVALID: Final = 2
 
@@ -72,7 +72,7 @@
     async def async_main() -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(logs.async_flush_lines)
-            nursery.start_soon(_async_exempt_startup_objects)
+            nursery.start_soon(_async_end_startup)
             await nursery.start(async_watch_reload, settings, load)
             await async_run(settings)
             nursery.cancel_scope.cancel()
@@ -85,10 +85,11 @@
         os._exit(EXIT_FAILED)
 
 
-async def _async_exempt_startup_objects() -> None:
-    """Exempt the objects of the startup from garbage collection.
+async def _async_end_startup() -> None:
+    """Close what the startup left, and exempt its objects from garbage collection.
 
     A full collection would visit all of them, which takes tens of milliseconds of processor time.
     """
     await trio.sleep(STARTUP_S)
+    early_listeners.close_untaken()
     gc.freeze()
--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -19,7 +19,7 @@
 import trio
 from attrs import define, field
 
-from .. import clock, logs
+from .. import clock, early_listeners, logs
 from ..errors import RefusalReason, Verdict
 from .app import (
     BODY_TIMEOUT_S,
@@ -363,8 +363,7 @@
     Requests in progress then have up to `grace_s` seconds to finish. Bodies over `max_body_bytes`
     are refused with status 413. An unexpected error is logged and ends only its own connection.
     """
-    host, _, port = address.rpartition(":")
-    listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=LISTEN_BACKLOG)
+    listeners, opened_at_s = await _async_listen(address)
     connections: set[HttpConnection] = set()
 
     async def async_handle(client_socket: socket.socket, connected_after_s: float) -> None:
@@ -379,7 +378,9 @@
 
     async with trio.open_nursery() as handler_nursery, trio.open_nursery() as accept_nursery:
         for listener in listeners:
-            accept_nursery.start_soon(_async_accept_all, listener, async_handle, handler_nursery)
+            accept_nursery.start_soon(
+                _async_accept_all, listener, opened_at_s, async_handle, handler_nursery
+            )
         task_status.started()
         await stopping.wait()
         accept_nursery.cancel_scope.cancel()
@@ -388,14 +389,27 @@
             connection.stop()
 
 
+async def _async_listen(address: str) -> tuple[list[trio.SocketListener], float]:
+    """Return the listeners of an address, and since when connections may wait in their queues."""
+    early = early_listeners.take(address)
+    if early is not None:
+        return [
+            trio.SocketListener(trio.socket.from_stdlib_socket(early.socket))
+        ], early.opened_at_s
+    host, _, port = address.rpartition(":")
+    opened_at_s = clock.boot_s()
+    return await trio.open_tcp_listeners(int(port), host=host, backlog=LISTEN_BACKLOG), opened_at_s
+
+
 async def _async_accept_all(
     listener: trio.SocketListener,
+    opened_at_s: float,
     async_handle: Callable[[socket.socket, float], Awaitable[None]],
     handler_nursery: trio.Nursery,
 ) -> None:
     """Accept connections until cancelled, and handle each one in a task."""
     poll_times()  # recorded from now on
-    queue_empty = EmptySince(clock.boot_s())
+    queue_empty = EmptySince(opened_at_s)
     async with listener:
         while True:
             now_s = clock.boot_s()
--- a/pistachiohill/protocol/websocket.py
+++ b/pistachiohill/protocol/websocket.py
@@ -25,7 +25,7 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from .. import logs
+from .. import early_listeners, logs
 from ..const import MAX_FRAME_BYTES
 
 RECEIVE_BYTES: Final = 65536
@@ -219,6 +219,10 @@
         finally:
             websocket.close()
 
-    listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
+    early = early_listeners.take(f"{host}:{port}")
+    if early is not None:
+        listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(early.socket))]
+    else:
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=LISTEN_BACKLOG)
     task_status.started()
     await trio.serve_listeners(async_handle, listeners)
