Start: callers wait for a new entry's first manifest instead of being refused

Change: the callers' port is read from once the manifest is loaded, after 3 s at the latest; connections wait in the queue. Readiness is answered meanwhile.

--- a/pistachiohill/platform/entry.py
+++ b/pistachiohill/platform/entry.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from .. import early_listeners
 from ..consortium.view import ConsortiumView
 from ..entry.agents import AgentDirectory
 from ..entry.best_effort import BestEffortJobs
@@ -17,6 +18,7 @@
 # The load balancer checks readiness once a second and sends new callers until two checks have
 # failed.
 BALANCER_DRAIN_S = 2.3
+MANIFEST_WAIT_S = 3.0  # for the first manifest; it is read within milliseconds if the store is up
 
 
 class EntryPlatformAdapter:
@@ -70,19 +72,36 @@
     async def _async_serve_callers(
         self, stopped: trio.Event, task_status: trio.TaskStatus[None]
     ) -> None:
+        """Serve callers once the manifest is loaded; until then their connections are queued."""
         settings = self._settings
+        early_listeners.open_all([settings.jobs_address])
+        task_status.started()
         try:
+            await self._async_wait_for_manifest(stopped)
             await async_serve_directly(
                 self.jobs_api,
                 settings.jobs_address,
                 MAX_JOB_BODY_BYTES,
                 stopped,
                 settings.grace_s,
-                task_status=task_status,
             )
         finally:
             self.jobs_server_ended.set()
 
+    async def _async_wait_for_manifest(self, stopped: trio.Event) -> None:
+        """Wait for the first manifest, but not for long: without one, all jobs are refused."""
+
+        async def async_end_at_stop() -> None:
+            await stopped.wait()
+            nursery.cancel_scope.cancel()
+
+        with trio.move_on_after(MANIFEST_WAIT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(async_end_at_stop)
+                while not self._is_manifest_loaded():
+                    await self._view.async_wait_changed()
+                nursery.cancel_scope.cancel()
+
     async def async_leave_balancer(self) -> None:
         """Report not ready, and return once the load balancer has stopped sending new callers."""
         self._draining = True
