Agent: a task that would wait long in the queue is refused and placed again; late tasks get free capacity only

Cause: in a burst, each of the entries that share an agent binds a task to the same slot, so that tasks wait three times as long at agents as the entries plan; late jobs of one entry take slots that jobs of others need to be in time.

Ruled out: processor time of entries (0.18 of 0.387 core at most).

--- a/pistachiohill/agent/resources.py
+++ b/pistachiohill/agent/resources.py
@@ -112,6 +112,13 @@
             self.expected_waits_s(queue, cpu_m, now_s),
         )
 
+    def expected_wait_s(
+        self, priority: int, queue: Iterable[Reservation], cpu_m: int, now_s: float
+    ) -> float:
+        """Return how long a new task of a priority would wait, 0 if it would start at once."""
+        waits_s = self.expected_waits_s(queue, cpu_m, now_s)
+        return waits_s[min(priority, len(waits_s) - 1)] if waits_s else 0.0
+
     def expected_waits_s(
         self, queue: Iterable[Reservation], cpu_m: int, now_s: float
     ) -> list[float]:
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -323,7 +323,7 @@
     ) -> None:
         ref = TaskRef(task.index, task.attempt)
         demand = Demand(task.cpu_m, task.mem_mb)
-        if refusal is None and len(self._queue) >= self._settings.queue_tasks:
+        if refusal is None and self._is_queue_full(message, now_s):
             fits = self._resources.fits(demand, self.target.cpu_m, self.target.mem_mb)
             refusal = None if fits else RefusalReason.BUSY
         if refusal is not None:
@@ -361,6 +361,21 @@
         insort(self._queue, queued, key=lambda item: item.sort_key)
         self._signal_load_changed()
 
+    def _is_queue_full(self, message: StartTasks, now_s: float) -> bool:
+        """Return whether a task that can't start at once must be placed elsewhere.
+
+        Several entries may place tasks for the same free capacity. A task that would wait long here
+        is better off at its entry, which may place it at another target.
+        """
+        if len(self._queue) >= self._settings.queue_tasks:
+            return True
+        limit_s = self._settings.max_queue_wait_s
+        if not limit_s or not message.best_effort:
+            return False
+        queue = (task.reservation for task in self._queue)
+        cpu_m = self.target.cpu_m
+        return self._resources.expected_wait_s(message.priority, queue, cpu_m, now_s) > limit_s
+
     def _start_queued(self, now_s: float) -> None:
         """Start queued tasks while they fit and the view is fresh."""
         while (task := self._next_startable(now_s)) is not None:
--- a/pistachiohill/entry/service_queue.py
+++ b/pistachiohill/entry/service_queue.py
@@ -33,7 +33,11 @@
 
     def nonempty_queues(self) -> list[FairQueue[Submission]]:
         """Return the queues with submissions in order of service."""
-        return [queue for _, queue in sorted(self.by_class.items()) if queue]
+        return [queue for _, queue in self.nonempty_classes()]
+
+    def nonempty_classes(self) -> list[tuple[ServiceClass, FairQueue[Submission]]]:
+        """Return the classes with submissions and their queues, in order of service."""
+        return [(key, queue) for key, queue in sorted(self.by_class.items()) if queue]
 
     def queues_up_to(self, last: ServiceClass) -> list[FairQueue[Submission]]:
         """Return the queues that are served before or with a class."""
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -308,8 +308,13 @@
         plan = PlacementPlan(targets, now_s, root.horizon_s, root.ramp_s, self._mean_run_s(queue))
         newest_offset = self._newest_offset(targets)
         placements: list[Placement] = []
-        for fair_queue in queue.nonempty_queues():
-            placements += self._place_priority(fair_queue, plan, targets, newest_offset)
+        for key, fair_queue in queue.nonempty_classes():
+            horizon_s = root.horizon_s
+            if key.urgency == Urgency.LATE:
+                horizon_s = min(horizon_s, root.late_horizon_s)
+            placements += self._place_priority(
+                fair_queue, plan, now_s + horizon_s, targets, newest_offset
+            )
         return placements
 
     def _mean_run_s(self, queue: ServiceQueue) -> float:
@@ -320,6 +325,7 @@
         self,
         fair_queue: FairQueue[Submission],
         plan: PlacementPlan,
+        bind_until_s: float,
         targets: list[TargetLoad],
         newest_offset: int,
     ) -> list[Placement]:
@@ -342,7 +348,7 @@
             )
             if slot is None:
                 order.skip_first()
-            elif plan.should_bind(slot):
+            elif slot.start_s <= bind_until_s:
                 placements.append(
                     self._dequeue(member, submission, task, slot.plan.target, slot.end_s)
                 )
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -46,6 +46,8 @@
             round_robin or random.
         quarantine: How failing targets are quarantined: windows, consecutive, ratio or off.
         horizon_s: How long before its slot becomes free a task is assigned to a target.
+        late_horizon_s: The same for tasks of jobs that miss their latency goals, if it is
+            shorter than horizon_s; with 0, they get only capacity that is free.
         ramp_s: Time over which the load of a returning target is increased to its full share.
     """
 
@@ -75,6 +77,7 @@
     policy: str = "expected_completion"
     quarantine: str = "consecutive"
     horizon_s: float = 0.2
+    late_horizon_s: float = 10.0
     ramp_s: float = 0.5
 
 
@@ -287,6 +290,14 @@
         10.0,
         ("consortium",),
     ),
+    FieldSpec(
+        "late_horizon_s",
+        "float",
+        "The same for tasks of jobs that miss their latency goals, if it is shorter than horizon_s; with 0, they get only capacity that is free.",
+        0.0,
+        10.0,
+        ("consortium",),
+    ),
     FieldSpec(
         "ramp_s",
         "float",
@@ -466,6 +477,9 @@
         secret: Secret shared by the deployment's processes.
         retention_s: How long the start of a task is remembered.
         queue_tasks: Maximum number of tasks queued beyond the target's capacity.
+        max_queue_wait_s: Longest time that a best-effort task may be expected to wait in the
+            agent's queue; one that would wait longer is refused, so that its entry places it
+            again; 0 for no limit.
         announce_first: Whether tasks are accepted only after the agent's announcement is in the
             log.
         report_interval_s: Longest time that the report of a settled task is delayed so that
@@ -488,6 +502,7 @@
     secret: str = ""
     retention_s: float = 180.0
     queue_tasks: int = 8
+    max_queue_wait_s: float = 0.0
     announce_first: bool = True
     report_interval_s: float = 0.12
     grace_s: float = 30.0
@@ -531,6 +546,14 @@
         1400.0,
         (),
     ),
+    FieldSpec(
+        "max_queue_wait_s",
+        "float",
+        "Longest time that a best-effort task may be expected to wait in the agent's queue; one that would wait longer is refused, so that its entry places it again; 0 for no limit.",
+        0.0,
+        10.0,
+        (),
+    ),
     FieldSpec(
         "announce_first",
         "bool",
--- a/tests/agent/test_runner.py
+++ b/tests/agent/test_runner.py
@@ -92,10 +92,13 @@
 
 
 @asynccontextmanager
-async def open_runner() -> AsyncIterator[tuple[TaskRunner, FakeTarget, FakeLink]]:
+async def open_runner(
+    max_queue_wait_s: float = 0.0,
+) -> AsyncIterator[tuple[TaskRunner, FakeTarget, FakeLink]]:
     target, link = FakeTarget(), FakeLink()
+    settings = AgentSettings(max_queue_wait_s=max_queue_wait_s)
     async with trio.open_nursery() as nursery:
-        runner = TaskRunner(AgentSettings(), nursery, target, AgentMetrics())
+        runner = TaskRunner(settings, nursery, target, AgentMetrics())
         runner.announce_offset = 0
         runner.target = TargetState("clocking", "", 4000, 4096, False, clock.boot_s() + 60)
         runner.links.add(link)  # type: ignore[arg-type]
@@ -132,6 +135,29 @@
             runner.cancel(CancelTasks(SUBMISSION_ID), now_s)
             self.assertEqual(RefusalReason.CANCELLED, target.permissions[0].start_refusal(now_s))
 
+    async def _async_reports_of_six_tasks_on_four_cores(
+        self, max_queue_wait_s: float
+    ) -> list[tuple[int, str, str]]:
+        """Each of the tasks takes 1 s and one core."""
+        async with open_runner(max_queue_wait_s) as (runner, _, link):
+            now_s = clock.boot_s()
+            for index in range(6):
+                message = start_message(now_s, 1)
+                message.submission_id = f"{message.submission_id}-{index}"
+                message.job_key += str(index)
+                runner.start_tasks(link, message, now_s)  # type: ignore[arg-type]
+                await trio.testing.wait_all_tasks_blocked()
+            return link.reports()
+
+    async def test_task_that_would_wait_too_long_is_refused_as_not_run(self) -> None:
+        reports = await self._async_reports_of_six_tasks_on_four_cores(0.5)
+        self.assertEqual([(0, Verdict.NOT_RUN, "busy")] * 2, reports)
+
+    async def test_task_that_waits_shortly_or_without_limit_is_queued(self) -> None:
+        for max_queue_wait_s in (0.0, 3.0):
+            reports = await self._async_reports_of_six_tasks_on_four_cores(max_queue_wait_s)
+            self.assertEqual([], reports, max_queue_wait_s)
+
     async def test_start_that_was_held_up_on_an_old_link_does_not_run(self) -> None:
         """Its entry has opened another link since, and may have placed the tasks elsewhere."""
         async with open_runner() as (runner, target, old_link):
