Tests: a run with an unanswered start is reported while that start may still come

Cause: a start without an answer is settled by the refusal of the next attempt (a permission that has gone, a runner without room or health), or by a listed end other than done. Each binds the runner's present process alone.

--- a/tests/agent/test_leased_target.py
+++ b/tests/agent/test_leased_target.py
@@ -8,7 +8,13 @@
 from pistachiohill.agent.const import CLOCK_REFRESH_S, LEASE_S, MAX_CLOCK_DRIFT
 from pistachiohill.agent.fencing import initial_token
 from pistachiohill.agent.leased_target import LeasedTarget
-from pistachiohill.agent.models import RunnerIdentity, TargetCall, TargetResult
+from pistachiohill.agent.models import (
+    UNRESTRICTED,
+    RunnerIdentity,
+    RunPermission,
+    TargetCall,
+    TargetResult,
+)
 from pistachiohill.errors import RefusalReason, Verdict
 from standins.runner_model import find_overlapping_runs
 
@@ -41,9 +47,9 @@
     def announce(self, identity: RunnerIdentity | None = None) -> None:
         self.target.handle_announcement(identity or self.runner.identity(), clock.boot_s())
 
-    def start(self, target_call: TargetCall) -> None:
+    def start(self, target_call: TargetCall, permission: RunPermission = UNRESTRICTED) -> None:
         async def async_call() -> None:
-            result = await self.target.async_call("", target_call)
+            result = await self.target.async_call("", target_call, permission)
             self.results[f"{target_call.task_id}#{target_call.run}"] = result
 
         self.nursery.start_soon(async_call)
