Agent: no end of a run but done is reported while an unanswered start of it may come

Cause: what the runner's present process says (a refusal of the next attempt, a listed end) was taken for its next process too, which may carry out the first start.

Change: agent/late_starts.py decides whether a result may be reported. It is withheld for 15 s after the last unanswered start; the start is sent again to the same runner as soon as it may be; a list of the next process under a raised token releases it at once. Stopping is checked last, so that an agent that stops still sends again a start that may come anyway.

Ruled out: a stop or a list at the present process (the next one knows of neither); settling on a refused connection. Not covered: two crashes of a runner within 15 s (docs/incidents).

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -35,6 +35,7 @@
 GIVEN_UP_TESTS = "tests/entry/test_dispatcher.py::GivenUpJobsTest::"
 ORIGIN_TESTS = "tests/http/test_direct_server.py::RequestOriginTest::"
 RUN_PROOFS_TESTS = "tests/agent/test_run_proofs.py::RunProofsTest::"
+LATE_START_TESTS = "tests/agent/test_late_starts.py::LateStartTest::"
 RESENT_TESTS = "tests/failures/test_resent_jobs.py::ResentJobsTest::"
 RELEASE_TESTS = "tests/entry/test_best_effort.py::ReleaseTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
@@ -666,7 +667,7 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        refusal = run.permission.start_refusal(sent_at_s)\n",
+                "        refusal = run.start_refusal(sent_at_s)\n",
                 "        refusal = None\n",
             ),
         ),
@@ -792,8 +793,57 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        elif run.starts_sent >= MAX_STARTS_SENT:\n",
-                "        elif True:\n",
+                "        elif run.starts_sent >= MAX_STARTS_SENT:\n"
+                "            run.fencing_token = None\n"
+                "            self._settle(run,",
+                "        elif True:\n            run.end(",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run is settled by the refusal of its next attempt",
+        LATE_START_TESTS
+        + "test_run_that_may_not_be_started_again_is_not_run_only_when_no_start_can_come",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "            self._settle(run, Verdict.NOT_RUN, refusal)\n",
+                "            run.end(Verdict.NOT_RUN, refusal)\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run is settled by the runner's refusal of a later attempt",
+        LATE_START_TESTS
+        + "test_run_that_the_runner_refuses_later_is_not_run_only_when_no_start_can_come",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "self._settle(run, Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])",
+                "run.end(Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])",
+            ),
+        ),
+    ),
+    Mutant(
+        "a withheld run that the next process executes is not looked after",
+        LATE_START_TESTS + "test_cancelled_run_that_the_next_process_executes_is_stopped",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "            if run.stop_requested_at_s < math.inf:\n",
+                "            if run.stop_requested_at_s < 0.0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run that failed is reported while a start of it may come",
+        LATE_START_TESTS
+        + "test_run_that_failed_after_an_unanswered_start_is_reported_when_none_can_come",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "            self._settle(run, Verdict.RAN, reason)\n",
+                "            run.end(Verdict.RAN, reason)\n",
             ),
         ),
     ),
@@ -804,8 +854,9 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        run.unsettled_until_s = now_s + LATE_START_S\n" "        self._fence",
-                "        self._fence",
+                "            run.unsettled_until_s = now_s + LATE_START_S\n"
+                "        if not run.is_settled",
+                "            run.unsettled_until_s = -math.inf\n        if not run.is_settled",
             ),
         ),
     ),
--- a/pistachiohill/agent/admission.py
+++ b/pistachiohill/agent/admission.py
@@ -30,10 +30,8 @@
     view: AgentView, target: TargetState, stopping: bool, now_s: float
 ) -> RefusalReason | None:
     """Return why no task may start now, or None; a stale view is checked separately."""
-    if stopping:
-        return RefusalReason.STOPPING
     if not target.is_available(now_s):
         return RefusalReason.LEAVING
     if view.domain_out:
         return RefusalReason.DOMAIN_OUT
-    return None
+    return RefusalReason.STOPPING if stopping else None
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -7,8 +7,8 @@
 since the hold might be executed later and prolong runs that should end.
 
 The runner's next process has seen no token and may still execute an unanswered start. So the agent
-sends the start again to this runner, instead of reporting the task as not run. While the runner is
-silent, the run is not settled before the start can't be executed any more.
+sends the start again to this runner, and reports no other end of the run than `done` before the
+start can't be executed any more (`late_starts`).
 
 Runs end when the lease expires; the agent renews it while the runner responds. When a response is
 missing, the agent stops renewing the lease. If the runner stays silent, its runs are only known to
@@ -41,6 +41,7 @@
     STOP_TIMEOUT_S,
 )
 from .fencing import initial_token
+from .late_starts import LateStarts
 from .models import (
     UNRESTRICTED,
     EndedRun,
@@ -82,6 +83,11 @@
         self._discovery = RunnerDiscovery(
             runner_client, lambda: self._token, self._handle_confirmation
         )
+        self._late_starts = LateStarts(
+            lambda: self._synchronized and not self._response_missing,
+            lambda: self.ready,
+            self._async_start,
+        )
         self._runs: dict[RunName, Run] = {}
         self._foreign_runs: frozenset[RunName] = frozenset()
         self._synchronized = False
@@ -265,6 +271,9 @@
             return
         run.stop_requested_at_s = clock.boot_s()
         logs.event("run_stopped", name=call.name, run=call.run, runner=self._runner_id)
+        self._stop_soon(run)
+
+    def _stop_soon(self, run: Run) -> None:
         assert self._nursery is not None
         self._nursery.start_soon(self._async_stop, run)
 
@@ -336,7 +345,9 @@
         The lease is not renewed while a response is missing, so that it expires soon if the runner
         stays silent, nor while a run is overdue.
         """
-        if self._response_missing or not self._synchronized or self._foreign_runs or not self._runs:
+        if self._response_missing or not self._synchronized or self._foreign_runs:
+            return Lease(self._token, None)
+        if all(run.withheld is not None for run in self._runs.values()):
             return Lease(self._token, None)
         if self._is_renewal_paused(now_s):
             return Lease(self._token, None)
@@ -428,7 +439,10 @@
         reason = RUN_END_REASONS[ended.outcome]
         if ended.outcome == RunEnd.LAPSED and self._renewal_paused:
             reason = RefusalReason.LEASE_ENDED  # by this agent, not by a fault of the runner
-        run.end(Verdict.RAN, reason)
+        if run.withheld is None or run.withheld.verdict == Verdict.NOT_RUN or reason is None:
+            run.withheld = None
+            run.record_execution()
+            self._settle(run, Verdict.RAN, reason)
 
     def _reconcile_run(
         self, run: Run, run_list: RunList, token: int, sent_at_s: float, now_s: float
@@ -441,17 +455,23 @@
         if run.result is not None:
             return
         if run.name in run_list.running:
-            if run.runner_restarted:
+            if run.runner_restarted or run.withheld is not None:
                 self._adopt_late_start(run, now_s)
             run.fencing_token = None
+            run.record_execution()
             self._confirm_start(run, now_s)
         elif run.fencing_token is not None:
             if token < run.fencing_token:
                 return
             self._settle_unlisted(run)
-        elif run.acknowledged_at_s is not None and run.acknowledged_at_s < sent_at_s:
+        elif run.is_missing(sent_at_s):
             logs.warning("run_missing", name=run.call.name, run=run.call.run)
-            run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
+            self._settle(run, Verdict.RAN, RefusalReason.TARGET_LOST)
+
+    def _settle(self, run: Run, verdict: Verdict, reason: RefusalReason | None) -> None:
+        """Set the result of a run on what the runner's present process says of it."""
+        assert self._nursery is not None
+        self._late_starts.settle(run, verdict, reason, self._nursery)
 
     def _settle_unlisted(self, run: Run) -> None:
         """Send an unresolved start again, as this process of the runner will not execute it.
@@ -462,7 +482,8 @@
             logs.warning("run_missing", name=run.call.name, run=run.call.run)
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
         elif run.starts_sent >= MAX_STARTS_SENT:
-            run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
+            run.fencing_token = None
+            self._settle(run, Verdict.NOT_RUN, RefusalReason.FENCED)
         else:
             run.fencing_token = None
             assert self._nursery is not None
@@ -475,20 +496,25 @@
         """
         logs.event("late_start_found", name=run.call.name, run=run.call.run)
         run.runner_restarted = False
+        run.acknowledged_at_s = None
         self._lease.record_unknown_lease(now_s)
+        if run.withheld is not None:
+            run.withheld = None
+            if run.stop_requested_at_s < math.inf:
+                self._stop_soon(run)
 
     async def _async_start(self, run: Run) -> None:
         identity = self._identity
         assert identity is not None
         token = self._token
         sent_at_s = clock.boot_s()
-        refusal = run.permission.start_refusal(sent_at_s)
+        refusal = run.start_refusal(sent_at_s)
         if refusal is not None:
-            run.end(Verdict.NOT_RUN, refusal)
+            self._settle(run, Verdict.NOT_RUN, refusal)
             return
         lease = self._start_lease(sent_at_s)
         if lease.until_clock_s is None:
-            run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
+            self._settle(run, Verdict.NOT_RUN, RefusalReason.FENCED)
             return
         run.starts_sent += 1
         run.is_start_pending = True
@@ -497,7 +523,9 @@
         now_s = clock.boot_s()
         if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
             self._handle_reset_clock(now_s)
-        if run.result is None:
+        if isinstance(outcome, NoAnswer):
+            run.unsettled_until_s = now_s + LATE_START_S
+        if not run.is_settled:
             self._apply_start_outcome(run, outcome, token, now_s)
 
     def _handle_reset_clock(self, now_s: float) -> None:
@@ -522,7 +550,7 @@
             self._confirm_start(run, now_s)
             return
         if isinstance(outcome, NotStarted) and not run.is_unreachable(outcome, now_s):
-            run.end(Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])
+            self._settle(run, Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])
             logs.event(
                 "start_refused",
                 name=run.call.name,
@@ -542,7 +570,6 @@
             token=token,
             detail=outcome,
         )
-        run.unsettled_until_s = now_s + LATE_START_S
         self._fence_start(run, token)
 
     def _fence_start(self, run: Run, token: int) -> None:
@@ -577,7 +604,7 @@
 
     async def _async_stop(self, run: Run) -> None:
         requested_at_s = clock.boot_s()
-        while run.result is None:
+        while not run.is_settled:
             identity = self._identity
             if identity is None:
                 return
@@ -629,7 +656,7 @@
         self._reset_runner_state(now_s)
         self._lease.record_unknown_lease(now_s)
         for run in self._runs.values():
-            if run.acknowledged_at_s is None:
+            if run.acknowledged_at_s is None and not run.is_settled:
                 run.unsettled_until_s = now_s + LATE_START_S
             run.fencing_token = self._token
             run.acknowledged_at_s = None
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -51,8 +51,10 @@
             a list of the new incarnation shows whether that one has executed the start.
         is_start_pending: Whether a start was sent whose outcome is not known yet.
         starts_sent: How many times the start was sent.
-        unsettled_until_s: Boot time until which the end of the lease does not settle the run, as
-            the next process of the runner may execute an unanswered start.
+        unsettled_until_s: Boot time until which the next process of the runner may execute an
+            unanswered start, so that only the end `done` settles the run.
+        withheld: Result that is reported once no start can be executed any more, None if there is
+            none; the runner's present process has not got the run.
         stop_requested_at_s: Boot time from which the runner has been asked to stop the run.
         done: Set together with the result.
         removed: Set when the call has returned, so that the task may be run again.
@@ -67,6 +69,7 @@
     is_start_pending: bool = False
     starts_sent: int = 0
     unsettled_until_s: float = -math.inf
+    withheld: TargetResult | None = None
     stop_requested_at_s: float = math.inf
     done: trio.Event = field(factory=trio.Event)
     removed: trio.Event = field(factory=trio.Event)
@@ -79,7 +82,31 @@
     def is_overdue(self, now_s: float) -> bool:
         """Return whether the run should have ended a while ago and is not known to have."""
         must_end_at_s = min(self.stop_requested_at_s, self.permission.ends_at_s())
-        return self.result is None and now_s > must_end_at_s + STOP_CONFIRM_S
+        return not self.is_settled and now_s > must_end_at_s + STOP_CONFIRM_S
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether the result is known, even if it is withheld."""
+        return self.result is not None or self.withheld is not None
+
+    def start_refusal(self, now_s: float) -> RefusalReason | None:
+        """Return why the start must not be sent now, or None.
+
+        An agent that stops waits for its runs, so a start that may come anyway is sent again.
+        """
+        refusal = self.permission.start_refusal(now_s)
+        return None if refusal == RefusalReason.STOPPING and self.starts_sent else refusal
+
+    def is_missing(self, requested_at_s: float) -> bool:
+        """Return whether a list that was requested then would show the run if it went on."""
+        if self.is_settled or self.acknowledged_at_s is None:
+            return False
+        return self.acknowledged_at_s < requested_at_s
+
+    def record_execution(self) -> None:
+        """Record that a list shows the run: a start that was sent only once can't come again."""
+        if self.starts_sent == 1:
+            self.unsettled_until_s = -math.inf
 
     def ends_with_lease(self, now_s: float) -> bool:
         """Return whether the end of every lease that the runner may have shows the run's end.
@@ -93,8 +120,12 @@
         unreachable = refusal.refusal == StartRefusal.UNREACHABLE
         return unreachable and now_s < self.unsettled_until_s
 
+    def withhold(self, verdict: Verdict, reason: RefusalReason) -> None:
+        """Keep a result that must not be reported yet."""
+        self.withheld = TargetResult(verdict, reason)
+
     def end(self, verdict: Verdict, reason: RefusalReason | None) -> None:
-        """Set the result, unless it is already set."""
+        """Set the result, or the one that was withheld, unless one is already set."""
         if self.result is None:
-            self.result = TargetResult(verdict, reason)
+            self.result = self.withheld or TargetResult(verdict, reason)
             self.done.set()
