Tests: an odd announcement makes a runner drain no more, grow, or fall silent

Cause: fields that the agent has no use for aren't read; a sequence number that is ahead makes the runner's own announcements late; and whatever an announcement in order says is taken over at once.

--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -19,6 +19,10 @@
 from ..base import TestCase
 
 
+def capacity(cpu_m: int, mem_mb: int) -> dict[str, int]:
+    return {"cpu": cpu_m, "memMb": mem_mb, "gpu": 0}
+
+
 class FakeService:
     """Records the states of the target."""
 
@@ -52,8 +56,13 @@
         fields = {
             "service": "runner",
             "address": self.runner.address,
+            "zone": "bern-a",
+            "version": "v1",
+            "slots": 8,
             "state": "ready",
-            "capacity": {"cpu": 16000, "memMb": 32768},
+            "coldLeftMs": 0,
+            "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+            "labels": [],
             "clockMs": self.runner.model.clock_ms(clock.boot_s()),
             "born": self.runner.model.born_ms,
             "seq": self.sequence,
@@ -101,7 +110,7 @@
             await harness.async_wait_ready()
             harness.runner.model.restart(clock.boot_s())
             harness.runner.runner_id = "i-2"
-            await harness.async_announce(runner_id="i-2", capacity={"cpu": 9000, "memMb": 16})
+            await harness.async_announce(runner_id="i-2", capacity=capacity(9000, 16))
             with trio.fail_after(0.1):
                 while not (harness.target.ready and harness.service.state.cpu_m == 9000):
                     await trio.sleep(0.001)
@@ -122,3 +131,45 @@
             with trio.fail_after(0.1):
                 await harness.async_wait_ready()
             nursery.cancel_scope.cancel()
+
+    async def test_a_draining_runner_is_not_used_again_after_one_announcement(self) -> None:
+        async with trio.open_nursery() as nursery:
+            harness = AdapterHarness(nursery)
+            await harness.async_announce()
+            await harness.async_wait_ready()
+            await harness.async_announce(state="draining")
+            await harness.async_announce(seq=harness.sequence + 5)
+            self.assertTrue(harness.service.state.leaving)
+            await harness.app.async_handle(Request("DELETE", "/api/instances/i-1", {}, {}, b""))
+            await harness.async_announce(seq=harness.sequence + 6)
+            await trio.sleep(0.05)
+            self.assertFalse(harness.service.state.is_available(clock.boot_s()))
+            nursery.cancel_scope.cancel()
+
+    async def test_capacity_does_not_grow_after_one_announcement(self) -> None:
+        async with trio.open_nursery() as nursery:
+            harness = AdapterHarness(nursery)
+            await harness.async_announce()
+            await harness.async_wait_ready()
+            await harness.async_announce(capacity=capacity(64000, 1000))
+            state = harness.service.state
+            self.assertEqual((16000, 1000), (state.cpu_m, state.mem_mb))
+            nursery.cancel_scope.cancel()
+
+    async def test_a_runner_that_drains_is_heard_beside_announcements_of_another_writer(
+        self,
+    ) -> None:
+        for odd in (
+            {"seq": 100},
+            {"seq": 100, "clockMs": 10**9},
+            {"seq": 100, "born": 1001},
+            {"seq": 100, "born": 1001, "address": "127.0.0.1:9"},
+        ):
+            async with trio.open_nursery() as nursery:
+                harness = AdapterHarness(nursery)
+                await harness.async_announce()
+                await harness.async_wait_ready()
+                await harness.async_announce(**odd)
+                await harness.async_announce(state="draining")
+                self.assertFalse(harness.service.state.is_available(clock.boot_s()), odd)
+                nursery.cancel_scope.cancel()
--- a/tests/platform/test_odd_announcements.py
+++ b/tests/platform/test_odd_announcements.py
@@ -17,8 +17,13 @@
 ANNOUNCEMENT: dict[str, Any] = {
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
+    "zone": "bern-a",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "coldLeftMs": 0,
     "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
     "clockMs": 482113,
     "born": 1_700_000_000_000,
     "seq": 4,
@@ -94,6 +99,45 @@
             self.assertEqual(400, await self._async_put(odd_body), literal)
         self.assertEqual([], self.announcements)
 
+    async def test_announcement_that_is_not_whole_is_refused(self) -> None:
+        """A field is missing or of another type, also one that the agent has no use for."""
+        odd: dict[str, tuple[Any, ...]] = {
+            "zone": (5, None, "\ud800"),
+            "version": (5, None, ["v1"]),
+            "slots": ("8", -1, 1.5, True, None),
+            "coldLeftMs": ("0", -1, None),
+            "labels": ("a", {}, [1], None),
+            "remainingMs": ("5", -1, None),
+        }
+        for name, values in odd.items():
+            for value in values:
+                self.assertEqual(400, await self._async_announce(**{name: value}), (name, value))
+        capacity = ANNOUNCEMENT["capacity"]
+        for gpu in ("0", -1, None):
+            status = await self._async_announce(capacity={**capacity, "gpu": gpu})
+            self.assertEqual(400, status, gpu)
+        for name in set(ANNOUNCEMENT) - {"born"}:
+            fields = {key: value for key, value in ANNOUNCEMENT.items() if key != name}
+            self.assertEqual(400, await self._async_put(json.dumps(fields).encode()), name)
+        for name in capacity:
+            part = {key: value for key, value in capacity.items() if key != name}
+            self.assertEqual(400, await self._async_announce(capacity=part), name)
+        self.assertEqual([], self.announcements)
+        self.assertEqual(200, await self._async_announce(remainingMs=500, state="draining"))
+
+    async def test_sequence_number_far_ahead_does_not_silence_the_runner(self) -> None:
+        """The runner's own numbers are lower, but its clock has gone on."""
+        await self._async_announce(seq=4, clockMs=10_000)
+        await self._async_announce(seq=90, clockMs=10_500)
+        await self._async_announce(seq=5, clockMs=11_500)
+        self.assertEqual(5, self._sequences()[-1])
+
+    async def test_earlier_announcement_with_a_later_sequence_number_is_ignored(self) -> None:
+        await self._async_announce(seq=4, clockMs=10_000)
+        await self._async_announce(seq=5, clockMs=11_500)
+        await self._async_announce(seq=9, clockMs=10_000)
+        self.assertEqual([4, 5], self._sequences())
+
     async def test_deeply_nested_announcement_is_refused(self) -> None:
         for depth in (900, 1000, 100_000, 200_000):
             for start, end in ((b"[", b"]"), (b'{"a":', b"}")):
