Agent: an announcement counts only if it is whole

Cause: zone, version, slots, coldLeftMs, labels, gpu and remainingMs weren't read, so an announcement of another writer that lacked them counted as the runner's own. A born that is missing can't be confirmed by the runner.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -800,6 +800,18 @@
             ),
         ),
     ),
+    Mutant(
+        "fields of an announcement that the agent has no use for are not checked",
+        "tests/platform/test_odd_announcements.py::OddAnnouncementTest::"
+        "test_announcement_that_is_not_whole_is_refused",
+        (
+            Edit(
+                "pistachiohill/platform/registry.py",
+                "    _check_unused(fields, capacity)\n",
+                "",
+            ),
+        ),
+    ),
     Mutant(
         "a run is settled by the refusal of its next attempt",
         LATE_START_TESTS
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -19,7 +19,15 @@
 )
 from .errors import WireError
 from .models import RunnerAnnouncement
-from .wire import decode_object, read_int, read_name, read_str, require_object
+from .wire import (
+    Fields,
+    decode_object,
+    read_int,
+    read_list,
+    read_name,
+    read_str,
+    require_object,
+)
 
 RUNNER_ID_PATTERN = re.compile(r"[!-~]{1,128}")  # fits into a header of a request
 LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -32,6 +40,7 @@
     if state not in LEAVING_BY_STATE:
         raise WireError(f"state: unknown state {state!r}")
     capacity = require_object(fields.get("capacity"), "capacity")
+    _check_unused(fields, capacity)
     return RunnerAnnouncement(
         runner_id=require_runner_id(runner_id),
         born_ms=read_int(fields, "born", 0),
@@ -43,10 +52,25 @@
             read_int(capacity, "memMb", maximum=MAX_MEM_MB),
         ),
         leaving=LEAVING_BY_STATE[state],
-        clock_s=read_int(fields, "clockMs", 0, maximum=MAX_RUNNER_CLOCK_MS) / 1000,
+        clock_s=read_int(fields, "clockMs", maximum=MAX_RUNNER_CLOCK_MS) / 1000,
     )
 
 
+def _check_unused(fields: Fields, capacity: Fields) -> None:
+    """Raise WireError if a field that this product has no use for is missing or of another type.
+
+    Such an announcement comes from another writer, so that nothing of it may be used.
+    """
+    for name in ("zone", "version"):
+        read_str(fields, name)
+    for name in ("slots", "coldLeftMs"):
+        read_int(fields, name)
+    read_int(fields, "remainingMs", 0)  # only while the runner drains
+    read_int(capacity, "gpu")
+    if not all(isinstance(label, str) for label in read_list(fields, "labels")):
+        raise WireError("labels: expected strings")
+
+
 def require_runner_id(runner_id: str) -> str:
     """Return a runner's id; raise WireError if no request could name it."""
     if not RUNNER_ID_PATTERN.fullmatch(runner_id):
