Agent: the announcements of one process are ordered by its clock, then by their numbers

Cause: a sequence number of another writer that is ahead makes the runner's own announcements late for more than two heartbeats; they are acknowledged and ignored. The steady clock of a process grows with its numbers, so a later clock shows that an announcement is newer; one with an earlier clock, or one more than 5 s ahead of the time that has passed, is out of order whatever its number. Equal clocks fall back to the numbers, and the rule for announcements that go on stays.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -812,6 +812,18 @@
             ),
         ),
     ),
+    Mutant(
+        "announcements of one process are ordered by their numbers alone",
+        "tests/platform/test_odd_announcements.py::OddAnnouncementTest::"
+        "test_sequence_number_far_ahead_does_not_silence_the_runner",
+        (
+            Edit(
+                "pistachiohill/platform/announcement_order.py",
+                "        if announcement.clock_s != self._clock_s:\n",
+                "        if announcement.clock_s < 0.0:\n",
+            ),
+        ),
+    ),
     Mutant(
         "a run is settled by the refusal of its next attempt",
         LATE_START_TESTS
--- a/pistachiohill/platform/announcement_order.py
+++ b/pistachiohill/platform/announcement_order.py
@@ -1,11 +1,16 @@
 """Order of the announcements at an agent: which ones replace what is known of the runner.
 
 Announcements may be late, or come from another writer. One that does not follow the latest one is
-ignored. If it was the latest one that was odd, the runner's own announcements seem not to follow.
-They go on at the pace of heartbeats, though, and nothing follows the odd one, so they are believed
-again after a while.
+out of order. The sequence numbers and the clock of one process grow together, so an announcement
+with a later clock follows one whose number was too far ahead. One with an earlier clock, or one far
+ahead of the time that has passed, does not follow, whatever its number.
+
+If it was the latest one that was odd in another way, the runner's own announcements seem not to
+follow. They go on at the pace of heartbeats, though, and nothing follows the odd one, so they are
+believed again after a while.
 """
 
+import math
 from typing import Final, Self
 
 from attrs import define, frozen
@@ -15,6 +20,7 @@
 from .models import RunnerAnnouncement
 
 MAX_SEQUENCE_STEP: Final = 1_000_000  # far more than heartbeats that count or name milliseconds
+MAX_CLOCK_LEAD_S: Final = 5.0  # announcements are under way for up to about this long
 MIN_SERIES_S: Final = 2 * HEARTBEAT_S
 MAX_SERIES_GAP_S: Final = 2 * HEARTBEAT_S
 
@@ -68,12 +74,14 @@
         """Initialize the order; the first announcement is in order whatever it says."""
         self._sender: Sender | None = None
         self._sequence = 0
+        self._clock_s = 0.0
+        self._accepted_at_s = -math.inf
         self._deregistered = False
         self._series: Series | None = None
 
     def accepts(self, announcement: RunnerAnnouncement, now_s: float) -> bool:
         """Return whether an announcement that arrives at boot time `now_s` is in order."""
-        if not self._follows_latest(announcement):
+        if not self._follows_latest(announcement, now_s):
             if not self._is_believed_as_series(announcement, now_s):
                 return False
             logs.event(
@@ -84,6 +92,8 @@
             )
         self._sender = Sender.of(announcement)
         self._sequence = announcement.sequence
+        self._clock_s = announcement.clock_s
+        self._accepted_at_s = now_s
         self._deregistered = False
         self._series = None
         return True
@@ -93,16 +103,23 @@
         if self._sender is not None and self._sender.runner_id == runner_id:
             self._deregistered = True
 
-    def _follows_latest(self, announcement: RunnerAnnouncement) -> bool:
+    def _follows_latest(self, announcement: RunnerAnnouncement, now_s: float) -> bool:
         known = self._sender
         if known is None:
             return True
         if Sender.of(announcement) == known:
-            return self._sequence < announcement.sequence <= self._sequence + MAX_SEQUENCE_STEP
+            return self._follows_in_process(announcement, now_s)
         if announcement.service != known.service and not self._deregistered:
             return False
         return announcement.born_ms > known.born_ms
 
+    def _follows_in_process(self, announcement: RunnerAnnouncement, now_s: float) -> bool:
+        """Return whether an announcement follows the latest one of the same process."""
+        if announcement.clock_s != self._clock_s:
+            passed_s = announcement.clock_s - self._clock_s
+            return 0.0 < passed_s < now_s - self._accepted_at_s + MAX_CLOCK_LEAD_S
+        return self._sequence < announcement.sequence <= self._sequence + MAX_SEQUENCE_STEP
+
     def _is_believed_as_series(self, announcement: RunnerAnnouncement, now_s: float) -> bool:
         """Return whether announcements that seem late have gone on for as long as a live runner's.
 
--- a/tests/platform/test_odd_announcements.py
+++ b/tests/platform/test_odd_announcements.py
@@ -131,6 +131,9 @@
         await self._async_announce(seq=90, clockMs=10_500)
         await self._async_announce(seq=5, clockMs=11_500)
         self.assertEqual(5, self._sequences()[-1])
+        await self._async_announce(seq=91, clockMs=10**9)
+        await self._async_announce(seq=6, clockMs=12_500)
+        self.assertEqual([5, 6], self._sequences()[-2:])
 
     async def test_earlier_announcement_with_a_later_sequence_number_is_ignored(self) -> None:
         await self._async_announce(seq=4, clockMs=10_000)
