Agent: an announcement allows less at once, and more only once it is confirmed

Cause: whatever an announcement in order said was taken over at once, and one out of order was acknowledged and ignored.

Change: platform/announced_states.py keeps what each process may be given. Draining and less capacity apply at once, also out of order; back from draining or more capacity only after announcements of the process have said so for over 3 s without gap or contradiction, also after a DELETE. Ruled out: asking the runner, whose lists hold neither state nor capacity.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -812,6 +812,30 @@
             ),
         ),
     ),
+    Mutant(
+        "one announcement is enough to use a draining runner again",
+        "tests/platform/test_agent.py::AgentPlatformAdapterTest::"
+        "test_a_draining_runner_is_not_used_again_after_one_announcement",
+        (
+            Edit(
+                "pistachiohill/platform/announced_states.py",
+                "        if now_s - self.claimed_since_s <= CONFIRMATION_S:\n",
+                "        if now_s < self.claimed_since_s:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "an announcement out of order does not make a runner drain",
+        "tests/platform/test_agent.py::AgentPlatformAdapterTest::"
+        "test_a_runner_that_drains_is_heard_beside_announcements_of_another_writer",
+        (
+            Edit(
+                "pistachiohill/platform/registry.py",
+                "            self._on_out_of_order(announcement, now_s)\n",
+                "",
+            ),
+        ),
+    ),
     Mutant(
         "announcements of one process are ordered by their numbers alone",
         "tests/platform/test_odd_announcements.py::OddAnnouncementTest::"
--- a/pistachiohill/platform/agent.py
+++ b/pistachiohill/platform/agent.py
@@ -10,17 +10,29 @@
 from ..http.app import HttpApp, Route
 from ..http.direct_server import async_serve_directly
 from ..settings.models import AgentSettings
+from .announced_states import AnnouncedStates, RunnerProcess
 from .const import MAX_ANNOUNCEMENT_BYTES
 from .models import RunnerAnnouncement
 from .registry import RunnerRegistry
 
 
 @frozen
-class AnnouncedState:
-    """State of an announced runner, which counts once the runner is in use."""
+class AnnouncedRunner:
+    """A runner that was announced; it counts once it is in use."""
 
     identity: RunnerIdentity
-    state: TargetState
+    service: str
+    expires_at_s: float
+
+    @property
+    def process(self) -> RunnerProcess:
+        """Return the process that was announced."""
+        return process_of(self.identity)
+
+
+def process_of(identity: RunnerIdentity) -> RunnerProcess:
+    """Return the process of a runner, wherever it is reached."""
+    return RunnerProcess(identity.runner_id, identity.born_ms)
 
 
 class AgentPlatformAdapter:
@@ -33,9 +45,13 @@
         self._settings = settings
         self._service = service
         self._target = target
-        self._registry = RunnerRegistry(self._on_announcement, self._on_deregister)
+        self._registry = RunnerRegistry(
+            self._on_announcement, self._on_out_of_order, self._on_deregister
+        )
+        self._states = AnnouncedStates()
         self._runner_id = ""
-        self._announced: AnnouncedState | None = None
+        self._announced: AnnouncedRunner | None = None
+        self._in_use: AnnouncedRunner | None = None
 
     async def async_start(self, nursery: trio.Nursery, routes: list[Route]) -> None:
         """Serve the runner's announcements and the agent's own HTTP API."""
@@ -66,28 +82,48 @@
             announcement.runner_id, announcement.address, announcement.born_ms
         )
         self._target.handle_announcement(identity, now_s)
-        state = TargetState(
-            service=announcement.service,
-            url=announcement.address,
-            cpu_m=announcement.capacity.cpu_m,
-            mem_mb=announcement.capacity.mem_mb,
-            leaving=announcement.leaving,
-            expires_at_s=now_s + self._settings.target_ttl_s,
-        )
-        self._announced = AnnouncedState(identity, state)
+        self._states.record(announcement, True, self._process_in_use(), now_s)
+        expires_at_s = now_s + self._settings.target_ttl_s
+        self._announced = AnnouncedRunner(identity, announcement.service, expires_at_s)
         self._apply_announced_state(now_s)
 
+    def _on_out_of_order(self, announcement: RunnerAnnouncement, now_s: float) -> None:
+        """Apply what a late announcement says of the runner in use, if it allows less."""
+        self._states.record(announcement, False, self._process_in_use(), now_s)
+        if self._in_use is not None and self._in_use.identity == self._target.identity:
+            self._update_target(self._in_use, now_s)
+
+    def _process_in_use(self) -> RunnerProcess | None:
+        identity = self._target.identity
+        return None if identity is None else process_of(identity)
+
     def _apply_announced_state(self, now_s: float) -> None:
         """Pass on the state announced last if it is that of the runner in use."""
         announced = self._announced
         if announced is None or announced.identity != self._target.identity:
             return
         self._announced = None
-        self._service.update_target(announced.state, now_s)
+        self._in_use = announced
+        self._update_target(announced, now_s)
+
+    def _update_target(self, runner: AnnouncedRunner, now_s: float) -> None:
+        allowance = self._states.allowance(runner.process)
+        if allowance is None:
+            return
+        target = TargetState(
+            service=runner.service,
+            url=runner.identity.address,
+            cpu_m=allowance.capacity.cpu_m,
+            mem_mb=allowance.capacity.mem_mb,
+            leaving=allowance.leaving,
+            expires_at_s=runner.expires_at_s,
+        )
+        self._service.update_target(target, now_s)
 
     def _on_deregister(self, runner_id: str, now_s: float) -> None:
         known = self._target.identity
         if known is None or runner_id != known.runner_id:
             return
+        self._in_use = None
         self._target.handle_shutdown()
         self._service.update_target(TargetState(), now_s)
--- a/pistachiohill/platform/const.py
+++ b/pistachiohill/platform/const.py
@@ -30,6 +30,7 @@
 SUSPECT_IDLE_S: Final = 1.0  # nor those that were idle for so long when a request timed out
 
 HEARTBEAT_S: Final = 1.5  # a runner announces itself about this often
+CONFIRMATION_S: Final = 2 * HEARTBEAT_S  # another writer's announcement is contradicted in between
 MAX_CLOCK_SKEW_S: Final = 60.0  # clocks of the day of an agent and its runner are steps apart
 MAX_SERVICE_CHARS: Final = 64
 MAX_CPU_M: Final = 10**9
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -88,19 +88,22 @@
 
 
 class RunnerRegistry:
-    """Receives the announcements of a runner and drops those that arrive out of order."""
+    """Receives the announcements of a runner and tells those that arrive out of order apart."""
 
     def __init__(
         self,
         on_announcement: Callable[[RunnerAnnouncement, float], None],
+        on_out_of_order: Callable[[RunnerAnnouncement, float], None],
         on_deregister: Callable[[str, float], None],
     ) -> None:
         """Initialize the registry.
 
-        `on_announcement` is called with each new announcement, `on_deregister` with the id of a
-        runner that has ended; the second argument of both is the current boot-clock time.
+        `on_announcement` is called with each new announcement, `on_out_of_order` with each other
+        one that is well-formed, `on_deregister` with the id of a runner that has ended; the second
+        argument of all three is the current boot-clock time.
         """
         self._on_announcement = on_announcement
+        self._on_out_of_order = on_out_of_order
         self._on_deregister = on_deregister
         self._order = AnnouncementOrder()
 
@@ -125,6 +128,7 @@
                 runner=announcement.runner_id,
                 sequence=announcement.sequence,
             )
+            self._on_out_of_order(announcement, now_s)
             return json_response({})
         self._on_announcement(announcement, now_s)
         return json_response({})
--- a/tests/platform/test_odd_announcements.py
+++ b/tests/platform/test_odd_announcements.py
@@ -38,7 +38,10 @@
         self.deregistered: list[str] = []
         self.now_s = 1000.0
         self.app = HttpApp(
-            RunnerRegistry(self._on_announcement, self._on_deregister).routes(), 4 * 1024 * 1024
+            RunnerRegistry(
+                self._on_announcement, self._on_out_of_order, self._on_deregister
+            ).routes(),
+            4 * 1024 * 1024,
         )
         for name in ("boot_s", "wall_s"):
             patch = mock.patch.object(clock, name, getattr(self, f"_{name}"))
@@ -54,6 +57,9 @@
     def _on_announcement(self, announcement: RunnerAnnouncement, now_s: float) -> None:
         self.announcements.append(announcement)
 
+    def _on_out_of_order(self, announcement: RunnerAnnouncement, now_s: float) -> None:
+        self.assertNotIn(announcement, self.announcements)
+
     def _on_deregister(self, runner_id: str, now_s: float) -> None:
         self.deregistered.append(runner_id)
 
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -33,13 +33,19 @@
         self.announcements: list[RunnerAnnouncement] = []
         self.deregistered: list[str] = []
         self.app = HttpApp(
-            RunnerRegistry(self._on_announcement, self._on_deregister).routes(), 65536
+            RunnerRegistry(
+                self._on_announcement, self._on_out_of_order, self._on_deregister
+            ).routes(),
+            65536,
         )
 
     def _on_announcement(self, announcement: RunnerAnnouncement, now_s: float) -> None:
         self.assertGreater(now_s, 0.0)
         self.announcements.append(announcement)
 
+    def _on_out_of_order(self, announcement: RunnerAnnouncement, now_s: float) -> None:
+        self.assertNotIn(announcement, self.announcements)
+
     def _on_deregister(self, runner_id: str, now_s: float) -> None:
         self.assertGreater(now_s, 0.0)
         self.deregistered.append(runner_id)
