Tests: runs of an agent are taken for ended as its successor accepts tasks

The successor has listed the runs of the runner that it was told of, which need not be its predecessor's.

--- a/tests/entry/test_agents.py
+++ b/tests/entry/test_agents.py
@@ -5,6 +5,7 @@
 from pistachiohill import clock
 from pistachiohill.agent.const import RUNS_END_S
 from pistachiohill.agent.metrics import AgentMetrics
+from pistachiohill.agent.models import TargetState
 from pistachiohill.agent.runner import TaskRunner
 from pistachiohill.agent.service import AgentService
 from pistachiohill.consortium.const import NO_OFFSET
@@ -92,10 +93,11 @@
 class ReachableAgent:
     """A living agent to which a path can be cut, so that connections to it are refused."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
-        (self.port,) = free_ports(1)
+    def __init__(self, nursery: trio.Nursery, port: int = 0) -> None:
+        self.port = port or free_ports(1)[0]
         settings = AgentSettings(peer_port=self.port)
         runner = TaskRunner(settings, nursery, FakeTarget(), AgentMetrics())
+        runner.target = TargetState("clocking", "", 4000, 4096, False, clock.boot_s() + 60)
         self.service = AgentService(settings, runner)
         self._nursery = nursery
         self._path = trio.CancelScope()
@@ -178,6 +180,21 @@
             await self._async_check_waits_for_leases()
             nursery.cancel_scope.cancel()
 
+    async def test_runs_of_an_agent_are_not_taken_for_ended_as_its_successor_accepts_tasks(
+        self,
+    ) -> None:
+        """The successor may have been told of another runner, at which no run was listed."""
+        async with trio.open_nursery() as nursery:
+            await self._async_open(nursery)
+            self.agent.cut_path()
+            await trio.sleep(0.05)
+            successor = ReachableAgent(nursery, self.agent.port)
+            successor.service.start_accepting(3)
+            await successor.async_open_path()
+            await self._async_wait_linked(2)
+            await self._async_check_waits_for_leases()
+            nursery.cancel_scope.cancel()
+
     async def test_agent_that_answers_keeps_its_tasks_although_it_is_recorded_as_ended(
         self,
     ) -> None:
