Entry: runs of an agent are waited for although its successor accepts tasks

Cause: an agent accepts tasks once the runner that it was told of lists no run. That may be another runner than its predecessor's, whose lease goes on. Change: the runs end with their leases, RUNS_END_S after the last message, as without a successor; the shortcut is gone. It saved at most 1.29 s, if a killed agent was back sooner. The model keeps the step, so that it covers more than the product does.

Measured: the test failed with 0.14 s against 1.29 s and passes now; tests/entry, tests/agent/test_spec.py and tests/test_mutants.py pass; the new mutant is detected.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -812,6 +812,20 @@
             ),
         ),
     ),
+    Mutant(
+        "runs of an agent count as ended when its successor accepts tasks",
+        "tests/entry/test_agents.py::RunsEndTest::"
+        "test_runs_of_an_agent_are_not_taken_for_ended_as_its_successor_accepts_tasks",
+        (
+            Edit(
+                "pistachiohill/entry/agents.py",
+                '            logs.event("agent_accepting", agent=agent.incarnation, '
+                "service=agent.service)\n",
+                "            for lost in self._lost_agents:\n"
+                "                self._report_runs_ended(lost, listener, now_s)\n",
+            ),
+        ),
+    ),
     Mutant(
         "one announcement is enough to use a draining runner again",
         "tests/platform/test_agent.py::AgentPlatformAdapterTest::"
--- a/pistachiohill/agent/spec.py
+++ b/pistachiohill/agent/spec.py
@@ -34,7 +34,7 @@
 | hear | `AgentDirectory._record_clock`, `view_stamp` |
 | relink | `Dispatcher.link_opened`, `StartTable.query`, `TaskRunner.cancel` |
 | leases end | `entry.agent.Agent.runs_end_s`, `Dispatcher.runs_ended` |
-| successor accepts | `AgentDirectory._report_replaced_agents`, `LeasedTarget.ready` |
+| successor accepts | `LeasedTarget.ready`; entries also wait until the leases have ended |
 | caller leaves | `entry.best_effort.BestEffortJobs.async_run`, `Dispatcher.cancel` |
 """
 
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -310,23 +310,21 @@
                 if agent.link is not None:
                     self._check_link(agent, agent.link, now_s)
                 if agent.link is None and agent.outstanding and now_s > agent.runs_end_s():
-                    self._report_runs_ended(agent, listener, now_s, "lease ended")
+                    self._report_runs_ended(agent, listener, now_s)
                 self._remove_ended_agent(agent, listener)
             self._report_expired_leases(listener, now_s)
 
     def _report_expired_leases(self, listener: AgentListener, now_s: float) -> None:
         for agent in [item for item in self._lost_agents if now_s > item.runs_end_s()]:
             self._lost_agents.remove(agent)
-            self._report_runs_ended(agent, listener, now_s, "lease ended")
+            self._report_runs_ended(agent, listener, now_s)
 
-    def _report_runs_ended(
-        self, agent: Agent, listener: AgentListener, now_s: float, reason: str
-    ) -> None:
+    def _report_runs_ended(self, agent: Agent, listener: AgentListener, now_s: float) -> None:
         """Tell the listener that an agent's best-effort runs have ended without a report."""
         logs.warning(
             "runs_presumed_ended",
             agent=agent.incarnation,
-            why=reason,
+            why="lease ended",
             tasks=len(agent.outstanding),
             last_sent_age_s=now_s - agent.last_sent_at_s,
         )
@@ -405,22 +403,12 @@
         agent.load.mem_mb = message.mem_mb
         if message.accepting and not agent.accepting:
             logs.event("agent_accepting", agent=agent.incarnation, service=agent.service)
-            self._report_replaced_agents(agent, listener, now_s)
         agent.accepting = message.accepting and agent.address in self._served
         agent.announce_offset = max(agent.announce_offset, message.announce_offset)
         agent.applied_offset = message.applied_offset
         agent.view_age_s = message.view_age_s
         listener.agent_changed(agent, now_s)
 
-    def _report_replaced_agents(self, agent: Agent, listener: AgentListener, now_s: float) -> None:
-        """Report the runs of an agent's predecessors as ended once it accepts tasks.
-
-        A new agent process accepts tasks only after the runner has listed no earlier run.
-        """
-        for previous in [item for item in self._lost_agents if item.address == agent.address]:
-            self._lost_agents.remove(previous)
-            self._report_runs_ended(previous, listener, now_s, "successor accepts tasks")
-
     @_handle.register
     def _(self, message: TaskReports, agent: Agent, listener: AgentListener, now_s: float) -> None:
         self._record_clock(agent, message.stamp_s, now_s)
