--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -643,7 +643,7 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        if self._is_renewal_paused(now_s):\n",
+                "        if self._runs.is_renewal_paused(now_s):\n",
                 "        if False:\n",
             ),
         ),
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -38,7 +38,6 @@
     MAX_STARTS_SENT,
     RETRY_DELAY_S,
     START_TIMEOUT_S,
-    STOP_TIMEOUT_S,
 )
 from .fencing import initial_token
 from .late_starts import LateStarts
@@ -63,7 +62,9 @@
     TargetCall,
     TargetResult,
 )
-from .run import RUN_END_REASONS, START_REFUSAL_REASONS, Run
+from .run import RUN_END_REASONS, START_REFUSAL_REASONS, Run, log_end
+from .run_stops import RunnerAccess, async_stop, async_stop_foreign_runs
+from .run_table import RunTable
 from .runner_discovery import ConfirmedRunner, RunnerDiscovery
 from .runner_lease import RunnerLease
 
@@ -88,13 +89,12 @@
             lambda: self.ready,
             self._async_start,
         )
-        self._runs: dict[RunName, Run] = {}
+        self._runs = RunTable()
         self._foreign_runs: frozenset[RunName] = frozenset()
         self._synchronized = False
         self._ack_cursor = 0
         self._ack_pending = False
         self._lease = RunnerLease()
-        self._renewal_paused = False
         self._response_missing = False
         self._responded_at_s = -math.inf
         self._newest_list_clock_s = -math.inf
@@ -227,7 +227,7 @@
         has the same job, and would place the task elsewhere if it were refused here.
         """
         run = Run(call, permission)
-        if await self._async_wait_for_earlier_runs(run.name):
+        if await self._runs.async_wait_for_earlier_runs(run.name):
             return TargetResult(Verdict.NOT_RUN, RefusalReason.BUSY)
         if not self.ready or self._response_missing:
             return TargetResult(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
@@ -236,7 +236,7 @@
         try:
             await self._async_start(run)
             await run.done.wait()
-            self._log_end(run)
+            log_end(run, self._runner_id)
         finally:
             del self._runs[run.name]
             run.removed.set()
@@ -244,23 +244,6 @@
         assert run.result is not None
         return run.result
 
-    async def _async_wait_for_earlier_runs(self, name: RunName) -> bool:
-        """Wait until no other run of a task is in progress.
-
-        Return whether one had the same name, which the runner does not start again.
-        """
-        name_used = False
-        earlier = self._find_run_of(name.task_id)
-        while earlier is not None:
-            logs.event("run_in_progress", name=earlier.call.name, run=earlier.call.run)
-            name_used |= earlier.name == name
-            await earlier.removed.wait()
-            earlier = self._find_run_of(name.task_id)
-        return name_used
-
-    def _find_run_of(self, task_id: str) -> Run | None:
-        return next((run for run in self._runs.values() if run.call.task_id == task_id), None)
-
     def stop(self, call: TargetCall) -> None:
         """Ask the runner to stop a run; its call returns once the run is known to have ended.
 
@@ -275,7 +258,11 @@
 
     def _stop_soon(self, run: Run) -> None:
         assert self._nursery is not None
-        self._nursery.start_soon(self._async_stop, run)
+        self._nursery.start_soon(async_stop, self._runner_client, run, self._access)
+
+    def _access(self) -> RunnerAccess | None:
+        """Return under what a request is sent now, None if no runner is known."""
+        return None if self._identity is None else RunnerAccess(self._identity, self._token)
 
     async def async_run(self) -> None:
         """Renew the lease and monitor the runs until cancelled."""
@@ -309,7 +296,7 @@
         """Return whether a response may be delayed until a run ends."""
         if not self._synchronized or self._response_missing or self._foreign_runs:
             return False
-        return bool(self._runs) and not self._has_unresolved_start()
+        return bool(self._runs) and not self._runs.has_unresolved_start()
 
     def _needs_hold(self) -> bool:
         if self._shut_down and not self._runs:
@@ -330,15 +317,13 @@
         if isinstance(outcome, RunList):
             self._apply_run_list(outcome, lease.token, sent_at_s, now_s)
             if self._foreign_runs:
-                await self._async_stop_foreign_runs(identity)
+                lease = Lease(self._token, None)
+                await async_stop_foreign_runs(
+                    self._runner_client, identity, lease, self._foreign_runs
+                )
             return
         await self._async_handle_failed_hold(outcome, lease, sent_at_s, now_s)
 
-    def _has_unresolved_start(self) -> bool:
-        return any(
-            run.fencing_token is not None and run.result is None for run in self._runs.values()
-        )
-
     def _next_lease(self, now_s: float) -> Lease:
         """Return the lease for the next request.
 
@@ -347,9 +332,9 @@
         """
         if self._response_missing or not self._synchronized or self._foreign_runs:
             return Lease(self._token, None)
-        if all(run.withheld is not None for run in self._runs.values()):
+        if not self._runs.needs_lease():
             return Lease(self._token, None)
-        if self._is_renewal_paused(now_s):
+        if self._runs.is_renewal_paused(now_s):
             return Lease(self._token, None)
         return Lease(self._token, self._lease.grant(now_s))
 
@@ -363,14 +348,6 @@
             return lease
         return Lease(self._token, self._lease.granted_until_clock_s)
 
-    def _is_renewal_paused(self, now_s: float) -> bool:
-        """Return whether a run is overdue, so that it has to end with the lease."""
-        overdue = sum(run.is_overdue(now_s) for run in self._runs.values())
-        if overdue and not self._renewal_paused:
-            logs.warning("lease_renewal_paused", runs=len(self._runs), overdue=overdue)
-        self._renewal_paused = overdue > 0
-        return self._renewal_paused
-
     def _record_response(self, clock_s: float, now_s: float) -> None:
         self._lease.record_clock(clock_s, now_s)
         self._response_missing = False
@@ -437,7 +414,7 @@
         if run is None:
             return
         reason = RUN_END_REASONS[ended.outcome]
-        if ended.outcome == RunEnd.LAPSED and self._renewal_paused:
+        if ended.outcome == RunEnd.LAPSED and self._runs.renewal_paused:
             reason = RefusalReason.LEASE_ENDED  # by this agent, not by a fault of the runner
         if run.withheld is None or run.withheld.verdict == Verdict.NOT_RUN or reason is None:
             run.withheld = None
@@ -602,34 +579,6 @@
                     self._raise_token_above(lease.token)
                 await trio.sleep(RETRY_DELAY_S)
 
-    async def _async_stop(self, run: Run) -> None:
-        requested_at_s = clock.boot_s()
-        while not run.is_settled:
-            identity = self._identity
-            if identity is None:
-                return
-            lease = Lease(self._token, None)
-            outcome = await self._runner_client.async_stop(
-                identity, run.name, lease, STOP_TIMEOUT_S
-            )
-            if isinstance(outcome, NoAnswer):
-                logs.event(
-                    "stop_unanswered",
-                    name=run.call.name,
-                    run=run.call.run,
-                    stopping_s=clock.boot_s() - requested_at_s,
-                )
-            with trio.move_on_after(RETRY_DELAY_S):
-                await run.done.wait()
-
-    async def _async_stop_foreign_runs(self, identity: RunnerIdentity) -> None:
-        """Stop runs that were started by an earlier agent process or by abandoned requests."""
-        logs.event("foreign_runs", runs=len(self._foreign_runs), token=self._token)
-        lease = Lease(self._token, None)
-        for name in self._foreign_runs:
-            await self._runner_client.async_stop(identity, name, lease, HOLD_TIMEOUT_S)
-        await trio.sleep(RETRY_DELAY_S)
-
     def _raise_token_above(self, token: int) -> None:
         """Use a higher token from now on, so that late requests under an older one are rejected."""
         self._token = max(self._token, token + 1)
@@ -704,18 +653,6 @@
         run.acknowledged_at_s = now_s
         logs.event("run_started", name=run.call.name, run=run.call.run, runner=self._runner_id)
 
-    def _log_end(self, run: Run) -> None:
-        assert run.result is not None
-        logs.event(
-            "run_ended",
-            name=run.call.name,
-            run=run.call.run,
-            runner=self._runner_id,
-            verdict=run.result.verdict,
-            reason=run.result.reason or "none",
-            starts_sent=run.starts_sent,
-        )
-
     def _end_runs(self, runs: list[Run], why: str) -> None:
         for run in runs:
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -5,6 +5,7 @@
 import trio
 from attrs import define, field
 
+from .. import logs
 from ..errors import RefusalReason, Verdict
 from .const import STOP_CONFIRM_S
 from .models import (
@@ -129,3 +130,17 @@
         if self.result is None:
             self.result = self.withheld or TargetResult(verdict, reason)
             self.done.set()
+
+
+def log_end(run: Run, runner_id: str) -> None:
+    """Log a run that is reported."""
+    assert run.result is not None
+    logs.event(
+        "run_ended",
+        name=run.call.name,
+        run=run.call.run,
+        runner=runner_id,
+        verdict=run.result.verdict,
+        reason=run.result.reason or "none",
+        starts_sent=run.starts_sent,
+    )
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -6,7 +6,6 @@
 from functools import partial
 
 import trio
-from attrs import define
 
 from .. import clock, logs
 from ..const import TaskState
@@ -29,8 +28,15 @@
 )
 from ..scheduling.models import Demand
 from ..settings.models import AgentSettings
-from ..submissions.identifiers import task_name
 from .admission import start_refusal, submission_refusal
+from .admitted_task import (
+    AdmittedTask,
+    log_arrival,
+    log_outcome,
+    log_stop,
+    start_task_name,
+    target_call,
+)
 from .const import (
     ENTRY_LEASE_S,
     EXPIRY_INTERVAL_S,
@@ -41,37 +47,13 @@
 )
 from .leases import EntryLeases
 from .metrics import AgentMetrics
-from .models import RunPermission, TargetCall, TargetResult, TargetState, TaskTarget
+from .models import RunPermission, TargetResult, TargetState, TaskTarget
 from .reports import ReportSender
 from .resources import Reservation, ResourceTracker, SentLoad
 from .start_table import StartTable, SubmissionRecord
 from .view import AgentView
 
 
-@define(eq=False, slots=True)
-class AdmittedTask:
-    """A task that is queued or running; `deadline_s` is a boot time.
-
-    `link` is the one on which its entry has last named it.
-    """
-
-    link: Link
-    record: SubmissionRecord
-    ref: TaskRef
-    deadline_s: float
-    call: TargetCall
-    reservation: Reservation
-    best_effort: bool
-    sequence: int
-    admitted_at_s: float
-    stop_reason: RefusalReason | None = None
-
-    @property
-    def sort_key(self) -> tuple[int, int]:
-        """Return the key by which the queue is sorted: priority, then order of admission."""
-        return self.reservation.priority, self.sequence
-
-
 class TaskRunner:
     """Manages the start table, the queue and the running tasks of one agent."""
 
@@ -194,7 +176,7 @@
         record.best_effort = message.best_effort
         self._reports.subscribe(message.submission_id, link)
         refusal = self._batch_refusal(message, now_s)
-        _log_arrival(link, message, refusal, self.leases.age_s(link.peer_incarnation, now_s))
+        log_arrival(link, message, refusal, self.leases.age_s(link.peer_incarnation, now_s))
         for task in message.tasks:
             self._admit(record, link, refusal, message, task, now_s)
         due = self.leases.needs_renewal(link.peer_incarnation, now_s)
@@ -330,7 +312,7 @@
             logs.event(
                 "task_refused",
                 submission=record.submission_id,
-                name=_task_name(message, ref.index),
+                name=start_task_name(message, ref.index),
                 task=ref.index,
                 attempt=ref.attempt,
                 reason=refusal,
@@ -350,7 +332,7 @@
             record,
             ref,
             now_s + message.deadline_in_s,
-            _target_call(message, task, demand),
+            target_call(message, task, demand),
             reservation,
             message.best_effort,
             self._sequence,
@@ -492,29 +474,7 @@
         self._metrics.run_s.labels(member, job).observe(report.run_s)
         self._metrics.wait_s.observe(waited_s)
         self._metrics.occupied.set(self.occupied)
-        if report.reason:
-            logs.event(
-                "task_failed",
-                submission=task.record.submission_id,
-                name=task.call.name,
-                task=report.index,
-                attempt=report.attempt,
-                verdict=report.verdict,
-                reason=report.reason,
-                status=report.status_code,
-                waited_s=waited_s,
-                run_s=report.run_s,
-            )
-        else:
-            logs.event(
-                "task_ran",
-                submission=task.record.submission_id,
-                name=task.call.name,
-                task=report.index,
-                attempt=report.attempt,
-                waited_s=waited_s,
-                run_s=report.run_s,
-            )
+        log_outcome(task, report, waited_s)
 
     def _stop_running(
         self, predicate: Callable[[AdmittedTask], bool], reason: RefusalReason
@@ -524,7 +484,7 @@
         for task in found:
             if task.stop_reason is None:
                 task.stop_reason = reason
-                _log_stop(task)
+                log_stop(task)
             self._target_client.stop(task.call)
         return len(found)
 
@@ -578,46 +538,3 @@
     def reset_load_changed(self) -> None:
         """Create a new event for the next load change."""
         self._load_changed = trio.Event()
-
-
-def _log_arrival(
-    link: Link, message: StartTasks, refusal: RefusalReason | None, lease_age_s: float
-) -> None:
-    logs.event(
-        "tasks_received",
-        submission=message.submission_id,
-        entry=link.peer_incarnation,
-        names=",".join(_task_name(message, task.index) for task in message.tasks),
-        attempts=",".join(str(task.attempt) for task in message.tasks),
-        refusal=refusal or "none",
-        lease_age_s=lease_age_s,
-    )
-
-
-def _log_stop(task: AdmittedTask) -> None:
-    logs.event(
-        "task_stopped",
-        submission=task.record.submission_id,
-        name=task.call.name,
-        attempt=task.ref.attempt,
-        entry=task.reservation.owner,
-        reason=task.stop_reason,
-    )
-
-
-def _task_name(message: StartTasks, index: int) -> str:
-    return task_name(message.job_key or message.submission_id, index)
-
-
-def _target_call(message: StartTasks, task: TaskStart, demand: Demand) -> TargetCall:
-    name = message.job_key or message.submission_id
-    return TargetCall(
-        task_id=f"{name}/{task.index}",
-        run=task.attempt,
-        member=message.member,
-        job=message.job,
-        payload=task.payload or message.shared_payload,
-        timeout_s=message.task_timeout_s,
-        refusal_is_not_run=message.refusal_is_not_run,
-        demand=demand,
-    )
--- a/pistachiohill/agent/spec.py
+++ b/pistachiohill/agent/spec.py
@@ -27,7 +27,7 @@
 | hold | `LeasedTarget._async_hold_once`, `_async_resolve_start`, `_apply_run_list` |
 | may a hold renew | `LeasedTarget._next_lease`, `Run.is_overdue` |
 | lease of the entry ends, withdraw | `TaskRunner.end_orphaned_tasks` |
-| stop | `LeasedTarget.stop`, `_async_stop` |
+| stop | `LeasedTarget.stop`, `run_stops.async_stop` |
 | runner is silent | `LeasedTarget._handle_lease_end`, `runner_lease.RunnerLease` |
 | runner restarted | `LeasedTarget._handle_restart` |
 | report | `agent.reports.ReportSender`, `entry.dispatcher.Dispatcher.tasks_reported` |
