--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -35,6 +35,7 @@
 GIVEN_UP_TESTS = "tests/entry/test_dispatcher.py::GivenUpJobsTest::"
 ORIGIN_TESTS = "tests/http/test_direct_server.py::RequestOriginTest::"
 RUN_PROOFS_TESTS = "tests/agent/test_run_proofs.py::RunProofsTest::"
+LATE_START_TESTS = "tests/agent/test_late_starts.py::LateStartTest::"
 RESENT_TESTS = "tests/failures/test_resent_jobs.py::ResentJobsTest::"
 RELEASE_TESTS = "tests/entry/test_best_effort.py::ReleaseTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
@@ -642,7 +643,7 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        if self._is_renewal_paused(now_s):\n",
+                "        if self._runs.is_renewal_paused(now_s):\n",
                 "        if False:\n",
             ),
         ),
@@ -666,7 +667,7 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        refusal = run.permission.start_refusal(sent_at_s)\n",
+                "        refusal = run.start_refusal(sent_at_s)\n",
                 "        refusal = None\n",
             ),
         ),
@@ -792,8 +793,119 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        elif run.starts_sent >= MAX_STARTS_SENT:\n",
-                "        elif True:\n",
+                "        elif run.starts_sent >= MAX_STARTS_SENT:\n"
+                "            run.fencing_token = None\n"
+                "            self._settle(run,",
+                "        elif True:\n            run.end(",
+            ),
+        ),
+    ),
+    Mutant(
+        "fields of an announcement that the agent has no use for are not checked",
+        "tests/platform/test_odd_announcements.py::OddAnnouncementTest::"
+        "test_announcement_that_is_not_whole_is_refused",
+        (
+            Edit(
+                "pistachiohill/platform/registry.py",
+                "    _check_unused(fields, capacity)\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "runs of an agent count as ended when its successor accepts tasks",
+        "tests/entry/test_agents.py::RunsEndTest::"
+        "test_runs_of_an_agent_are_not_taken_for_ended_as_its_successor_accepts_tasks",
+        (
+            Edit(
+                "pistachiohill/entry/agents.py",
+                '            logs.event("agent_accepting", agent=agent.incarnation, '
+                "service=agent.service)\n",
+                "            for lost in self._lost_agents:\n"
+                "                self._report_runs_ended(lost, listener, now_s)\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "one announcement is enough to use a draining runner again",
+        "tests/platform/test_agent.py::AgentPlatformAdapterTest::"
+        "test_a_draining_runner_is_not_used_again_after_one_announcement",
+        (
+            Edit(
+                "pistachiohill/platform/announced_states.py",
+                "        if now_s - self.claimed_since_s <= CONFIRMATION_S:\n",
+                "        if now_s < self.claimed_since_s:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "an announcement out of order does not make a runner drain",
+        "tests/platform/test_agent.py::AgentPlatformAdapterTest::"
+        "test_a_runner_that_drains_is_heard_beside_announcements_of_another_writer",
+        (
+            Edit(
+                "pistachiohill/platform/registry.py",
+                "            self._on_out_of_order(announcement, now_s)\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "announcements of one process are ordered by their numbers alone",
+        "tests/platform/test_odd_announcements.py::OddAnnouncementTest::"
+        "test_sequence_number_far_ahead_does_not_silence_the_runner",
+        (
+            Edit(
+                "pistachiohill/platform/announcement_order.py",
+                "        if announcement.clock_s != self._clock_s:\n",
+                "        if announcement.clock_s < 0.0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run is settled by the refusal of its next attempt",
+        LATE_START_TESTS
+        + "test_run_that_may_not_be_started_again_is_not_run_only_when_no_start_can_come",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "            self._settle(run, Verdict.NOT_RUN, refusal)\n",
+                "            run.end(Verdict.NOT_RUN, refusal)\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run is settled by the runner's refusal of a later attempt",
+        LATE_START_TESTS
+        + "test_run_that_the_runner_refuses_later_is_not_run_only_when_no_start_can_come",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "self._settle(run, Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])",
+                "run.end(Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])",
+            ),
+        ),
+    ),
+    Mutant(
+        "a withheld run that the next process executes is not looked after",
+        LATE_START_TESTS + "test_cancelled_run_that_the_next_process_executes_is_stopped",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "            if run.stop_requested_at_s < math.inf:\n",
+                "            if run.stop_requested_at_s < 0.0:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run that failed is reported while a start of it may come",
+        LATE_START_TESTS
+        + "test_run_that_failed_after_an_unanswered_start_is_reported_when_none_can_come",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "            self._settle(run, Verdict.RAN, reason)\n",
+                "            run.end(Verdict.RAN, reason)\n",
             ),
         ),
     ),
@@ -804,8 +916,9 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        run.unsettled_until_s = now_s + LATE_START_S\n" "        self._fence",
-                "        self._fence",
+                "            run.unsettled_until_s = now_s + LATE_START_S\n"
+                "        if not run.is_settled",
+                "            run.unsettled_until_s = -math.inf\n        if not run.is_settled",
             ),
         ),
     ),
