--- a/tests/consortium/test_state.py
+++ b/tests/consortium/test_state.py
@@ -147,6 +147,15 @@
         )
         self.assertFalse(view.state.domain_is_out("x"))
 
+    def test_the_higher_version_of_the_tree_counts_whatever_its_offset(self) -> None:
+        view = ConsortiumView()
+        newer, older = (parse_node("consortium", f"weight = {n}.0", n) for n in (7, 9))
+        self.assertTrue(view.state.replace_nodes([older], 9, 4))
+        self.assertTrue(view.state.replace_nodes([newer], 7, 5))
+        self.assertFalse(view.state.replace_nodes([older], 10, 4))
+        self.assertEqual((9, 5), (view.state.offset, view.state.tree_version))
+        self.assertEqual("weight = 7.0", view.state.nodes["consortium"].text)
+
     def test_conflicting_changes_are_rejected_by_version(self) -> None:
         view = ConsortiumView()
         view.state.advance_offset(0)
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -10,6 +10,7 @@
 from pistachiohill.entry.peers import PeerDirectory
 from pistachiohill.protocol.models import DomainRecord
 from pistachiohill.settings.models import EntrySettings
+from pistachiohill.settings.tree import parse_node
 from standins.processes import HOST, free_ports
 from standins.relay import RelayModel
 
@@ -75,3 +76,18 @@
             with trio.move_on_after(RELINK_LIMIT_S):
                 await second_view.async_wait_offset(1)
             self.assertTrue(second_view.state.domain_is_out("aarau-c"))
+
+    async def test_higher_version_of_the_tree_is_adopted_from_a_peer_at_the_same_offset(
+        self,
+    ) -> None:
+        """The write of the lower version was carried out late, before the second entry started."""
+        async with entries_behind_relay() as (first_view, second_view, _):
+            newer, older = (parse_node("consortium", f"weight = {n}.0", n) for n in (7, 9))
+            first_view.state.replace_nodes([newer], 7, tree_version=7)
+            first_view.state.advance_offset(9)
+            second_view.state.replace_nodes([older], 9, tree_version=4)
+            with trio.move_on_after(IN_TOUCH_S):
+                while second_view.state.tree_version != 7:
+                    await second_view.async_wait_changed()
+            self.assertEqual("weight = 7.0", second_view.state.nodes["consortium"].text)
+            self.assertEqual("weight = 7.0", first_view.state.nodes["consortium"].text)
