--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -38,6 +38,7 @@
 RESENT_TESTS = "tests/failures/test_resent_jobs.py::ResentJobsTest::"
 RELEASE_TESTS = "tests/entry/test_best_effort.py::ReleaseTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
+OLDER_MANIFEST_TESTS = "tests/failures/test_older_manifest.py::OlderManifestTest::"
 
 MUTANTS = (
     Mutant(
@@ -558,7 +559,7 @@
         (
             Edit(
                 "pistachiohill/consortium/state.py",
-                "        if offset <= self.tree_offset or 0 < tree_version < self.tree_version:\n",
+                "        if not self._is_newer_tree(offset, tree_version):\n",
                 "        if offset < 0:\n",
             ),
         ),
@@ -878,4 +879,76 @@
             ),
         ),
     ),
+    Mutant(
+        "the settings tree at the later offset counts as newer, whatever its version",
+        "tests/consortium/test_state.py::StateTest::"
+        "test_the_higher_version_of_the_tree_counts_whatever_its_offset",
+        (
+            Edit(
+                "pistachiohill/consortium/state.py",
+                "            return tree_version > self.tree_version\n",
+                "            return offset > self.tree_offset\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the settings tree of the highest version is not kept",
+        OLDER_MANIFEST_TESTS
+        + "test_entries_that_all_start_after_a_late_write_take_the_newer_manifest",
+        (
+            Edit(
+                "pistachiohill/consortium/tree_keeper.py",
+                "            await _async_write_tree(store, view)\n",
+                "            await trio.sleep_forever()\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the settings tree is kept whatever was written in the meantime",
+        "tests/consortium/test_tree_keeper.py::TreeKeeperTest::"
+        "test_a_newer_copy_that_was_not_read_is_not_replaced",
+        (
+            Edit(
+                "pistachiohill/consortium/tree_keeper.py",
+                "encode_tree(tree), kept.end)",
+                "encode_tree(tree))",
+            ),
+        ),
+    ),
+    Mutant(
+        "a peer with a higher version of the settings tree is not asked for it",
+        "tests/entry/test_peers.py::PeersTest::"
+        "test_higher_version_of_the_tree_is_adopted_from_a_peer_at_the_same_offset",
+        (
+            Edit(
+                "pistachiohill/entry/peers.py",
+                " and message.tree_version <= state.tree_version:",
+                ":",
+            ),
+        ),
+    ),
+    Mutant(
+        "callers are answered before the other entries have told their version",
+        "tests/platform/test_entry.py::EntryPlatformAdapterTest::"
+        "test_unknown_route_is_not_denied_before_the_peers_have_answered",
+        (
+            Edit(
+                "pistachiohill/platform/jobs_api.py",
+                "        if not self._startup.done:\n",
+                "        if False:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "the kept tree is served before the evacuations are known",
+        "tests/platform/test_entry.py::EntryPlatformAdapterTest::"
+        "test_routes_of_the_kept_tree_are_not_served_before_the_evacuations_are_known",
+        (
+            Edit(
+                "pistachiohill/entry/startup_check.py",
+                " and self._view.state.offset > NO_OFFSET\n",
+                "\n",
+            ),
+        ),
+    ),
 )
--- a/pistachiohill/consortium/const.py
+++ b/pistachiohill/consortium/const.py
@@ -11,6 +11,7 @@
 # The prefix "keyed." makes the store retain the newest record of each key in a topic.
 TOPIC_SETTINGS: Final = "keyed.pistachiohill-settings"
 TOPIC_PROCESSES: Final = "keyed.pistachiohill"
+KEY_KEPT_TREE: Final = "settings-tree"  # beside the processes, whose keys are hexadecimal
 
 POLL_WAIT_S: Final = 1.0  # long-poll timeout
 AFTER_RECORDS_WAIT_S: Final = 0.1  # of the read that follows one with records
@@ -25,3 +26,6 @@
 ANNOUNCE_RETRY_S: Final = 0.5
 WITHDRAW_TIMEOUT_S: Final = 2.0
 PURGE_INTERVAL_S: Final = 600.0
+MAX_TREE_VERSION: Final = 2**53 - 1  # as in JSON
+KEEP_SPREAD_S: Final = 0.5  # entries write at random times within it; the first one is enough
+KEEP_RETRY_S: Final = 1.0
--- a/pistachiohill/consortium/state.py
+++ b/pistachiohill/consortium/state.py
@@ -6,8 +6,10 @@
 
 The settings tree as a whole and each failure domain also have an offset of their own, so that none
 of them is replaced by an older one, even if a peer's snapshot includes later records of the others.
+If operators give the whole tree a version, the higher version is the newer one whatever its offset.
 """
 
+from collections.abc import Iterable
 from functools import singledispatchmethod
 
 from attrs import define, evolve, field
@@ -23,7 +25,7 @@
 )
 from ..settings.models import JobSettings
 from ..settings.tree import Node, parse_node, resolve, update_node
-from .const import ANY_VERSION, MAX_RETAINED_CHANGES, NO_OFFSET
+from .const import ANY_VERSION, MAX_RETAINED_CHANGES, MAX_TREE_VERSION, NO_OFFSET
 
 JOB_PATH_PARTS = 3  # consortium/MEMBER/JOB
 
@@ -63,22 +65,33 @@
     @property
     def tree_offset(self) -> int:
         """Offset of the latest change of the settings tree."""
-        return max((node.version for node in self.nodes.values()), default=NO_OFFSET)
+        return _latest_version(self.nodes.values())
 
     def adopt(self, snapshot: SnapshotRecord) -> bool:
-        """Take over a snapshot if its offset is later; return whether it was.
+        """Take over a snapshot if its offset is later, or only its tree if that is newer.
 
-        Parts of the snapshot that are older than those of this state are left out.
+        Return whether anything was newer. Parts of the snapshot that are older than those of this
+        state are left out.
         """
         if snapshot.offset <= self.offset:
-            return False
+            return self.adopt_tree(snapshot.settings_nodes, snapshot.tree_version)
         nodes = [self._parse_node_record(item) for item in snapshot.settings_nodes]
         self.offset = snapshot.offset
         self.changes = {item.change_id: item for item in snapshot.changes}
         for domain in snapshot.domains:
             self.set_domain(domain)
-        tree_offset = max((node.version for node in nodes), default=NO_OFFSET)
-        self.replace_nodes(nodes, tree_offset, snapshot.tree_version)
+        self.replace_nodes(nodes, _latest_version(nodes), snapshot.tree_version)
+        return True
+
+    def adopt_tree(self, records: list[SettingsNodeRecord], tree_version: int) -> bool:
+        """Take over a settings tree if its version is higher; return whether it was.
+
+        The applied offset stays, since the other records up to the tree's offset may be unknown.
+        """
+        if not self.tree_version < tree_version <= MAX_TREE_VERSION:
+            return False
+        nodes = [self._parse_node_record(item) for item in records]
+        self._set_nodes(nodes, tree_version)
         return True
 
     def replace_nodes(self, nodes: list[Node], offset: int, tree_version: int) -> bool:
@@ -86,13 +99,21 @@
 
         An older version may have a later offset, if the store executed its write late.
         """
-        if offset <= self.tree_offset or 0 < tree_version < self.tree_version:
+        if not self._is_newer_tree(offset, tree_version):
             return False
+        self._set_nodes(nodes, tree_version)
+        self.advance_offset(offset)
+        return True
+
+    def _is_newer_tree(self, offset: int, tree_version: int) -> bool:
+        if tree_version > 0 and self.tree_version > 0 and tree_version != self.tree_version:
+            return tree_version > self.tree_version
+        return offset > self.tree_offset
+
+    def _set_nodes(self, nodes: list[Node], tree_version: int) -> None:
         self.nodes = {node.path: node for node in nodes}
         self.tree_version = tree_version
-        self.advance_offset(offset)
         self._mark_changed()
-        return True
 
     def set_domain(self, record: DomainRecord) -> bool:
         """Set a failure domain if its version is newer than known; return whether it was."""
@@ -199,6 +220,10 @@
         return change
 
 
+def _latest_version(nodes: Iterable[Node]) -> int:
+    return max((node.version for node in nodes), default=NO_OFFSET)
+
+
 def _version_mismatch(expected: int, found: int) -> str:
     if expected in (ANY_VERSION, found):
         return ""
--- a/pistachiohill/consortium/tail.py
+++ b/pistachiohill/consortium/tail.py
@@ -21,6 +21,7 @@
 from ..settings.errors import SettingsError
 from .const import (
     ANNOUNCE_RETRY_S,
+    KEY_KEPT_TREE,
     POLL_AGE_FRACTION,
     POLL_WAIT_S,
     PURGE_INTERVAL_S,
@@ -30,6 +31,7 @@
 )
 from .follow import async_follow_topic
 from .processes import has_valid_address
+from .tree_keeper import apply_kept_tree
 from .view import ConsortiumView
 
 
@@ -55,7 +57,9 @@
         for record in page.records:
             apply_process(view, record)
         view.processes.offset = max(view.processes.offset, page.end - 1)
-        if page.records:
+        first = not view.kept_tree.is_read
+        view.kept_tree.end = page.end
+        if page.records or first:
             view.notify()
 
     await async_follow_topic(store, TOPIC_PROCESSES, lambda: POLL_WAIT_S, apply)
@@ -93,7 +97,10 @@
 
 
 def apply_process(view: ConsortiumView, record: KeyedRecord) -> None:
-    """Apply one process record; a deleted record removes its process."""
+    """Apply one record of the processes' topic; a deleted record removes its process."""
+    if record.key == KEY_KEPT_TREE:
+        apply_kept_tree(view, record)
+        return
     if record.value is None:
         view.processes.remove(record.key, record.offset)
         return
--- a/pistachiohill/consortium/view.py
+++ b/pistachiohill/consortium/view.py
@@ -10,6 +10,7 @@
 
 from ..protocol.models import ChangeRecord, Message, SnapshotRecord
 from .const import NO_OFFSET
+from .kept_tree import KeptTree
 from .processes import Processes
 from .state import ConsortiumState
 
@@ -24,6 +25,7 @@
         """Initialize an empty view."""
         self.state = ConsortiumState()
         self.processes = Processes()
+        self.kept_tree = KeptTree()
         self.confirmed_at_s = -math.inf
         self._changed = trio.Event()
 
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -28,6 +28,7 @@
 from ..entry.peers import PeerDirectory
 from ..entry.recovery import Recovery
 from ..entry.routes import RouteTable
+from ..entry.startup_check import StartupCheck
 from ..entry.submission_service import SubmissionService
 from ..http.app import HttpApp
 from ..platform.entry import EntryPlatformAdapter
@@ -240,7 +241,13 @@
 async def _async_run_on_platform(entry: Entry) -> None:
     """Run with the jobs API, load balancer and operator settings of the users' platform."""
     platform = EntryPlatformAdapter(
-        entry.settings, entry.store, entry.view, entry.routes, entry.jobs, entry.directory
+        entry.settings,
+        entry.store,
+        entry.view,
+        entry.routes,
+        entry.jobs,
+        entry.directory,
+        StartupCheck(entry.view, entry.peers),
     )
     entry.nursery.start_soon(platform.async_follow)
     await entry.async_start()
--- a/pistachiohill/entry/const.py
+++ b/pistachiohill/entry/const.py
@@ -22,6 +22,7 @@
 SEAL_TIMEOUT_S: Final = 2.0
 SEAL_BATCH_DELAY_S: Final = 0.01
 OWNER_LINK_GRACE_S: Final = 0.5
+PEERS_ASKED_S: Final = 0.5  # links are open within 0.1 s; after a loss of power others are silent
 STARTUP_GRACE_S: Final = 4.0  # covers a runner's heartbeat interval plus connecting to its agent
 STARTUP_POLL_S: Final = 0.02
 STARTUP_RECHECK_S: Final = 0.1  # a check plans the job, which takes about a millisecond
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -52,6 +52,7 @@
     RECONNECT_MIN_S,
     UNREACHABLE_ENTRY_S,
 )
+from .startup_check import PeerAnswers
 
 Reply = ForwardReply | CountersReply | IdsReply
 
@@ -64,12 +65,14 @@
         link: The link.
         echo_s, echo_received_at_s: Latest clock reading received from the peer, which the next view
             sent to it echoes, and the local boot time of its receipt.
+        address: Address to which this entry opened the link, None for an accepted link.
         offset, age_s: Settings offset and view age that the peer last reported.
     """
 
     link: Link
     echo_s: float = -1.0
     echo_received_at_s: float = 0.0
+    address: Address | None = None
     offset: int = NO_OFFSET
     age_s: float = 1e9
 
@@ -125,6 +128,7 @@
         self._on_unreachable = on_unreachable
         self.peers: list[Peer] = []
         self.counters = LinkCounters()
+        self._answers = PeerAnswers()
         self._incarnation = incarnation
         self._settings = settings
         self._view = view
@@ -162,6 +166,13 @@
         """Return the incarnations of all linked entries."""
         return {peer.link.peer_incarnation for peer in self.peers if not peer.link.closed}
 
+    def have_answered(self) -> bool:
+        """Return whether all entries to which this one opens links have told their version.
+
+        Those that could not be reached count as well.
+        """
+        return self._answers.include(self._known_addresses())
+
     def outage_confirmed_at(self, now_s: float) -> float | None:
         """Return the boot time as of which every live entry had reported no newer offset.
 
@@ -247,12 +258,13 @@
         Each entry is linked to a few others only, so a change passes over several links until it
         has reached an entry that can't read the store.
         """
-        sent_offset = self._view.state.offset
+        state = self._view.state
+        sent = state.offset, state.tree_version
         while True:
             with trio.move_on_after(VIEW_EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1)):
-                while self._view.state.offset == sent_offset:
+                while (state.offset, state.tree_version) == sent:
                     await self._view.async_wait_changed()
-            sent_offset = self._view.state.offset
+            sent = state.offset, state.tree_version
             now_s = clock.boot_s()
             for peer in self.peers:
                 self._send_view(peer, now_s)
@@ -270,8 +282,10 @@
 
     def _send_view(self, peer: Peer, now_s: float) -> None:
         age_s = max(0.0, peer.echo_received_at_s - self._view.confirmed_at_s)
-        offset = self._view.state.offset
-        peer.link.send(PeerView(now_s, peer.echo_s, offset, min(age_s, 1e9)))
+        state = self._view.state
+        age_s = min(age_s, 1e9)
+        view = PeerView(now_s, peer.echo_s, state.offset, age_s, state.tree_version)
+        peer.link.send(view)
 
     async def _async_maintain_link(self, host: str, port: int) -> None:
         backoff_s = RECONNECT_MIN_S
@@ -286,6 +300,7 @@
                 unreachable_since_s = clock.boot_s()
             except (HandshakeError, *CONNECT_ERRORS) as err:
                 logs.debug("peer_unreachable", host=host, port=port, detail=repr(err))
+                self._record_answer((host, port))
             if clock.boot_s() - unreachable_since_s > UNREACHABLE_ENTRY_S:
                 unreachable_since_s = clock.boot_s()
                 self._report_unreachable(host, port)
@@ -309,7 +324,7 @@
                 reply = await async_send_hello(connection, hello, PEER_CONNECT_TIMEOUT_S)
                 now_s = clock.boot_s()
                 link = Link(connection, reply.incarnation, now_s, self.counters)
-                await self._async_run_link(Peer(link, reply.stamp_s, now_s))
+                await self._async_run_link(Peer(link, reply.stamp_s, now_s, (host, port)))
         except BaseExceptionGroup as group:
             raise first_error(group) from group
 
@@ -354,15 +369,23 @@
         peer.age_s = message.age_s
         if 0.0 <= message.echo_s <= now_s:
             self._view.confirm(message.offset, message.echo_s - max(0.0, message.age_s))
-        if message.offset > self._view.state.offset:
-            logs.event(
-                "peer_ahead",
-                peer=peer.link.peer_incarnation,
-                offset=message.offset,
-                known=self._view.state.offset,
-            )
-            self._last_request_id += 1
-            peer.link.send(StateRequest(self._last_request_id))
+        state = self._view.state
+        if message.offset <= state.offset and message.tree_version <= state.tree_version:
+            self._record_answer(peer.address)
+            return
+        logs.event(
+            "peer_ahead",
+            peer=peer.link.peer_incarnation,
+            offset=message.offset,
+            known=state.offset,
+            version=message.tree_version,
+        )
+        self._last_request_id += 1
+        peer.link.send(StateRequest(self._last_request_id))
+
+    def _record_answer(self, address: Address | None) -> None:
+        self._answers.record(address)
+        self._view.notify()
 
     @_handle.register
     def _(self, message: StateRequest, peer: Peer, now_s: float) -> None:
@@ -371,6 +394,7 @@
 
     @_handle.register
     def _(self, message: StateReply, peer: Peer, now_s: float) -> None:
+        self._record_answer(peer.address)
         view_age_s = self._view.age_s(now_s)
         try:
             adopted = self._view.adopt(message.snapshot)
--- a/pistachiohill/platform/entry.py
+++ b/pistachiohill/platform/entry.py
@@ -2,10 +2,12 @@
 
 import trio
 
+from ..consortium.tree_keeper import async_keep_tree
 from ..consortium.view import ConsortiumView
 from ..entry.agents import AgentDirectory
 from ..entry.best_effort import BestEffortJobs
 from ..entry.routes import RouteTable
+from ..entry.startup_check import StartupCheck
 from ..http.app import HttpApp, route
 from ..http.direct_server import async_serve_directly
 from ..settings.models import EntrySettings
@@ -30,27 +32,29 @@
         routes: RouteTable,
         jobs: BestEffortJobs,
         directory: AgentDirectory,
+        startup: StartupCheck,
     ) -> None:
         """Initialize the adapter without opening any connection."""
         self.jobs_server_ended = trio.Event()
         self._settings = settings
         self._view = view
-        self.jobs_api = JobsApi(routes, jobs, self._is_manifest_loaded)
+        self._startup = startup
+        self.jobs_api = JobsApi(routes, jobs, startup)
         self._directory = directory
         self._store = store
         self._draining = False
 
-    def _is_manifest_loaded(self) -> bool:
-        return bool(self._view.state.nodes)
-
     def is_ready(self) -> bool:
         """Return whether the load balancer should send new callers: some agent accepts tasks."""
         accepting = any(agent.accepting for agent in self._directory.agents.values())
-        return self._is_manifest_loaded() and accepting and not self._draining
+        return self._startup.done and accepting and not self._draining
 
     async def async_follow(self) -> None:
-        """Follow the operators' topic until cancelled."""
-        await async_follow_operators(self._store, self._view)
+        """Follow the operators' topic, and keep their newest manifest, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(async_follow_operators, self._store, self._view)
+            nursery.start_soon(async_keep_tree, self._store, self._view)
+            nursery.start_soon(self._startup.async_run)
 
     async def async_serve(self, nursery: trio.Nursery, app: HttpApp, stopped: trio.Event) -> None:
         """Serve callers, the load balancer and the entry's own HTTP API until `stopped` is set."""
--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -5,7 +5,7 @@
 
 import re
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import trio
 from attrs import evolve
@@ -59,6 +59,21 @@
 Send = Callable[[Scope], Awaitable[None]]
 
 
+class Startup(Protocol):
+    """The start of this entry, until it may use the manifest that it knows."""
+
+    @property
+    def manifest_known(self) -> bool:
+        """Return whether a manifest is known."""
+
+    @property
+    def done(self) -> bool:
+        """Return whether the manifest may be used."""
+
+    async def async_wait(self) -> None:
+        """Wait until the manifest may be used."""
+
+
 class UnsupportedJobError(WireError):
     """Raised for a job that uses a feature that this version does not support."""
 
@@ -104,13 +119,11 @@
 class JobsApi:
     """ASGI application that serves callers on the platform."""
 
-    def __init__(
-        self, routes: RouteTable, jobs: BestEffortJobs, manifest_loaded: Callable[[], bool]
-    ) -> None:
-        """Initialize the application; `manifest_loaded` returns whether a manifest is known."""
+    def __init__(self, routes: RouteTable, jobs: BestEffortJobs, startup: Startup) -> None:
+        """Initialize the application; `startup` tells when the manifest may be used."""
         self._routes = routes
         self._jobs = jobs
-        self._manifest_loaded = manifest_loaded
+        self._startup = startup
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle a request; a job is cancelled if its caller disconnects."""
@@ -136,7 +149,7 @@
     async def _async_handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = {name: value.decode("latin-1") for name, value in scope["headers"]}
         host = headers.get(b"host", "").partition(":")[0]
-        match = self._routes.find(host, scope["path"])
+        match = await self._async_find_route(host, scope["path"])
         if match is None:
             self._log_route_not_found(host, scope["path"], clock.boot_s())
             await async_send_response(send, self._close_if_stopping(self._route_not_found()))
@@ -149,6 +162,14 @@
         response = self._handle_immediate(method, match)
         await async_send_response(send, self._close_if_stopping(response))
 
+    async def _async_find_route(self, host: str, path: str) -> RouteMatch | None:
+        """Return the route of a request, None if there is none or no manifest is known yet."""
+        if not self._startup.manifest_known:
+            return None
+        if not self._startup.done:
+            await self._startup.async_wait()
+        return self._routes.find(host, path)
+
     def _log_route_not_found(self, host: str, path: str, now_s: float) -> None:
         logs.event(
             "route_not_found",
@@ -159,7 +180,7 @@
         )
 
     def _route_not_found(self) -> Response:
-        if self._manifest_loaded():
+        if self._startup.manifest_known:
             return _problem(404, RefusalReason.UNKNOWN_ID, "no such queue")
         return _problem(503, RefusalReason.STALE_VIEW, "no manifest is known yet", 1.0)
 
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -483,6 +483,32 @@
         )
 
 
+@define(slots=True)
+class TreeRecord:
+    """Settings tree of the highest version that the entries know, which they keep in their own topic.
+
+    Fields:
+        version: Version that operators gave the tree.
+        nodes: Nodes of the tree.
+    """
+
+    version: int
+    nodes: list[SettingsNodeRecord]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.version, [item.to_wire() for item in self.nodes]]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "TreeRecord":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "TreeRecord")
+        return cls(
+            version=wire.read_int(items[0]),
+            nodes=[SettingsNodeRecord.from_wire(item) for item in wire.read_list(items[1])],
+        )
+
+
 @define(slots=True)
 class SnapshotRecord:
     """Everything that an entry knows about the consortium.
@@ -919,16 +945,19 @@
             there is none.
         offset: Log offset up to which the sender's view has been applied.
         age_s: Age of the view in seconds when that reading was received.
+        tree_version: Version that operators gave the whole settings tree of the sender's view,
+            0 if there is none.
     """
 
     stamp_s: float
     echo_s: float
     offset: int
     age_s: float
+    tree_version: int = 0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.stamp_s, self.echo_s, self.offset, self.age_s]
+        return [self.stamp_s, self.echo_s, self.offset, self.age_s, self.tree_version]
 
     @classmethod
     def from_wire(cls, source: object) -> "PeerView":
@@ -939,6 +968,7 @@
             echo_s=wire.read_float(items[1]),
             offset=wire.read_int(items[2]),
             age_s=wire.read_float(items[3]),
+            tree_version=wire.read_int(items[4]) if len(items) > 4 else 0,
         )
 
 
@@ -1479,6 +1509,7 @@
     | PublishRecord
     | DomainChangeRecord
     | SnapshotRecord
+    | TreeRecord
 )
 
 
@@ -1511,6 +1542,7 @@
     42: PublishRecord,
     43: DomainChangeRecord,
     44: SnapshotRecord,
+    45: TreeRecord,
 }
 
 
@@ -1543,4 +1575,5 @@
     PublishRecord: 42,
     DomainChangeRecord: 43,
     SnapshotRecord: 44,
+    TreeRecord: 45,
 }
--- a/tests/consortium/test_odd_records.py
+++ b/tests/consortium/test_odd_records.py
@@ -3,6 +3,8 @@
 import cbor2
 
 from pistachiohill.consortium import tail
+from pistachiohill.consortium.const import KEY_KEPT_TREE
+from pistachiohill.consortium.kept_tree import encode_tree
 from pistachiohill.consortium.view import ConsortiumView
 from pistachiohill.platform.models import KeyedRecord
 from pistachiohill.protocol.codec import encode_record
@@ -12,7 +14,10 @@
     EndRecord,
     ProcessRecord,
     PublishRecord,
+    SettingsNodeRecord,
+    TreeRecord,
 )
+from pistachiohill.settings.tree import parse_node
 
 from ..base import TestCase
 
@@ -56,6 +61,25 @@
         view.processes.adopt([odd, good], 2)
         self.assertEqual({"inc-1": good}, view.processes.records)
 
+    def test_odd_copy_of_the_settings_tree_is_skipped_and_written_anew(self) -> None:
+        node = SettingsNodeRecord("consortium", "weight = 2.0", 3, False)
+        good = encode_tree(TreeRecord(7, [node]))
+        for value in (
+            encode_record(GOOD),
+            good[:-1],
+            good + good,
+            encode_tree(TreeRecord(0, [node])),
+            encode_tree(TreeRecord(2**60, [node])),
+            encode_tree(TreeRecord(7, [])),
+        ):
+            view = ConsortiumView()
+            view.kept_tree.end = 1
+            view.state.replace_nodes([parse_node("consortium", "", 1)], 1, 4)
+            tail.apply_process(view, KeyedRecord(1, KEY_KEPT_TREE, value))
+            self.assertEqual((4, True), (view.state.tree_version, view.kept_tree.is_behind(4)))
+        tail.apply_process(view, KeyedRecord(2, KEY_KEPT_TREE, good))
+        self.assertEqual((7, False), (view.state.tree_version, view.kept_tree.is_behind(7)))
+
     def _assert_skipped(self, record: AnnounceRecord) -> None:
         view = ConsortiumView()
         tail.apply_process(view, KeyedRecord(1, record.incarnation, encode_record(record)))
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -1,10 +1,18 @@
 """Connection of an entry to the platform: what it says before it knows a manifest."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
+import trio
+
+from pistachiohill import clock
 from pistachiohill.consortium.view import ConsortiumView
+from pistachiohill.entry.const import PEERS_ASKED_S
 from pistachiohill.entry.routes import RouteTable
+from pistachiohill.entry.startup_check import StartupCheck
 from pistachiohill.platform.entry import EntryPlatformAdapter
+from pistachiohill.platform.models import KeyedRecord
 from pistachiohill.platform.store import StoreClient
 from pistachiohill.settings.models import EntrySettings
 
@@ -13,18 +21,90 @@
 from .test_manifest import ROUTE, apply, manifest, record
 
 
-def make_adapter(view: ConsortiumView) -> EntryPlatformAdapter:
-    unused: Any = None
-    jobs: Any = StubJobs(COMPLETE)
-    store = StoreClient("http://127.0.0.1:1")
-    return EntryPlatformAdapter(EntrySettings(), store, view, RouteTable(view), jobs, unused)
+class StubPeers:
+    """The other entries, which have answered or not."""
+
+    answered = True
+
+    def have_answered(self) -> bool:
+        return self.answered
+
+
+class StartingEntry:
+    """The connection of an entry that starts, whose view and peers the test sets."""
+
+    def __init__(self) -> None:
+        unused: Any = None
+        jobs: Any = StubJobs(COMPLETE)
+        store = StoreClient("http://127.0.0.1:1")
+        self.peers = StubPeers()
+        self.view = ConsortiumView()
+        self.startup = StartupCheck(self.view, self.peers)
+        routes = RouteTable(self.view)
+        adapter = EntryPlatformAdapter(
+            EntrySettings(), store, self.view, routes, jobs, unused, self.startup
+        )
+        self.api = adapter.jobs_api
+
+    def read(self, *records: KeyedRecord) -> None:
+        """Apply records of the operators' topic; the entries' own topic is read as well."""
+        apply(self.view, *records)
+        self.view.kept_tree.end = 0
+        self.view.notify()
+
+    async def async_get_status(self, path: str) -> int:
+        """Return the status of a GET request, 0 if there is none in twice the time allowed."""
+        with trio.move_on_after(2 * PEERS_ASKED_S):
+            return (await async_call(self.api, "GET", path)).status
+        return 0
+
+
+@asynccontextmanager
+async def starting_entry() -> AsyncIterator[StartingEntry]:
+    entry = StartingEntry()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(entry.startup.async_run)
+        yield entry
+        nursery.cancel_scope.cancel()
 
 
 class EntryPlatformAdapterTest(TestCase):
     async def test_unknown_route_is_not_denied_before_a_manifest_is_known(self) -> None:
-        view = ConsortiumView()
-        api = make_adapter(view).jobs_api
-        apply(view, record(0, "evacuate/bern-a", b"{}"))
-        self.assertEqual(503, (await async_call(api, "GET", "/unknown/")).status)
-        apply(view, record(1, "config", manifest(1, ROUTE)))
-        self.assertEqual(404, (await async_call(api, "GET", "/unknown/")).status)
+        async with starting_entry() as entry:
+            entry.read(record(0, "evacuate/bern-a", b"{}"))
+            self.assertEqual(503, await entry.async_get_status("/unknown/"))
+            entry.read(record(1, "config", manifest(1, ROUTE)))
+            self.assertEqual(404, await entry.async_get_status("/unknown/"))
+
+    async def test_unknown_route_is_not_denied_before_the_peers_have_answered(self) -> None:
+        newer = ConsortiumView()
+        apply(newer, record(1, "config", manifest(7, ROUTE)))
+        async with starting_entry() as entry, trio.open_nursery() as nursery:
+            entry.peers.answered = False
+            entry.read(record(2, "config", manifest(4)))
+
+            async def async_answer() -> None:
+                await trio.sleep(0.1)
+                entry.view.adopt(newer.snapshot())
+                entry.peers.answered = True
+                entry.view.notify()
+
+            nursery.start_soon(async_answer)
+            self.assertEqual(200, await entry.async_get_status(ROUTE["pathPrefix"]))
+
+    async def test_silent_peers_are_not_waited_for_long(self) -> None:
+        async with starting_entry() as entry:
+            entry.peers.answered = False
+            entry.read(record(1, "config", manifest(1, ROUTE)))
+            asked_at_s = clock.boot_s()
+            self.assertEqual(404, await entry.async_get_status("/unknown/"))
+            self.assertLess(clock.boot_s() - asked_at_s, 1.5 * PEERS_ASKED_S)
+
+    async def test_routes_of_the_kept_tree_are_not_served_before_the_evacuations_are_known(
+        self,
+    ) -> None:
+        async with starting_entry() as entry:
+            other = ConsortiumView()
+            apply(other, record(1, "config", manifest(7, ROUTE)))
+            entry.view.state.adopt_tree(other.state.node_records(), 7)
+            self.assertEqual(503, await entry.async_get_status(ROUTE["pathPrefix"]))
--- a/tests/platform/test_jobs_api.py
+++ b/tests/platform/test_jobs_api.py
@@ -57,6 +57,18 @@
         return 7
 
 
+class StubStartup:
+    """A start that is over; `manifest_known` is set by the test."""
+
+    done = True
+
+    def __init__(self, manifest_known: bool) -> None:
+        self.manifest_known = manifest_known
+
+    async def async_wait(self) -> None:
+        raise AssertionError("nothing to wait for")
+
+
 class Caller:
     """One ASGI request; as with the real server, a sent response is followed by a disconnect."""
 
@@ -100,7 +112,8 @@
     if manifest_loaded:
         record = KeyedRecord(0, "config", manifest(1, ROUTE))
         apply_page(view, KeyedPage((record,), 1), is_snapshot=True, now_s=0.0)
-    return JobsApi(RouteTable(view), jobs, lambda: manifest_loaded)  # type: ignore[arg-type]
+    startup = StubStartup(manifest_loaded)
+    return JobsApi(RouteTable(view), jobs, startup)  # type: ignore[arg-type]
 
 
 async def async_call(
