Entries: a cancel reaches the entry that has the job

Ruled out: asking only the entries that are known to hold the job, as jobs are announced after 0.6 s.

Change: an entry without the job asks all linked entries (CancelJob, JobCancelled). 200 once one has cancelled it, 410 once all have said that they don't have it, 503 with Retry-After if one is silent for 1 s.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -951,4 +951,28 @@
             ),
         ),
     ),
+    Mutant(
+        "a job that an entry doesn't have can't be cancelled there",
+        "tests/failures/test_cancel_elsewhere.py::CancelElsewhereTest::"
+        "test_young_job_is_cancelled_at_another_entry",
+        (
+            Edit(
+                "pistachiohill/entry/peers.py",
+                "self._cancel_job(message.key))",
+                "False)",
+            ),
+        ),
+    ),
+    Mutant(
+        "a silent entry counts as one without the job",
+        "tests/entry/test_job_cancels.py::JobCancelsTest::"
+        "test_job_is_not_denied_while_an_entry_that_may_have_it_is_silent",
+        (
+            Edit(
+                "pistachiohill/entry/job_cancels.py",
+                "        return Cancellation.UNANSWERED\n",
+                "        return Cancellation.NOT_FOUND\n",
+            ),
+        ),
+    ),
 )
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -22,6 +22,7 @@
 from ..entry.caller_api import CallerApi
 from ..entry.dispatcher import Dispatcher
 from ..entry.fairness import FairnessReporter
+from ..entry.job_cancels import JobCancels
 from ..entry.job_holders import JobHolders
 from ..entry.metrics import EntryMetrics
 from ..entry.operator_api import OperatorApi
@@ -109,6 +110,7 @@
             self.submissions.async_answer_forward,
             self.accounting.counters,
             self.submissions.issue_ids_for_peer,
+            self.jobs.cancel,
         )
 
     def app(self) -> HttpApp:
@@ -248,6 +250,7 @@
         entry.jobs,
         entry.directory,
         StartupCheck(entry.view, entry.peers),
+        JobCancels(entry.peers),
     )
     entry.nursery.start_soon(platform.async_follow)
     await entry.async_start()
--- a/pistachiohill/entry/const.py
+++ b/pistachiohill/entry/const.py
@@ -39,3 +39,4 @@
 RELEASE_POLL_S: Final = 0.01
 LATE_TIMERS_S: Final = 0.1  # of processes that are short of processor time
 RELEASE_REPEAT_S: Final = 0.2
+CANCEL_ANSWER_S: Final = 1.0  # of another entry that is asked to cancel a job
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -21,6 +21,7 @@
     first_error,
 )
 from ..protocol.models import (
+    CancelJob,
     CountersReply,
     CountersRequest,
     Forward,
@@ -29,6 +30,7 @@
     HelloReply,
     IdsReply,
     IdsRequest,
+    JobCancelled,
     JobReleased,
     JobsHeld,
     MemberCounters,
@@ -54,7 +56,7 @@
 )
 from .startup_check import PeerAnswers
 
-Reply = ForwardReply | CountersReply | IdsReply
+Reply = ForwardReply | CountersReply | IdsReply | JobCancelled
 
 
 @define(eq=False)
@@ -139,6 +141,7 @@
         self._async_forward_handler: ForwardHandler | None = None
         self._member_counters: Callable[[], list[MemberCounters]] = list
         self._issue_ids: Callable[[str, int], list[str]] = lambda _member, _count: []
+        self._cancel_job: Callable[[str], bool] = lambda _key: False
         self._listener = PeerListener()
 
     def set_listener(self, listener: PeerListener) -> None:
@@ -150,8 +153,10 @@
         forward_handler: ForwardHandler,
         counters: Callable[[], list[MemberCounters]],
         issue_ids: Callable[[str, int], list[str]],
+        cancel_job: Callable[[str], bool],
     ) -> None:
-        """Set the handlers of forwarded submissions and of counter and identifier requests."""
+        """Set the handlers of forwarded submissions, of cancels, and of other requests."""
+        self._cancel_job = cancel_job
         self._issue_ids = issue_ids
         self._async_forward_handler = forward_handler
         self._member_counters = counters
@@ -426,6 +431,10 @@
     def _(self, message: CountersRequest, peer: Peer, now_s: float) -> None:
         peer.link.send(CountersReply(message.request_id, self._member_counters()))
 
+    @_handle.register
+    def _(self, message: CancelJob, peer: Peer, now_s: float) -> None:
+        peer.link.send(JobCancelled(message.request_id, self._cancel_job(message.key)))
+
     @_handle.register
     def _(self, message: IdsRequest, peer: Peer, now_s: float) -> None:
         ids = self._issue_ids(message.member, message.count)
@@ -449,7 +458,7 @@
         self._deliver_reply(message, peer)
 
     @_handle.register
-    def _(self, message: CountersReply, peer: Peer, now_s: float) -> None:
+    def _(self, message: CountersReply | JobCancelled, peer: Peer, now_s: float) -> None:
         self._deliver_reply(message, peer)
 
     def _deliver_reply(self, message: Reply, peer: Peer) -> None:
--- a/pistachiohill/platform/entry.py
+++ b/pistachiohill/platform/entry.py
@@ -6,6 +6,7 @@
 from ..consortium.view import ConsortiumView
 from ..entry.agents import AgentDirectory
 from ..entry.best_effort import BestEffortJobs
+from ..entry.job_cancels import JobCancels
 from ..entry.routes import RouteTable
 from ..entry.startup_check import StartupCheck
 from ..http.app import HttpApp, route
@@ -33,13 +34,14 @@
         jobs: BestEffortJobs,
         directory: AgentDirectory,
         startup: StartupCheck,
+        cancels: JobCancels,
     ) -> None:
         """Initialize the adapter without opening any connection."""
         self.jobs_server_ended = trio.Event()
         self._settings = settings
         self._view = view
         self._startup = startup
-        self.jobs_api = JobsApi(routes, jobs, startup)
+        self.jobs_api = JobsApi(routes, jobs, startup, cancels)
         self._directory = directory
         self._store = store
         self._draining = False
--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -13,6 +13,8 @@
 from .. import clock, logs
 from ..const import JobState
 from ..entry.best_effort import BestEffortJobs
+from ..entry.const import RETRY_AFTER_S
+from ..entry.job_cancels import Cancellation, JobCancels
 from ..entry.routes import RouteMatch, RouteTable
 from ..errors import RefusalReason, Verdict
 from ..http.app import BodyError, Scope, async_handle_lifespan, async_read_body, async_send_response
@@ -119,8 +121,11 @@
 class JobsApi:
     """ASGI application that serves callers on the platform."""
 
-    def __init__(self, routes: RouteTable, jobs: BestEffortJobs, startup: Startup) -> None:
+    def __init__(
+        self, routes: RouteTable, jobs: BestEffortJobs, startup: Startup, cancels: JobCancels
+    ) -> None:
         """Initialize the application; `startup` tells when the manifest may be used."""
+        self._cancels = cancels
         self._routes = routes
         self._jobs = jobs
         self._startup = startup
@@ -159,7 +164,10 @@
             origin = scope.get("origin", UNKNOWN_ORIGIN)
             await self._async_submit(match, headers, origin, receive, send)
             return
-        response = self._handle_immediate(method, match)
+        if method == "DELETE":
+            response = await self._async_cancel(match.path_suffix)
+        else:
+            response = self._handle_immediate(method, match)
         await async_send_response(send, self._close_if_stopping(response))
 
     async def _async_find_route(self, host: str, path: str) -> RouteMatch | None:
@@ -185,18 +193,29 @@
         return _problem(503, RefusalReason.STALE_VIEW, "no manifest is known yet", 1.0)
 
     def _handle_immediate(self, method: str, match: RouteMatch) -> Response:
-        """Handle a request that does not wait for a job to end."""
+        """Handle a request that waits for nothing."""
         if method == "GET" and not match.path_suffix:
             return json_response(
                 {"pending": self._jobs.pending(match.routed.member, match.routed.job)}
             )
-        if method not in ("GET", "DELETE"):
+        if method != "GET":
             return _problem(405, RefusalReason.INVALID, "allowed: GET, POST, DELETE")
-        if method == "GET" and self._jobs.find(match.path_suffix) is not None:
+        if self._jobs.find(match.path_suffix) is not None:
             return json_response({"state": "running"})
-        if method == "DELETE" and self._jobs.cancel(match.path_suffix):
+        return _unknown_job()
+
+    async def _async_cancel(self, key: str) -> Response:
+        if self._jobs.cancel(key):
+            return json_response({})
+        if not JOB_ID_PATTERN.fullmatch(key):
+            return _unknown_job()
+        outcome = await self._cancels.async_cancel(key)
+        if outcome == Cancellation.CANCELLED:
             return json_response({})
-        return _problem(410, RefusalReason.UNKNOWN_ID, "no such job here")
+        if outcome == Cancellation.NOT_FOUND:
+            return _unknown_job()
+        detail = "an entry that may have the job doesn't answer"
+        return _problem(503, RefusalReason.UNKNOWN_ID, detail, RETRY_AFTER_S, Verdict.MAY_HAVE_RUN)
 
     async def _async_submit(
         self,
@@ -271,6 +290,10 @@
     return _problem(status, answer.reason, answer.detail, verdict=answer.verdict)
 
 
+def _unknown_job() -> Response:
+    return _problem(410, RefusalReason.UNKNOWN_ID, "no such job here")
+
+
 def _problem(
     status: int,
     reason: RefusalReason,
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -703,6 +703,58 @@
         )
 
 
+@define(slots=True)
+class JobCancelled:
+    """Answers CancelJob.
+
+    Fields:
+        request_id: Number of the request.
+        cancelled: Whether the job was in progress at the sender.
+    """
+
+    request_id: int
+    cancelled: bool
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.request_id, self.cancelled]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "JobCancelled":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "JobCancelled")
+        return cls(
+            request_id=wire.read_int(items[0]),
+            cancelled=wire.read_bool(items[1]),
+        )
+
+
+@define(slots=True)
+class CancelJob:
+    """Asks an entry to cancel a best-effort job of its own, since a caller cancels it at the sender, which does not have it.
+
+    Fields:
+        request_id: Request number, repeated in the reply.
+        key: Key of the job.
+    """
+
+    request_id: int
+    key: str
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.request_id, self.key]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "CancelJob":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "CancelJob")
+        return cls(
+            request_id=wire.read_int(items[0]),
+            key=wire.read_str(items[1]),
+        )
+
+
 @define(slots=True)
 class JobReleased:
     """Answers ReleaseJob.
@@ -1504,6 +1556,8 @@
     | JobsHeld
     | ReleaseJob
     | JobReleased
+    | CancelJob
+    | JobCancelled
     | EndRecord
     | AnnounceRecord
     | PublishRecord
@@ -1537,6 +1591,8 @@
     21: JobsHeld,
     22: ReleaseJob,
     23: JobReleased,
+    24: CancelJob,
+    25: JobCancelled,
     39: EndRecord,
     40: AnnounceRecord,
     42: PublishRecord,
@@ -1570,6 +1626,8 @@
     JobsHeld: 21,
     ReleaseJob: 22,
     JobReleased: 23,
+    CancelJob: 24,
+    JobCancelled: 25,
     EndRecord: 39,
     AnnounceRecord: 40,
     PublishRecord: 42,
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -42,7 +42,7 @@
         self.startup = StartupCheck(self.view, self.peers)
         routes = RouteTable(self.view)
         adapter = EntryPlatformAdapter(
-            EntrySettings(), store, self.view, routes, jobs, unused, self.startup
+            EntrySettings(), store, self.view, routes, jobs, unused, self.startup, unused
         )
         self.api = adapter.jobs_api
 
--- a/tests/platform/test_jobs_api.py
+++ b/tests/platform/test_jobs_api.py
@@ -8,6 +8,7 @@
 
 from pistachiohill.consortium.view import ConsortiumView
 from pistachiohill.const import JobState
+from pistachiohill.entry.job_cancels import JobCancels
 from pistachiohill.entry.routes import RouteTable
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.platform.jobs_api import JobsApi, UnsupportedJobError, decode_job
@@ -69,6 +70,16 @@
         raise AssertionError("nothing to wait for")
 
 
+class NoPeers:
+    """An entry that is linked to no other."""
+
+    def find_link(self, incarnation: str) -> None:
+        return None
+
+    def incarnations(self) -> set[str]:
+        return set()
+
+
 class Caller:
     """One ASGI request; as with the real server, a sent response is followed by a disconnect."""
 
@@ -113,7 +124,8 @@
         record = KeyedRecord(0, "config", manifest(1, ROUTE))
         apply_page(view, KeyedPage((record,), 1), is_snapshot=True, now_s=0.0)
     startup = StubStartup(manifest_loaded)
-    return JobsApi(RouteTable(view), jobs, startup)  # type: ignore[arg-type]
+    cancels = JobCancels(NoPeers())  # type: ignore[arg-type]
+    return JobsApi(RouteTable(view), jobs, startup, cancels)  # type: ignore[arg-type]
 
 
 async def async_call(
