--- a/tests/agent/test_leased_target.py
+++ b/tests/agent/test_leased_target.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import trio
+from attrs import evolve
 
 from pistachiohill import clock
 from pistachiohill.agent.const import CLOCK_REFRESH_S, LEASE_S, MAX_CLOCK_DRIFT
@@ -132,6 +133,25 @@
 
         await self._async_run_scenario(scenario)
 
+    async def test_a_list_of_the_same_millisecond_does_not_bring_back_an_ended_run(self) -> None:
+        """Responses may overtake each other, and the runner's clock tells milliseconds."""
+
+        async def scenario(harness: TargetHarness) -> None:
+            harness.start(call("a", run_s=0.2))
+            await trio.sleep(0.1)
+            older = harness.runner._run_list()
+            self.assertEqual(RAN, await harness.async_result("a#1"))
+            await trio.sleep(0.05)
+            target, now_s = harness.target, clock.boot_s()
+            older = evolve(older, clock_s=target._newest_list_clock_s)
+            target._apply_run_list(older, target._token, now_s - 0.2, now_s)
+            self.assertTrue(target.ready)
+            later = evolve(older, clock_s=older.clock_s + 0.01)
+            target._apply_run_list(later, target._token, now_s, now_s)
+            self.assertFalse(target.ready)
+
+        await self._async_run_scenario(scenario)
+
     async def test_a_slow_clock_of_the_runner_does_not_end_its_runs(self) -> None:
         async def scenario(harness: TargetHarness) -> None:
             harness.runner.model.rate = 1.0 - MAX_CLOCK_DRIFT
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -55,6 +55,14 @@
 
 
 class RefusalTest(TestCase):
+    def test_refusal_with_an_unlimited_wait_can_be_sent(self) -> None:
+        """Another entry's answer may hold any number."""
+        for retry_after_s in (math.inf, 1e300, math.nan):
+            problem = Problem(503, RefusalReason.OVERLOAD, Verdict.NOT_RUN, "x")
+            response = problem_response(evolve(problem, retry_after_s=retry_after_s))
+            self.assertLessEqual(int(response.headers.get("retry-after", "0")), 3601)
+            self.assertNotIn(b"Infinity", response.body)
+
     def test_refusal_of_a_late_job_without_a_forecast_can_be_sent(self) -> None:
         """An infinite Retry-After can't be written, and the connection was closed without it."""
         admission = Admission(StubWaiting())  # type: ignore[arg-type]
--- a/tests/entry/test_best_effort.py
+++ b/tests/entry/test_best_effort.py
@@ -77,7 +77,15 @@
 
 
 class PlacingDispatcher(StubDispatcher):
-    """Places one task of every submission, whose end is not known until the test says so."""
+    """Places one task of every submission, whose end is not known until the test says so.
+
+    `caller_is_there` is what callers whose channels it stands for do.
+    """
+
+    caller_is_there = True
+
+    def has_caller_left(self) -> bool:
+        return not self.caller_is_there
 
     def submit(self, submission: Submission, now_s: float) -> None:
         self.submitted.append(submission)
@@ -249,6 +257,60 @@
             nursery.cancel_scope.cancel()
 
 
+class CancelTest(TestCase):
+    """Jobs that their callers cancel, or leave."""
+
+    async def test_job_that_waits_is_cancelled(self) -> None:
+        jobs, dispatcher = make_jobs(StubAdmission(wait_s=2.0), age_s=0.0)
+        answers: list[JobAnswer] = []
+
+        async def async_request() -> None:
+            answers.append(await jobs.async_run(REQUEST, SETTINGS))
+
+        with trio.fail_after(1.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(async_request)
+                await trio.testing.wait_all_tasks_blocked()
+                self.assertTrue(jobs.cancel(REQUEST.key))
+        answer = answers[0]
+        self.assertEqual(
+            (Verdict.NOT_RUN, RefusalReason.CANCELLED), (answer.verdict, answer.reason)
+        )
+        self.assertEqual([], dispatcher.submitted)
+
+    async def _async_send_again(self, cancelled: bool) -> PlacingDispatcher:
+        """Send a job again that was ended because its caller cancelled it or had left.
+
+        The reader of the first request has not seen that the caller left, as after a pause.
+        """
+        dispatcher = PlacingDispatcher()
+        jobs, _ = make_jobs(StubAdmission(0.0, target=True), 60.0, dispatcher)
+        origin = RequestOrigin(clock.boot_s(), dispatcher.has_caller_left)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(jobs.async_run, evolve(REQUEST, origin=origin), SETTINGS)
+            await trio.testing.wait_all_tasks_blocked()
+            dispatcher.caller_is_there = False
+            if cancelled:
+                jobs.cancel(REQUEST.key)
+            else:
+                dispatcher.cancel(dispatcher.submitted[0], clock.boot_s())
+            nursery.start_soon(jobs.async_run, REQUEST, SETTINGS)
+            await trio.sleep(0.1)
+            self.assertEqual(1, len(dispatcher.submitted))
+            dispatcher.submitted[0].outstanding = 0
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        return dispatcher
+
+    async def test_job_whose_caller_has_left_runs_anew_when_it_is_sent_again(self) -> None:
+        dispatcher = await self._async_send_again(cancelled=False)
+        self.assertEqual(2, len(dispatcher.submitted))
+
+    async def test_job_that_was_cancelled_does_not_run_anew_when_it_is_sent_again(self) -> None:
+        dispatcher = await self._async_send_again(cancelled=True)
+        self.assertEqual(1, len(dispatcher.submitted))
+
+
 class LateRequestTest(TestCase):
     """Jobs that were read long after they had been sent."""
 
@@ -269,6 +331,15 @@
             dispatcher.submitted[0].deadline_s, sent_at_s + REQUEST.deadline_s + 1e-6
         )
 
+    async def test_time_of_a_best_effort_job_is_the_one_that_its_caller_allows(self) -> None:
+        jobs, dispatcher = make_jobs(StubAdmission(0.0, target=True), 60.0)
+        settings = JobSettings(service="clocking", best_effort=True, deadline_s=30.0)
+        sent_at_s = clock.boot_s()
+        for deadline_s, expected_s in ((70.0, 70.0), (0.0, 30.0)):
+            await jobs.async_run(evolve(REQUEST, deadline_s=deadline_s), settings)
+            allowed_s = dispatcher.submitted[-1].deadline_s - sent_at_s
+            self.assertAlmostEqual(expected_s, allowed_s, delta=1.0)
+
     async def test_job_whose_caller_has_left_is_not_accepted(self) -> None:
         jobs, dispatcher = make_jobs(StubAdmission(0.0, target=True), 60.0)
         origin = RequestOrigin(clock.boot_s(), lambda: True)
--- a/tests/platform/test_jobs_api.py
+++ b/tests/platform/test_jobs_api.py
@@ -164,6 +164,11 @@
             error = self.assertRaises(UnsupportedJobError, decode_job, body)
             self.assertIn(name, str(error))
 
+    def test_job_without_a_spec_has_an_empty_one(self) -> None:
+        """Fields that are empty are left out."""
+        body = json.dumps({name: JOB[name] for name in ("bestEffort", "steps")}).encode()
+        self.assertEqual(b"", decode_job(body).tasks[0].payload)
+
     def test_false_and_empty_fields_count_as_missing(self) -> None:
         step = {**JOB["steps"][0], "gang": False, "dependsOn": [], "antiAffinity": 0, "new": 1}
         body = json.dumps({**JOB, "steps": [step], "longRunning": False}).encode()
