Best effort: a job has the time that its caller allows, also beyond 30 s

Cause: new_submission cut each job's time to the setting deadline_s, whose default of 30 s nobody sets on the users' platform, so a job with X-Deadline-Ms: 70000 was answered 503 or 504 at 30 s. Other jobs keep the limit.

--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -15,7 +15,8 @@
     Fields:
         service: Service whose targets run the job's tasks.
         domains_allowed: Failure domains whose targets the job may use; empty for all.
-        deadline_s: Longest time until a job is answered.
+        deadline_s: Longest time until a job is answered; callers of best-effort jobs may allow
+            more.
         task_timeout_s: Longest run time of one task at its target.
         host: Host name at which callers address the job directly; empty for none.
         path_prefix: Path prefix at which callers address the job directly.
@@ -98,7 +99,7 @@
     FieldSpec(
         "deadline_s",
         "float",
-        "Longest time until a job is answered.",
+        "Longest time until a job is answered; callers of best-effort jobs may allow more.",
         0.05,
         3600.0,
         ("consortium", "member", "job"),
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -204,15 +204,24 @@
     tasks = [Task(index, spec) for index, spec in enumerate(request.tasks)]
     parsed = parse_submission_id(submission_id)
     assert parsed is not None
-    limit_s = min(request.deadline_s or settings.deadline_s, settings.deadline_s)
     return Submission(
         submission_id=submission_id,
         request=request,
         settings=settings,
         tasks=tasks,
         submitted_at_s=now_s,
-        deadline_s=now_s + limit_s,
+        deadline_s=now_s + _time_limit_s(request, settings),
         issued_offset=parsed.offset,
         waiting=deque(tasks),
         unsettled_count=len(tasks),
     )
+
+
+def _time_limit_s(request: JobRequest, settings: JobSettings) -> float:
+    """Return the time until a job has to be answered.
+
+    Callers of best-effort jobs say how long they wait; the settings limit that of other jobs.
+    """
+    if settings.best_effort and request.deadline_s > 0.0:
+        return request.deadline_s
+    return min(request.deadline_s or settings.deadline_s, settings.deadline_s)
