Placing: a task that needs no CPU is accepted

The forecast allows any number of queued tasks, and infinity times 0 is not a number, so that no target accepted such a task and its job was refused; a full target's free capacity of 0 isn't above -8 times 0 either. Change: a target that has the capacity accepts a task, and a forecast without a limit any. For tasks with CPU nothing changes: free capacity for one is above the limit, and so is any above minus infinity. Measured: its test passes, tests/scheduling (with the naive search), test_overload, test_dispatcher, test_resources pass.

--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -176,7 +176,11 @@
         return plan.cost_s(needs) if self._accepts_more(plan, needs.demand) else math.inf
 
     def _accepts_more(self, plan: TargetPlan, demand: Demand) -> bool:
-        return plan.remaining_tasks > 0 and plan.free_cpu_m > -self._max_queued * demand.cpu_m
+        if plan.remaining_tasks <= 0:
+            return False
+        if plan.has_capacity(demand) or math.isinf(self._max_queued):
+            return True
+        return plan.free_cpu_m > -self._max_queued * demand.cpu_m
 
 
 def _can_fit(plan: TargetPlan, demand: Demand) -> bool:
