Answers: a Retry-After is an hour at most, so that an infinite one can be sent

Cause: problem_response rounds retry_after_s, which raises for infinity, and the channel was closed without an answer. Change: the one place that writes it limits it.

--- a/pistachiohill/http/models.py
+++ b/pistachiohill/http/models.py
@@ -11,6 +11,7 @@
 
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
+MAX_RETRY_AFTER_S = 3600.0  # an infinite one can't be written
 
 
 @frozen
@@ -80,8 +81,9 @@
         value["field"] = problem.field
     headers = {}
     if problem.retry_after_s > 0:
-        value["retry_after_s"] = problem.retry_after_s
-        headers["retry-after"] = str(max(1, round(problem.retry_after_s + 0.5)))
+        retry_after_s = min(problem.retry_after_s, MAX_RETRY_AFTER_S)
+        value["retry_after_s"] = retry_after_s
+        headers["retry-after"] = str(max(1, round(retry_after_s + 0.5)))
     return Response(problem.status, json.dumps(value).encode(), PROBLEM_TYPE, headers)
 
 
