Best effort: a job that waits to be accepted can be cancelled

Cause: cancel looked for an accepted job, so one that waited for a target or for the end of its earlier runs was answered 410, and its tasks started afterwards. Change: such a job is refused as cancelled; none of its tasks has run or will run.

--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -181,11 +181,16 @@
         return Release.ENDING if key in self.held_keys(now_s) else Release.ENDED
 
     def cancel(self, key: str) -> bool:
-        """Cancel a job; return whether it was in progress at this entry."""
-        submission = self.find(key)
-        if submission is None:
+        """Cancel a job; return whether it was in progress here, or waited to be accepted."""
+        job = self._jobs.get(key)
+        if job is None or job.refusal is not None:
             return False
-        self._dispatcher.cancel(submission, clock.boot_s())
+        if job.submission is None:
+            logs.event("job_cancelled_early", key=key)
+            detail = "its caller cancelled it before it was accepted"
+            job.refusal = refused_answer(RefusalReason.CANCELLED, detail)
+        else:
+            self._dispatcher.cancel(job.submission, clock.boot_s())
         return True
 
     async def async_run(self, request: JobRequest, settings: JobSettings) -> JobAnswer:
