Best effort: a job that was ended since its caller left is not joined when it is sent again

Cause: after a pause the entry ends a job whose caller has left (end_unwanted) before the reader of its channel has seen that. A second request joined this job and was told 200 "failed", which the caller takes for the job's own failure. Change: such a job is removed, and the new request waits for the end of its runs, as for one that was removed by its reader. A job that a caller has cancelled is still joined: it must not run again. Measured: its test passes, and test_job_that_was_cancelled_does_not_run_anew_when_it_is_sent_again goes on passing; test_best_effort and test_resent_jobs pass.

--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -47,11 +47,13 @@
             if it was refused.
         refusal: Why it was refused, None if it was not.
         waiting: Origins of the requests with the job's key that are not answered.
+        cancelled: Whether a caller has cancelled it.
     """
 
     submission: Submission | None = None
     refusal: JobAnswer | None = None
     waiting: list[RequestOrigin] = field(factory=list)
+    cancelled: bool = False
 
     @property
     def decided(self) -> bool:
@@ -62,6 +64,16 @@
         """Return whether the callers of all waiting requests have closed their connections."""
         return all(origin.has_left() for origin in self.waiting)
 
+    @property
+    def was_abandoned(self) -> bool:
+        """Return whether the job was ended because all of its callers had left.
+
+        One of them may send it again.
+        """
+        submission = self.submission
+        ended = submission is not None and submission.failure == RefusalReason.CANCELLED
+        return ended and not self.cancelled and self.has_caller_left()
+
     def age_s(self, now_s: float) -> float:
         """Return the age of the newest request."""
         return min((origin.age_s(now_s) for origin in self.waiting), default=math.inf)
@@ -190,6 +202,7 @@
             detail = "its caller cancelled it before it was accepted"
             job.refusal = refused_answer(RefusalReason.CANCELLED, detail)
         else:
+            job.cancelled = True
             self._dispatcher.cancel(job.submission, clock.boot_s())
         return True
 
@@ -202,7 +215,7 @@
         arrived_after_s = min(request.origin.arrived_after_s, clock.boot_s())
         origin = evolve(request.origin, arrived_after_s=arrived_after_s)
         request = evolve(request, origin=origin)
-        job = self._jobs.setdefault(request.key, KeyedJob())
+        job = self._job_for(request.key)
         job.waiting.append(origin)
         try:
             await self._async_wait_for_target(job, request, settings)
@@ -219,6 +232,17 @@
             if not job.waiting:
                 self._remove(request.key, job)
 
+    def _job_for(self, key: str) -> KeyedJob:
+        """Return the job that a new request waits for.
+
+        A job that was ended since its callers had left is not joined, although the reader of its
+        request may not have seen them leave yet.
+        """
+        job = self._jobs.get(key)
+        if job is not None and job.was_abandoned:
+            self._remove(key, job)
+        return self._jobs.setdefault(key, KeyedJob())
+
     async def _async_wait_for_earlier_runs(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings
     ) -> None:
@@ -318,7 +342,12 @@
         return submission
 
     def _remove(self, key: str, job: KeyedJob) -> None:
-        """Remove a job; if it is unanswered, its caller has disconnected, so cancel it."""
+        """Remove a job; if it is unanswered, its caller has disconnected, so cancel it.
+
+        One that was removed before stays so, although a later job may have its key.
+        """
+        if self._jobs.get(key) is not job:
+            return
         del self._jobs[key]
         submission = job.submission
         if submission is None:
