Agent: a list of the same millisecond doesn't bring back an ended run as a foreign one

Cause: responses may overtake each other, and lists are ordered by the runner's clock, in milliseconds. Of two with one clockMs the older one could be applied last; a run that had ended in between then counted as another agent's, and tasks were refused until the next list. Ruled out: leaving such a list out, as its ends would be noticed a list later; the order in which the lists were requested, as requests overtake each other too. Change: of two lists of one millisecond, a foreign run must be in both. None can begin later, since the fencing token refuses an earlier agent's starts.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -407,6 +407,7 @@
         if run_list.clock_s < self._newest_list_clock_s:
             self._response_missing = False
             return
+        same_time = run_list.clock_s == self._newest_list_clock_s
         self._newest_list_clock_s = run_list.clock_s
         self._record_response(run_list.clock_s, now_s)
         self._ack_pending = bool(run_list.ended)
@@ -416,7 +417,10 @@
             self._reconcile_run(run, run_list, token, sent_at_s, now_s)
         was_ready = self.ready
         self._synchronized = True
-        self._foreign_runs = run_list.running - self._runs.keys()
+        foreign_runs = run_list.running - self._runs.keys()
+        # Of two lists of one millisecond, either may be the newer one: a run that only one of them
+        # has may have ended. It can't have begun, as the token refuses starts of earlier agents.
+        self._foreign_runs = foreign_runs & self._foreign_runs if same_time else foreign_runs
         if self.ready != was_ready:
             self._signal_ready_changed()
 
