Followers: an offset that was reached by unreadable records ends the waits for it

Cause: waiters were told of a page if it had readable records; one without moved the offset in silence, so that a publisher waited 8 s for an offset that had been reached, and answered 503. Change: the followers of settings, processes and operators tell whenever the offset has moved. The answers of peers at a start tell once each, as before this commit they told at each view and hid the fault here for all but a second.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -975,4 +975,15 @@
             ),
         ),
     ),
+    Mutant(
+        "a wait for an offset doesn't end with a page of unreadable records",
+        "tests/consortium/test_unreadable_pages.py::UnreadablePageTest::test_of_settings",
+        (
+            Edit(
+                "pistachiohill/consortium/tail.py",
+                "        if page.records or view.state.offset > known:",
+                "        if page.records:",
+            ),
+        ),
+    ),
 )
--- a/pistachiohill/consortium/tail.py
+++ b/pistachiohill/consortium/tail.py
@@ -39,12 +39,13 @@
     """Apply the settings that this product's operators publish, until cancelled."""
 
     def apply(page: KeyedPage, complete: bool, requested_at_s: float) -> None:
+        known = view.state.offset
         for record in page.records:
             _apply_change(view, record)
         view.state.advance_offset(page.end - 1)
         if not page.more:
             view.confirm(page.end - 1, requested_at_s)
-        if page.records:
+        if page.records or view.state.offset > known:  # also past records that can't be read
             view.notify()
 
     await async_follow_topic(store, TOPIC_SETTINGS, lambda: poll_wait_s(view), apply)
@@ -57,9 +58,9 @@
         for record in page.records:
             apply_process(view, record)
         view.processes.offset = max(view.processes.offset, page.end - 1)
-        first = not view.kept_tree.is_read
+        advanced = page.end > view.kept_tree.end
         view.kept_tree.end = page.end
-        if page.records or first:
+        if page.records or advanced:
             view.notify()
 
     await async_follow_topic(store, TOPIC_PROCESSES, lambda: POLL_WAIT_S, apply)
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -389,8 +389,8 @@
         peer.link.send(StateRequest(self._last_request_id))
 
     def _record_answer(self, address: Address | None) -> None:
-        self._answers.record(address)
-        self._view.notify()
+        if self._answers.record(address):
+            self._view.notify()
 
     @_handle.register
     def _(self, message: StateRequest, peer: Peer, now_s: float) -> None:
--- a/pistachiohill/entry/startup_check.py
+++ b/pistachiohill/entry/startup_check.py
@@ -24,10 +24,15 @@
 
     _answered: set[Address] = field(factory=set)
 
-    def record(self, address: Address | None) -> None:
-        """Record an answer, or a failed attempt to reach an entry; None is an accepted link."""
-        if address is not None:
-            self._answered.add(address)
+    def record(self, address: Address | None) -> bool:
+        """Record an answer, or a failed attempt to reach an entry; return whether it is the first.
+
+        The address is None for a link that the other entry opened.
+        """
+        if address is None or address in self._answered:
+            return False
+        self._answered.add(address)
+        return True
 
     def include(self, addresses: set[Address]) -> bool:
         """Return whether all of these have answered or failed."""
--- a/pistachiohill/platform/operators.py
+++ b/pistachiohill/platform/operators.py
@@ -18,10 +18,11 @@
     """Update the view's settings and failure domains from the operators' topic until cancelled."""
 
     def apply(page: KeyedPage, is_snapshot: bool, requested_at_s: float) -> None:
+        known = view.state.offset
         apply_page(view, page, is_snapshot, clock.boot_s())
         if not page.more:
             view.confirm(page.end - 1, requested_at_s)
-        if page.records or is_snapshot:
+        if page.records or is_snapshot or view.state.offset > known:
             view.notify()
 
     await async_follow_topic(store, TOPIC_OPERATORS, lambda: POLL_WAIT_S, apply)
