Soak: an answer behind another on its channel is due after that one

Answers keep the order of the requests, so it can't be answered, and isn't read, before the other one. In place of it, as strict: an answer behind another is late 0.5 s after the other one, or 2 s after its own limit, whichever is later; all others as before.

--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from experiments.soak import Findings, Soak, run_seed
+from experiments.soak_callers import answer_due_s
 from experiments.soak_plan import make_plan
 from standins.processes import use_port_part
 
@@ -137,6 +138,12 @@
     ) -> None:
         self._assert_no_violation(730)
 
+    def test_answer_of_a_job_behind_another_is_due_soon_after_the_other_ones(self) -> None:
+        """Answers on a channel keep the order of the requests, whatever the time of the second."""
+        self.assertEqual(4.0, answer_due_s(2.0))
+        self.assertEqual(4.0, answer_due_s(2.0, ahead_answered_s=3.4))
+        self.assertEqual(4.5, answer_due_s(2.0, ahead_answered_s=4.0))
+
     def test_plan_is_deterministic(self) -> None:
         self.assertEqual(make_plan(7), make_plan(7))
         self.assertNotEqual(make_plan(7), make_plan(8))
