--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -22,12 +22,14 @@
 from ..entry.caller_api import CallerApi
 from ..entry.dispatcher import Dispatcher
 from ..entry.fairness import FairnessReporter
+from ..entry.job_cancels import JobCancels
 from ..entry.job_holders import JobHolders
 from ..entry.metrics import EntryMetrics
 from ..entry.operator_api import OperatorApi
 from ..entry.peers import PeerDirectory
 from ..entry.recovery import Recovery
 from ..entry.routes import RouteTable
+from ..entry.startup_check import StartupCheck
 from ..entry.submission_service import SubmissionService
 from ..http.app import HttpApp
 from ..platform.entry import EntryPlatformAdapter
@@ -108,6 +110,7 @@
             self.submissions.async_answer_forward,
             self.accounting.counters,
             self.submissions.issue_ids_for_peer,
+            self.jobs.cancel,
         )
 
     def app(self) -> HttpApp:
@@ -240,7 +243,14 @@
 async def _async_run_on_platform(entry: Entry) -> None:
     """Run with the jobs API, load balancer and operator settings of the users' platform."""
     platform = EntryPlatformAdapter(
-        entry.settings, entry.store, entry.view, entry.routes, entry.jobs, entry.directory
+        entry.settings,
+        entry.store,
+        entry.view,
+        entry.routes,
+        entry.jobs,
+        entry.directory,
+        StartupCheck(entry.view, entry.peers),
+        JobCancels(entry.peers),
     )
     entry.nursery.start_soon(platform.async_follow)
     await entry.async_start()
--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -5,7 +5,7 @@
 
 import re
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import trio
 from attrs import evolve
@@ -13,6 +13,8 @@
 from .. import clock, logs
 from ..const import JobState
 from ..entry.best_effort import BestEffortJobs
+from ..entry.const import RETRY_AFTER_S
+from ..entry.job_cancels import Cancellation, JobCancels
 from ..entry.routes import RouteMatch, RouteTable
 from ..errors import RefusalReason, Verdict
 from ..http.app import BodyError, Scope, async_handle_lifespan, async_read_body, async_send_response
@@ -59,6 +61,21 @@
 Send = Callable[[Scope], Awaitable[None]]
 
 
+class Startup(Protocol):
+    """The start of this entry, until it may use the manifest that it knows."""
+
+    @property
+    def manifest_known(self) -> bool:
+        """Return whether a manifest is known."""
+
+    @property
+    def done(self) -> bool:
+        """Return whether the manifest may be used."""
+
+    async def async_wait(self) -> None:
+        """Wait until the manifest may be used."""
+
+
 class UnsupportedJobError(WireError):
     """Raised for a job that uses a feature that this version does not support."""
 
@@ -70,7 +87,7 @@
     is malformed.
     """
     fields = decode_object(body)
-    spec = read_text(fields, "spec").encode(errors="surrogatepass")
+    spec = read_text(fields, "spec", "").encode(errors="surrogatepass")
     if len(spec) > MAX_SPEC_BYTES:
         raise WireError(f"spec: more than {MAX_SPEC_BYTES} bytes")
     steps = read_list(fields, "steps")
@@ -105,12 +122,13 @@
     """ASGI application that serves callers on the platform."""
 
     def __init__(
-        self, routes: RouteTable, jobs: BestEffortJobs, manifest_loaded: Callable[[], bool]
+        self, routes: RouteTable, jobs: BestEffortJobs, startup: Startup, cancels: JobCancels
     ) -> None:
-        """Initialize the application; `manifest_loaded` returns whether a manifest is known."""
+        """Initialize the application; `startup` tells when the manifest may be used."""
+        self._cancels = cancels
         self._routes = routes
         self._jobs = jobs
-        self._manifest_loaded = manifest_loaded
+        self._startup = startup
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle a request; a job is cancelled if its caller disconnects."""
@@ -136,7 +154,7 @@
     async def _async_handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = {name: value.decode("latin-1") for name, value in scope["headers"]}
         host = headers.get(b"host", "").partition(":")[0]
-        match = self._routes.find(host, scope["path"])
+        match = await self._async_find_route(host, scope["path"])
         if match is None:
             self._log_route_not_found(host, scope["path"], clock.boot_s())
             await async_send_response(send, self._close_if_stopping(self._route_not_found()))
@@ -146,9 +164,20 @@
             origin = scope.get("origin", UNKNOWN_ORIGIN)
             await self._async_submit(match, headers, origin, receive, send)
             return
-        response = self._handle_immediate(method, match)
+        if method == "DELETE":
+            response = await self._async_cancel(match.path_suffix)
+        else:
+            response = self._handle_immediate(method, match)
         await async_send_response(send, self._close_if_stopping(response))
 
+    async def _async_find_route(self, host: str, path: str) -> RouteMatch | None:
+        """Return the route of a request, None if there is none or no manifest is known yet."""
+        if not self._startup.manifest_known:
+            return None
+        if not self._startup.done:
+            await self._startup.async_wait()
+        return self._routes.find(host, path)
+
     def _log_route_not_found(self, host: str, path: str, now_s: float) -> None:
         logs.event(
             "route_not_found",
@@ -159,23 +188,34 @@
         )
 
     def _route_not_found(self) -> Response:
-        if self._manifest_loaded():
+        if self._startup.manifest_known:
             return _problem(404, RefusalReason.UNKNOWN_ID, "no such queue")
         return _problem(503, RefusalReason.STALE_VIEW, "no manifest is known yet", 1.0)
 
     def _handle_immediate(self, method: str, match: RouteMatch) -> Response:
-        """Handle a request that does not wait for a job to end."""
+        """Handle a request that waits for nothing."""
         if method == "GET" and not match.path_suffix:
             return json_response(
                 {"pending": self._jobs.pending(match.routed.member, match.routed.job)}
             )
-        if method not in ("GET", "DELETE"):
+        if method != "GET":
             return _problem(405, RefusalReason.INVALID, "allowed: GET, POST, DELETE")
-        if method == "GET" and self._jobs.find(match.path_suffix) is not None:
+        if self._jobs.find(match.path_suffix) is not None:
             return json_response({"state": "running"})
-        if method == "DELETE" and self._jobs.cancel(match.path_suffix):
+        return _unknown_job()
+
+    async def _async_cancel(self, key: str) -> Response:
+        if self._jobs.cancel(key):
+            return json_response({})
+        if not JOB_ID_PATTERN.fullmatch(key):
+            return _unknown_job()
+        outcome = await self._cancels.async_cancel(key)
+        if outcome == Cancellation.CANCELLED:
             return json_response({})
-        return _problem(410, RefusalReason.UNKNOWN_ID, "no such job here")
+        if outcome == Cancellation.NOT_FOUND:
+            return _unknown_job()
+        detail = "an entry that may have the job doesn't answer"
+        return _problem(503, RefusalReason.UNKNOWN_ID, detail, RETRY_AFTER_S, Verdict.MAY_HAVE_RUN)
 
     async def _async_submit(
         self,
@@ -250,6 +290,10 @@
     return _problem(status, answer.reason, answer.detail, verdict=answer.verdict)
 
 
+def _unknown_job() -> Response:
+    return _problem(410, RefusalReason.UNKNOWN_ID, "no such job here")
+
+
 def _problem(
     status: int,
     reason: RefusalReason,
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -483,6 +483,32 @@
         )
 
 
+@define(slots=True)
+class TreeRecord:
+    """Settings tree of the highest version that the entries know, which they keep in their own topic.
+
+    Fields:
+        version: Version that operators gave the tree.
+        nodes: Nodes of the tree.
+    """
+
+    version: int
+    nodes: list[SettingsNodeRecord]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.version, [item.to_wire() for item in self.nodes]]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "TreeRecord":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "TreeRecord")
+        return cls(
+            version=wire.read_int(items[0]),
+            nodes=[SettingsNodeRecord.from_wire(item) for item in wire.read_list(items[1])],
+        )
+
+
 @define(slots=True)
 class SnapshotRecord:
     """Everything that an entry knows about the consortium.
@@ -677,6 +703,58 @@
         )
 
 
+@define(slots=True)
+class JobCancelled:
+    """Answers CancelJob.
+
+    Fields:
+        request_id: Number of the request.
+        cancelled: Whether the job was in progress at the sender.
+    """
+
+    request_id: int
+    cancelled: bool
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.request_id, self.cancelled]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "JobCancelled":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "JobCancelled")
+        return cls(
+            request_id=wire.read_int(items[0]),
+            cancelled=wire.read_bool(items[1]),
+        )
+
+
+@define(slots=True)
+class CancelJob:
+    """Asks an entry to cancel a best-effort job of its own, since a caller cancels it at the sender, which does not have it.
+
+    Fields:
+        request_id: Request number, repeated in the reply.
+        key: Key of the job.
+    """
+
+    request_id: int
+    key: str
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.request_id, self.key]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "CancelJob":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "CancelJob")
+        return cls(
+            request_id=wire.read_int(items[0]),
+            key=wire.read_str(items[1]),
+        )
+
+
 @define(slots=True)
 class JobReleased:
     """Answers ReleaseJob.
@@ -919,16 +997,19 @@
             there is none.
         offset: Log offset up to which the sender's view has been applied.
         age_s: Age of the view in seconds when that reading was received.
+        tree_version: Version that operators gave the whole settings tree of the sender's view,
+            0 if there is none.
     """
 
     stamp_s: float
     echo_s: float
     offset: int
     age_s: float
+    tree_version: int = 0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.stamp_s, self.echo_s, self.offset, self.age_s]
+        return [self.stamp_s, self.echo_s, self.offset, self.age_s, self.tree_version]
 
     @classmethod
     def from_wire(cls, source: object) -> "PeerView":
@@ -939,6 +1020,7 @@
             echo_s=wire.read_float(items[1]),
             offset=wire.read_int(items[2]),
             age_s=wire.read_float(items[3]),
+            tree_version=wire.read_int(items[4]) if len(items) > 4 else 0,
         )
 
 
@@ -1474,11 +1556,14 @@
     | JobsHeld
     | ReleaseJob
     | JobReleased
+    | CancelJob
+    | JobCancelled
     | EndRecord
     | AnnounceRecord
     | PublishRecord
     | DomainChangeRecord
     | SnapshotRecord
+    | TreeRecord
 )
 
 
@@ -1506,11 +1591,14 @@
     21: JobsHeld,
     22: ReleaseJob,
     23: JobReleased,
+    24: CancelJob,
+    25: JobCancelled,
     39: EndRecord,
     40: AnnounceRecord,
     42: PublishRecord,
     43: DomainChangeRecord,
     44: SnapshotRecord,
+    45: TreeRecord,
 }
 
 
@@ -1538,9 +1626,12 @@
     JobsHeld: 21,
     ReleaseJob: 22,
     JobReleased: 23,
+    CancelJob: 24,
+    JobCancelled: 25,
     EndRecord: 39,
     AnnounceRecord: 40,
     PublishRecord: 42,
     DomainChangeRecord: 43,
     SnapshotRecord: 44,
+    TreeRecord: 45,
 }
--- a/tests/platform/test_jobs_api.py
+++ b/tests/platform/test_jobs_api.py
@@ -8,6 +8,7 @@
 
 from pistachiohill.consortium.view import ConsortiumView
 from pistachiohill.const import JobState
+from pistachiohill.entry.job_cancels import JobCancels
 from pistachiohill.entry.routes import RouteTable
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.platform.jobs_api import JobsApi, UnsupportedJobError, decode_job
@@ -57,6 +58,28 @@
         return 7
 
 
+class StubStartup:
+    """A start that is over; `manifest_known` is set by the test."""
+
+    done = True
+
+    def __init__(self, manifest_known: bool) -> None:
+        self.manifest_known = manifest_known
+
+    async def async_wait(self) -> None:
+        raise AssertionError("nothing to wait for")
+
+
+class NoPeers:
+    """An entry that is linked to no other."""
+
+    def find_link(self, incarnation: str) -> None:
+        return None
+
+    def incarnations(self) -> set[str]:
+        return set()
+
+
 class Caller:
     """One ASGI request; as with the real server, a sent response is followed by a disconnect."""
 
@@ -100,7 +123,9 @@
     if manifest_loaded:
         record = KeyedRecord(0, "config", manifest(1, ROUTE))
         apply_page(view, KeyedPage((record,), 1), is_snapshot=True, now_s=0.0)
-    return JobsApi(RouteTable(view), jobs, lambda: manifest_loaded)  # type: ignore[arg-type]
+    startup = StubStartup(manifest_loaded)
+    cancels = JobCancels(NoPeers())  # type: ignore[arg-type]
+    return JobsApi(RouteTable(view), jobs, startup, cancels)  # type: ignore[arg-type]
 
 
 async def async_call(
@@ -139,6 +164,11 @@
             error = self.assertRaises(UnsupportedJobError, decode_job, body)
             self.assertIn(name, str(error))
 
+    def test_job_without_a_spec_has_an_empty_one(self) -> None:
+        """Fields that are empty are left out."""
+        body = json.dumps({name: JOB[name] for name in ("bestEffort", "steps")}).encode()
+        self.assertEqual(b"", decode_job(body).tasks[0].payload)
+
     def test_false_and_empty_fields_count_as_missing(self) -> None:
         step = {**JOB["steps"][0], "gang": False, "dependsOn": [], "antiAffinity": 0, "new": 1}
         body = json.dumps({**JOB, "steps": [step], "longRunning": False}).encode()
