--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -326,6 +326,9 @@
         ready_address: host:port for the platform's load balancer, which asks there whether the
             entry accepts callers.
         seeds: host:port of processes of this deployment that may be running at startup.
+        memory_mb: Memory that this process may take up on its machine, in MB.
+        max_descriptors: Number of file descriptors that this process may open.
+        client_memory_share: Share of memory_mb that the requests of clients may take up.
     """
 
     name: str = "entry"
@@ -348,6 +351,9 @@
     jobs_address: str = ""
     ready_address: str = ""
     seeds: tuple[str, ...] = ()
+    memory_mb: int = 160
+    max_descriptors: int = 1638
+    client_memory_share: float = 0.15
 
 
 ENTRY_FIELDS: tuple[FieldSpec, ...] = (
@@ -448,6 +454,30 @@
         256.0,
         (),
     ),
+    FieldSpec(
+        "memory_mb",
+        "int",
+        "Memory that this process may take up on its machine, in MB.",
+        64.0,
+        1048576.0,
+        (),
+    ),
+    FieldSpec(
+        "max_descriptors",
+        "int",
+        "Number of file descriptors that this process may open.",
+        300.0,
+        1048576.0,
+        (),
+    ),
+    FieldSpec(
+        "client_memory_share",
+        "float",
+        "Share of memory_mb that the requests of clients may take up.",
+        0.1,
+        0.5,
+        (),
+    ),
 )
 
 
@@ -476,6 +506,9 @@
         control_address: host:port at which the platform's runner announces itself; empty for a
             target that is called over HTTP.
         seeds: host:port of processes of this deployment that may be running at startup.
+        memory_mb: Memory that this process may take up on its machine, in MB.
+        max_descriptors: Number of file descriptors that this process may open.
+        client_memory_share: Share of memory_mb that the requests of clients may take up.
     """
 
     name: str = "agent"
@@ -495,6 +528,9 @@
     target_ttl_s: float = 6.0
     control_address: str = ""
     seeds: tuple[str, ...] = ()
+    memory_mb: int = 160
+    max_descriptors: int = 1638
+    client_memory_share: float = 0.15
 
 
 AGENT_FIELDS: tuple[FieldSpec, ...] = (
@@ -572,4 +608,28 @@
         256.0,
         (),
     ),
+    FieldSpec(
+        "memory_mb",
+        "int",
+        "Memory that this process may take up on its machine, in MB.",
+        64.0,
+        1048576.0,
+        (),
+    ),
+    FieldSpec(
+        "max_descriptors",
+        "int",
+        "Number of file descriptors that this process may open.",
+        300.0,
+        1048576.0,
+        (),
+    ),
+    FieldSpec(
+        "client_memory_share",
+        "float",
+        "Share of memory_mb that the requests of clients may take up.",
+        0.1,
+        0.5,
+        (),
+    ),
 )
--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -56,6 +56,7 @@
         relay_agents: Put a relay in front of the peer port of each agent.
         relay_store: Let the entries reach the store through a relay.
         routes: Routes of the first manifest.
+        options: Further command-line options of the entries and agents.
     """
 
     domains: tuple[str, ...] = ("bern-a", "solothurn-b", "aarau-c")
@@ -65,6 +66,7 @@
     relay_agents: bool = False
     relay_store: bool = False
     routes: tuple[dict[str, Any], ...] = (ROUTE,)
+    options: tuple[str, ...] = ()
 
 
 @define(eq=False)
@@ -474,6 +476,7 @@
             f"--peer_port={peer_port}",
             "--silence_s=0.3",
             "--grace_s=6",
+            *self.spec.options,
         )
         return PlatformEntryProcess(
             process.name,
@@ -500,6 +503,7 @@
             "--announce_first=False",
             "--report_interval_s=0.01",
             "--grace_s=6",
+            *self.spec.options,
         ]
         if self.spec.relay_agents:
             args.append(f"--advertised_port={relay_port}")
