--- a/pistachiohill/agent/metrics.py
+++ b/pistachiohill/agent/metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from ..clients.recorder import limit_metric
 from ..metrics import DURATION_BUCKETS_S, JobLabels
 
 
@@ -12,6 +13,7 @@
         """Register all metrics in a new registry."""
         self.registry = CollectorRegistry()
         self.labels = JobLabels()
+        self.limited = limit_metric(self.registry)
         self.run_s = Histogram(
             "pistachiohill_task_run_seconds",
             "Time from start to answer of a task at its target.",
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -6,6 +6,7 @@
 import trio
 
 from .. import clock, logs
+from ..clients.budget import ClientBudget
 from ..const import PROTOCOL_VERSION, Role
 from ..errors import RefusalReason
 from ..protocol.link import Link, async_accept
@@ -35,8 +36,14 @@
 class AgentService:
     """Connects an agent's links to its task runner."""
 
-    def __init__(self, settings: AgentSettings, runner: TaskRunner) -> None:
-        """Create the service with a new incarnation id; no socket is opened yet."""
+    def __init__(
+        self, settings: AgentSettings, runner: TaskRunner, budget: ClientBudget | None = None
+    ) -> None:
+        """Create the service with a new incarnation id; no socket is opened yet.
+
+        `budget` is for the connections that entries open.
+        """
+        self._budget = budget
         self.incarnation = new_incarnation()
         self._settings = settings
         self._runner = runner
@@ -49,6 +56,7 @@
             self._async_link,
             self._settings.peer_host,
             self._settings.peer_port,
+            self._budget,
             task_status=task_status,
         )
 
--- /dev/null
+++ b/pistachiohill/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what clients that aren't controlled can make a process hold."""
--- a/pistachiohill/daemon/agent.py
+++ b/pistachiohill/daemon/agent.py
@@ -12,6 +12,9 @@
 from ..agent.models import TaskTarget
 from ..agent.runner import TaskRunner
 from ..agent.service import AgentService
+from ..clients.budget import ClientBudget
+from ..clients.limits import link_limits
+from ..clients.recorder import LimitRecorder
 from ..consortium.tail import async_announce, async_withdraw
 from ..const import Role
 from ..errors import RefusalReason
@@ -32,12 +35,12 @@
 
 
 async def _async_start_services(
-    settings: AgentSettings, nursery: trio.Nursery, target: TaskTarget
+    settings: AgentSettings, nursery: trio.Nursery, target: TaskTarget, metrics: AgentMetrics
 ) -> tuple[TaskRunner, AgentService, AgentApi]:
     """Create and start the components that every agent needs."""
-    metrics = AgentMetrics()
     runner = TaskRunner(settings, nursery, target, metrics)
-    service = AgentService(settings, runner)
+    links = ClientBudget(link_limits(settings), LimitRecorder("links", metrics.limited))
+    service = AgentService(settings, runner, links)
     api = AgentApi(settings, service, runner, metrics)
     await nursery.start(service.async_serve_links)
     nursery.start_soon(service.async_heartbeat)
@@ -77,7 +80,9 @@
     from ..http.server import async_serve_http
 
     async with trio.open_nursery() as nursery:
-        runner, service, api = await _async_start_services(settings, nursery, TargetClient())
+        runner, service, api = await _async_start_services(
+            settings, nursery, TargetClient(), AgentMetrics()
+        )
 
         app = HttpApp(api.routes(), MAX_HTTP_BODY_BYTES)
         address = f"{settings.http_host}:{settings.http_port}"
@@ -91,8 +96,9 @@
     """Run an agent for a runner of the users' platform."""
     target = LeasedTarget(RunnerClient(), clock.wall_s())
     async with trio.open_nursery() as nursery:
-        runner, service, api = await _async_start_services(settings, nursery, target)
-        platform = AgentPlatformAdapter(settings, service, target)
+        metrics = AgentMetrics()
+        runner, service, api = await _async_start_services(settings, nursery, target, metrics)
+        platform = AgentPlatformAdapter(settings, service, target, metrics.limited)
         nursery.start_soon(target.async_run)
         await platform.async_start(nursery, api.routes())
         await _async_serve(settings, nursery, runner, service)
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -4,6 +4,9 @@
 from attrs import define, field
 
 from .. import clock, logs
+from ..clients.budget import ClientBudget
+from ..clients.limits import link_limits
+from ..clients.recorder import LimitRecorder
 from ..consortium.const import NO_OFFSET
 from ..consortium.tail import (
     async_announce,
@@ -64,6 +67,7 @@
             view,
             ENTRIES_DIALED if settings.jobs_address else ALL_ENTRIES,
             self._end_unreachable_entry,
+            ClientBudget(link_limits(settings), LimitRecorder("links", self.metrics.limited)),
         )
         self.accounting = Accounting(self.metrics)
         self.directory = AgentDirectory(
@@ -240,7 +244,13 @@
 async def _async_run_on_platform(entry: Entry) -> None:
     """Run with the jobs API, load balancer and operator settings of the users' platform."""
     platform = EntryPlatformAdapter(
-        entry.settings, entry.store, entry.view, entry.routes, entry.jobs, entry.directory
+        entry.settings,
+        entry.store,
+        entry.view,
+        entry.routes,
+        entry.jobs,
+        entry.directory,
+        entry.metrics.limited,
     )
     entry.nursery.start_soon(platform.async_follow)
     await entry.async_start()
--- a/pistachiohill/entry/metrics.py
+++ b/pistachiohill/entry/metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from ..clients.recorder import limit_metric
 from ..metrics import DURATION_BUCKETS_S, JobLabels
 from ..protocol.link import LinkCounters
 
@@ -13,6 +14,7 @@
         """Create and register the metrics."""
         self.registry = CollectorRegistry()
         self.labels = JobLabels()
+        self.limited = limit_metric(self.registry)
         self.response_s = Histogram(
             "pistachiohill_job_response_seconds",
             "Time from acceptance to answer of a job.",
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -8,6 +8,7 @@
 from attrs import define
 
 from .. import clock, logs
+from ..clients.budget import ClientBudget
 from ..consortium.const import NO_OFFSET
 from ..consortium.view import ConsortiumView
 from ..const import PROTOCOL_VERSION, VIEW_EXCHANGE_INTERVAL_S, Role
@@ -115,12 +116,15 @@
         view: ConsortiumView,
         entries_dialed: int = ALL_ENTRIES,
         on_unreachable: Callable[[ProcessRecord], None] = lambda _process: None,
+        budget: ClientBudget | None = None,
     ) -> None:
         """Initialize without links.
 
         `entries_dialed` is the number of entries to which this entry opens links. `on_unreachable`
-        is called for an entry that could not be reached for a long time.
+        is called for an entry that could not be reached for a long time. `budget` is for the
+        connections that others open.
         """
+        self._budget = budget
         self._entries_dialed = entries_dialed
         self._on_unreachable = on_unreachable
         self.peers: list[Peer] = []
@@ -208,6 +212,7 @@
                 self._async_accept,
                 self._settings.peer_host,
                 self._settings.peer_port,
+                self._budget,
                 task_status=task_status,
             )
 
--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -7,9 +7,7 @@
 """
 
 import errno
-import math
 import socket
-from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import partial
 from http import HTTPStatus
@@ -17,23 +15,27 @@
 
 import httptools
 import trio
-from attrs import define, field
 
 from .. import clock, logs
+from ..clients.budget import ClientAccount, ClientBudget, ClientLimits, Limit
 from ..errors import RefusalReason, Verdict
 from .app import (
     BODY_TIMEOUT_S,
     KEEP_ALIVE_TIMEOUT_S,
-    MAX_HEADER_BYTES,
     AsgiApp,
     Scope,
     async_send_response,
 )
 from .models import Problem, problem_response
 from .origin import EmptySince, RequestOrigin, has_peer_closed, is_readable, poll_times
+from .request_reader import ReceivedRequest, RequestReader
 
 MAX_RECEIVE_BYTES: Final = 65536
-MAX_PIPELINED_REQUESTS: Final = 16  # further unanswered requests end reading from the client
+HEADER_TIMEOUT_S: Final = 10.0  # for a whole header
+REQUEST_TIMEOUT_S: Final = 40.0  # for a whole request
+LARGE_RESPONSE_BYTES: Final = 16384  # those that are counted while they are sent
+LIMIT_RETRY_AFTER_S: Final = 1.0
+DEFAULT_LIMITS: Final = ClientLimits(max_connections=700, max_bytes=24_000_000)
 SEND_TIMEOUT_S: Final = 10.0  # a client that takes longer to read a response is disconnected
 DISCARD_TIMEOUT_S: Final = 1.0
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -43,97 +45,6 @@
 CAPACITY_RETRY_S: Final = 0.1
 
 
-@define(eq=False)
-class ReceivedRequest:
-    """An HTTP request, filled in by RequestReader while it is received.
-
-    `arrived_after_s` is a boot time after which its first byte arrived.
-    """
-
-    method: str = ""
-    target: bytes = b""
-    headers: list[tuple[bytes, bytes]] = field(factory=list)
-    body: bytearray = field(factory=bytearray)
-    keep_alive: bool = True
-    arrived_after_s: float = math.inf
-
-    def scope(self) -> Scope:
-        """Return the request's ASGI scope; raise HttpParserError for an invalid target."""
-        url = httptools.parse_url(self.target)
-        return {
-            "type": "http",
-            "http_version": "1.1",
-            "method": self.method,
-            "path": (url.path or b"/").decode("latin-1"),
-            "query_string": url.query or b"",
-            "headers": self.headers,
-        }
-
-
-class RequestReader:
-    """Parses a byte stream into requests; the `on_` methods are called by httptools."""
-
-    def __init__(self, max_body_bytes: int) -> None:
-        """Initialize a reader that expects the start of a request."""
-        self.complete: deque[ReceivedRequest] = deque()
-        self.in_request = False
-        self.expects_continue = False
-        self.too_large = False
-        self._header_bytes = 0
-        self._in_body = False
-        self._max_body_bytes = max_body_bytes
-        self._arrived_after_s = math.inf
-        self._request = ReceivedRequest()
-        self._parser = httptools.HttpRequestParser(self)
-
-    def feed(self, data: bytes, arrived_after_s: float = math.inf) -> None:
-        """Parse received bytes; raise HttpParserError if they are not valid HTTP."""
-        self._arrived_after_s = arrived_after_s
-        if not self._in_body:
-            self._header_bytes += len(data)
-        self._parser.feed_data(data)
-        if self._header_bytes > MAX_HEADER_BYTES and not self._in_body and self.in_request:
-            self.too_large = True
-
-    def on_message_begin(self) -> None:
-        """Start a new request."""
-        self._request = ReceivedRequest(arrived_after_s=self._arrived_after_s)
-        self.in_request = True
-        self._in_body = False
-
-    def on_url(self, part: bytes) -> None:
-        """Append a part of the request target."""
-        self._request.target += part
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header, with its name in lower case."""
-        name = name.lower()
-        self._request.headers.append((name, value))
-        if name == b"expect" and value.lower() == b"100-continue":
-            self.expects_continue = True
-
-    def on_headers_complete(self) -> None:
-        """Set the method; the bytes that follow belong to the body."""
-        self._request.method = self._parser.get_method().decode("latin-1")
-        self._in_body = True
-        self._header_bytes = 0
-
-    def on_body(self, part: bytes) -> None:
-        """Append a part of the body."""
-        self._request.body += part
-        if len(self._request.body) > self._max_body_bytes:
-            self.too_large = True
-
-    def on_message_complete(self) -> None:
-        """Queue the complete request, unless it is too large."""
-        self._request.keep_alive = bool(self._parser.should_keep_alive())
-        self.in_request = False
-        self._in_body = False
-        self.expects_continue = False
-        if not self.too_large:
-            self.complete.append(self._request)
-
-
 class Exchange:
     """One request and its response, with the ASGI `receive` and `send` callables."""
 
@@ -151,7 +62,8 @@
         """Return the body on the first call; later calls wait until the client disconnects."""
         if not self._body_delivered:
             self._body_delivered = True
-            return {"type": "http.request", "body": bytes(self.request.body), "more_body": False}
+            body, self.request.body = bytes(self.request.body), bytearray()
+            return {"type": "http.request", "body": body, "more_body": False}
         await self._disconnected.wait()
         return {"type": "http.disconnect"}
 
@@ -185,12 +97,16 @@
         client_socket: socket.socket,
         max_body_bytes: int,
         connected_after_s: float,
+        budget: ClientBudget,
     ) -> None:
         """Initialize the connection for a socket, to which nothing was sent before a boot time."""
         self._app = app
         self._socket = client_socket
+        self._budget = budget
+        self._answering_bytes = 0
         self._stream = trio.SocketStream(trio.socket.from_stdlib_socket(client_socket))
         self._empty = EmptySince(connected_after_s)
+        self._received_at_s = connected_after_s
         self._reader = RequestReader(max_body_bytes)
         self._disconnected = trio.Event()
         self._request_ready = trio.Event()
@@ -198,6 +114,13 @@
         self._busy = False
         self._stopping = False
         self._scope = trio.CancelScope()
+        address = _peer_address(client_socket)
+        self._account = budget.open(address, self._evict, clock.boot_s())
+
+    def _evict(self) -> None:
+        """Free what the connection holds, and close it."""
+        self._reader.close()
+        self._scope.cancel()
 
     def stop(self) -> None:
         """Close the connection after the request in progress, or at once if there is none."""
@@ -206,33 +129,37 @@
             self._scope.cancel()
 
     async def async_run(self) -> None:
-        """Handle requests until either side closes the connection."""
+        """Handle requests until either side closes the connection.
+
+        If there is no room for the connection, it is closed at once.
+        """
         try:
+            if self._account is None:
+                return
             with self._scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._async_read)
-                    await self._async_respond_all()
+                    nursery.start_soon(self._async_read, self._account)
+                    await self._async_respond_all(self._account)
                     nursery.cancel_scope.cancel()
         finally:
+            self._reader.close()
+            if self._account is not None:
+                self._budget.close(self._account)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
 
-    async def _async_read(self) -> None:
+    def _charge(self, account: ClientAccount) -> bool:
+        """Charge what the connection's requests hold; return whether there is room for it."""
+        held_bytes = self._reader.held_bytes + self._answering_bytes
+        if held_bytes == account.used_bytes:
+            return True
+        return self._budget.hold(account, held_bytes)
+
+    async def _async_read(self, account: ClientAccount) -> None:
         """Read requests until the client disconnects, times out or sends an invalid request."""
         try:
-            while len(self._reader.complete) <= MAX_PIPELINED_REQUESTS:
-                data = await self._async_receive()
-                if not data:
-                    break
-                self._reader.feed(data, self._empty.seen_at_s)
-                if self._reader.too_large:
-                    await self._async_refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-                    break
-                if self._reader.expects_continue:
-                    self._reader.expects_continue = False
-                    await self._async_send(CONTINUE_RESPONSE)
-                if self._reader.complete:
-                    self._request_ready.set()
+            while not self._reader.is_far_ahead and await self._async_read_some(account):
+                pass
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
@@ -246,18 +173,59 @@
         self._disconnected.set()
         self._request_ready.set()
 
+    async def _async_read_some(self, account: ClientAccount) -> bool:
+        """Read and parse what has arrived; return whether to read on."""
+        reader = self._reader
+        data = await self._async_receive()
+        if not data:
+            return False
+        reader.feed(data, self._empty.seen_at_s, self._received_at_s)
+        del data  # not held while the following waits
+        if reader.in_request:
+            account.since_s = reader.began_at_s
+        account.busy = self._busy or bool(reader.complete)
+        if reader.too_large:
+            self._budget.on_limit(Limit.SIZE)
+            reader.drop_incomplete()
+            self._charge(account)
+            await self._async_refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return False
+        if not self._charge(account):
+            await self._async_refuse_for_memory(account)
+            return False
+        if reader.expects_continue:
+            reader.expects_continue = False
+            await self._async_send(CONTINUE_RESPONSE)
+        if reader.complete:
+            self._request_ready.set()
+        return True
+
+    async def _async_refuse_for_memory(self, account: ClientAccount) -> None:
+        """Drop the requests that are not being answered; none of them has run."""
+        self._reader.close()
+        self._charge(account)
+        await self._async_refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+
     async def _async_receive(self) -> bytes:
         """Return received bytes; empty if the client has disconnected or timed out."""
         while True:
-            timeout_s = BODY_TIMEOUT_S if self._reader.in_request else KEEP_ALIVE_TIMEOUT_S
-            with trio.move_on_after(timeout_s):
+            with trio.move_on_after(self._receive_timeout_s()):
                 return await self._async_receive_some()
             if self._reader.in_request:
+                self._budget.on_limit(Limit.TIME)
                 await self._async_refuse(HTTPStatus.REQUEST_TIMEOUT)
                 return b""
             if not self._busy:
                 return b""
 
+    def _receive_timeout_s(self) -> float:
+        """Return how long to wait for bytes; a request also has a time limit as a whole."""
+        if not self._reader.in_request:
+            return KEEP_ALIVE_TIMEOUT_S
+        limit_s = REQUEST_TIMEOUT_S if self._reader.in_body else HEADER_TIMEOUT_S
+        left_s = self._reader.began_at_s + limit_s - self._received_at_s
+        return max(0.0, min(BODY_TIMEOUT_S, left_s))
+
     async def _async_receive_some(self) -> bytes:
         """Return received bytes, empty at the end; raise OSError if the connection is broken."""
         waited = False
@@ -269,6 +237,7 @@
             except BlockingIOError:
                 await self._empty.async_wait_readable(self._socket, now_s)
                 waited = True
+        self._received_at_s = now_s
         if not waited:
             await trio.lowlevel.cancel_shielded_checkpoint()
         return data
@@ -294,8 +263,16 @@
                 return
 
     async def _async_send_error(self, status: HTTPStatus) -> None:
-        title = _reason_phrase(status)
-        problem = Problem(status, RefusalReason.INVALID, Verdict.NOT_RUN, title)
+        problem = Problem(status, RefusalReason.INVALID, Verdict.NOT_RUN, _reason_phrase(status))
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            detail = "clients hold too much memory"
+            problem = Problem(
+                status,
+                RefusalReason.OVERLOAD,
+                Verdict.NOT_RUN,
+                detail,
+                retry_after_s=LIMIT_RETRY_AFTER_S,
+            )
         exchange = Exchange(ReceivedRequest(keep_alive=False), self._disconnected)
         await async_send_response(exchange.async_send, problem_response(problem))
         await self._async_send(exchange.response)
@@ -314,7 +291,7 @@
                 return True
         return False
 
-    async def _async_respond_all(self) -> None:
+    async def _async_respond_all(self, account: ClientAccount) -> None:
         """Respond to requests in the order received, until the connection is to be closed."""
         while True:
             while not self._reader.complete:
@@ -322,14 +299,25 @@
                     return
                 self._request_ready = trio.Event()
                 await self._request_ready.wait()
-            request = self._reader.complete.popleft()
-            self._busy = True
-            keep_alive = await self._async_respond(request)
-            self._busy = False
+            keep_alive = await self._async_respond_next(account)
             if not keep_alive or self._stopping:
                 return
 
-    async def _async_respond(self, request: ReceivedRequest) -> bool:
+    async def _async_respond_next(self, account: ClientAccount) -> bool:
+        """Respond to the oldest request; return whether the connection can be reused."""
+        request = self._reader.take()
+        self._busy = True
+        self._answering_bytes = request.held_bytes
+        keep_alive = await self._async_respond(request, account)
+        self._busy = False
+        self._answering_bytes = 0
+        account.busy = bool(self._reader.complete)
+        account.served = True
+        account.since_s = clock.boot_s()
+        self._charge(account)
+        return keep_alive
+
+    async def _async_respond(self, request: ReceivedRequest, account: ClientAccount) -> bool:
         """Respond to one request; return whether the connection can be reused."""
         exchange = Exchange(request, self._disconnected)
         try:
@@ -347,8 +335,19 @@
         if not exchange.response:
             # No response from the application: the client disconnected or the handler failed.
             return False
+        if len(exchange.response) > LARGE_RESPONSE_BYTES and not self._charge_response(
+            len(exchange.response), account
+        ):
+            return False
         return await self._async_send(exchange.response) and not exchange.close
 
+    def _charge_response(self, size_bytes: int, account: ClientAccount) -> bool:
+        """Charge a response; a client that is slow to read it gives way to others."""
+        self._answering_bytes += size_bytes
+        account.busy = False
+        account.since_s = clock.boot_s()
+        return self._charge(account)
+
 
 async def async_serve_directly(
     app: AsgiApp,
@@ -356,19 +355,23 @@
     max_body_bytes: int,
     stopping: trio.Event,
     grace_s: float,
+    budget: ClientBudget | None = None,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an ASGI application at `address` (host:port) until `stopping` is set.
 
     Requests in progress then have up to `grace_s` seconds to finish. Bodies over `max_body_bytes`
     are refused with status 413. An unexpected error is logged and ends only its own connection.
+    All connections together hold no more than `budget` allows.
     """
+    if budget is None:
+        budget = ClientBudget(DEFAULT_LIMITS)
     host, _, port = address.rpartition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=LISTEN_BACKLOG)
     connections: set[HttpConnection] = set()
 
     async def async_handle(client_socket: socket.socket, connected_after_s: float) -> None:
-        connection = HttpConnection(app, client_socket, max_body_bytes, connected_after_s)
+        connection = HttpConnection(app, client_socket, max_body_bytes, connected_after_s, budget)
         connections.add(connection)
         try:
             await connection.async_run()
@@ -413,6 +416,14 @@
             handler_nursery.start_soon(async_handle, client_socket, queue_empty.seen_at_s)
 
 
+def _peer_address(client_socket: socket.socket) -> str:
+    """Return a client's address without its port, empty if it has left already."""
+    try:
+        return str(client_socket.getpeername()[0])
+    except OSError:
+        return ""
+
+
 def _reason_phrase(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/pistachiohill/platform/agent.py
+++ b/pistachiohill/platform/agent.py
@@ -2,11 +2,16 @@
 
 import trio
 from attrs import frozen
+from prometheus_client import Counter
 
 from .. import clock, logs
+from ..agent.http_api import MAX_HTTP_BODY_BYTES
 from ..agent.leased_target import LeasedTarget
 from ..agent.models import RunnerIdentity, TargetState
 from ..agent.service import AgentService
+from ..clients.budget import ClientBudget
+from ..clients.limits import main_limits, side_limits
+from ..clients.recorder import LimitRecorder
 from ..http.app import HttpApp, Route
 from ..http.direct_server import async_serve_directly
 from ..settings.models import AgentSettings
@@ -27,9 +32,17 @@
     """Passes the runner's announcements to the agent and its target."""
 
     def __init__(
-        self, settings: AgentSettings, service: AgentService, target: LeasedTarget
+        self,
+        settings: AgentSettings,
+        service: AgentService,
+        target: LeasedTarget,
+        limited: Counter,
     ) -> None:
-        """Initialize the adapter without opening any connection."""
+        """Initialize the adapter without opening any connection.
+
+        `limited` counts the clients that are turned away by a limit.
+        """
+        self._limited = limited
         self._settings = settings
         self._service = service
         self._target = target
@@ -42,10 +55,16 @@
         nursery.start_soon(self._async_report_readiness)
         settings = self._settings
         app = HttpApp(routes + self._registry.routes(), MAX_ANNOUNCEMENT_BYTES)
-        addresses = [settings.control_address, f"{settings.http_host}:{settings.http_port}"]
-        for address in addresses:
+        http_address = f"{settings.http_host}:{settings.http_port}"
+        control, http = main_limits(settings), side_limits(settings)
+        listeners = (
+            ("control", settings.control_address, control, MAX_ANNOUNCEMENT_BYTES),
+            ("http", http_address, http, MAX_HTTP_BODY_BYTES),
+        )
+        for name, address, limits, max_body_bytes in listeners:
+            budget = ClientBudget(limits, LimitRecorder(name, self._limited))
             await nursery.start(
-                async_serve_directly, app, address, MAX_ANNOUNCEMENT_BYTES, trio.Event(), 1.0
+                async_serve_directly, app, address, max_body_bytes, trio.Event(), 1.0, budget
             )
 
     async def _async_report_readiness(self) -> None:
--- a/pistachiohill/platform/entry.py
+++ b/pistachiohill/platform/entry.py
@@ -1,7 +1,11 @@
 """Connection of an entry to the platform: settings, callers and the load balancer."""
 
 import trio
+from prometheus_client import Counter
 
+from ..clients.budget import ClientBudget
+from ..clients.limits import main_limits, side_limits
+from ..clients.recorder import LimitRecorder
 from ..consortium.view import ConsortiumView
 from ..entry.agents import AgentDirectory
 from ..entry.best_effort import BestEffortJobs
@@ -30,8 +34,13 @@
         routes: RouteTable,
         jobs: BestEffortJobs,
         directory: AgentDirectory,
+        limited: Counter,
     ) -> None:
-        """Initialize the adapter without opening any connection."""
+        """Initialize the adapter without opening any connection.
+
+        `limited` counts the clients that are turned away by a limit.
+        """
+        self._limited = limited
         self.jobs_server_ended = trio.Event()
         self._settings = settings
         self._view = view
@@ -56,14 +65,20 @@
         """Serve callers, the load balancer and the entry's own HTTP API until `stopped` is set."""
         settings = self._settings
         app.add_route(route("GET", PATH_READY, readiness_handler(self.is_ready)))
-        for address in (settings.ready_address, f"{settings.http_host}:{settings.http_port}"):
+        addresses = {
+            "ready": settings.ready_address,
+            "http": f"{settings.http_host}:{settings.http_port}",
+        }
+        for name, address in addresses.items():
+            budget = ClientBudget(side_limits(settings), LimitRecorder(name, self._limited))
             await nursery.start(
                 async_serve_directly,
                 app,
                 address,
-                settings.max_body_bytes,
+                min(settings.max_body_bytes, MAX_JOB_BODY_BYTES),
                 stopped,
                 settings.grace_s,
+                budget,
             )
         await nursery.start(self._async_serve_callers, stopped)
 
@@ -78,6 +93,7 @@
                 MAX_JOB_BODY_BYTES,
                 stopped,
                 settings.grace_s,
+                ClientBudget(main_limits(settings), LimitRecorder("jobs", self._limited)),
                 task_status=task_status,
             )
         finally:
--- a/pistachiohill/platform/jobs_api.py
+++ b/pistachiohill/platform/jobs_api.py
@@ -24,6 +24,7 @@
     HEADER_DEADLINE_MS,
     MAX_CPU_M,
     MAX_JOB_BODY_BYTES,
+    MAX_JOB_ITEMS,
     MAX_MEM_MB,
     MAX_SPEC_BYTES,
     MAX_STEP_TASKS,
@@ -69,7 +70,7 @@
     Raises UnsupportedJobError if the job uses an unsupported feature, and another WireError if it
     is malformed.
     """
-    fields = decode_object(body)
+    fields = decode_object(body, MAX_JOB_ITEMS)
     spec = read_text(fields, "spec").encode(errors="surrogatepass")
     if len(spec) > MAX_SPEC_BYTES:
         raise WireError(f"spec: more than {MAX_SPEC_BYTES} bytes")
@@ -186,8 +187,7 @@
         send: Send,
     ) -> None:
         try:
-            body = await async_read_body(receive, MAX_JOB_BODY_BYTES)
-            request = evolve(_build_job_request(match, headers, body), origin=origin)
+            request = await _async_read_job(match, headers, origin, receive)
         except BodyError as err:
             await async_send_response(send, self._close_if_stopping(problem_response(err.problem)))
             return
@@ -218,6 +218,14 @@
             await async_send_response(send, self._close_if_stopping(_job_response(answer)))
 
 
+async def _async_read_job(
+    match: RouteMatch, headers: dict[bytes, str], origin: RequestOrigin, receive: Receive
+) -> JobRequest:
+    """Return the job of a request, whose body is not held any longer."""
+    body = await async_read_body(receive, MAX_JOB_BODY_BYTES)
+    return evolve(_build_job_request(match, headers, body), origin=origin)
+
+
 def _build_job_request(match: RouteMatch, headers: dict[bytes, str], body: bytes) -> JobRequest:
     if not JOB_ID_PATTERN.fullmatch(match.path_suffix):
         raise WireError("path: expected an id of 16 lower-case hexadecimal digits after the prefix")
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -10,6 +10,7 @@
 from .address import parse_runner_address
 from .announcement_order import AnnouncementOrder
 from .const import (
+    MAX_ANNOUNCEMENT_ITEMS,
     MAX_CLOCK_SKEW_S,
     MAX_CPU_M,
     MAX_MEM_MB,
@@ -27,7 +28,7 @@
 
 def decode_announcement(runner_id: str, body: bytes) -> RunnerAnnouncement:
     """Decode a runner's announcement; raise WireError if it is malformed."""
-    fields = decode_object(body)
+    fields = decode_object(body, MAX_ANNOUNCEMENT_ITEMS)
     state = read_str(fields, "state")
     if state not in LEAVING_BY_STATE:
         raise WireError(f"state: unknown state {state!r}")
--- a/pistachiohill/platform/wire.py
+++ b/pistachiohill/platform/wire.py
@@ -16,8 +16,17 @@
 MAX_INTEGER: Final = 2**53 - 1  # larger ones are not exact in every JSON implementation
 
 
-def decode_object(body: bytes) -> Fields:
-    """Decode a body that holds a JSON object; raise WireError if it does not."""
+# What precedes a JSON value, except within a string, where it may also stand.
+_STRUCTURE: Final = (b"{", b"[", b",", b":")
+
+
+def decode_object(body: bytes, max_items: int = sys.maxsize) -> Fields:
+    """Decode a body that holds a JSON object; raise WireError if it does not.
+
+    A body of more than `max_items` values is refused before any of them is created.
+    """
+    if len(body) > max_items and sum(body.count(mark) for mark in _STRUCTURE) > max_items:
+        raise WireError(f"more than {max_items} values")
     try:
         value = json.loads(body)
     except (ValueError, RecursionError) as err:
--- a/pistachiohill/protocol/link.py
+++ b/pistachiohill/protocol/link.py
@@ -155,6 +155,7 @@
     except ConnectionClosed as err:
         logs.warning("hello_refused", detail=err)
         return None
+    connection.admit(trusted=bool(secret))
     return hello
 
 
--- a/pistachiohill/protocol/websocket.py
+++ b/pistachiohill/protocol/websocket.py
@@ -25,14 +25,19 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from .. import logs
+from .. import clock, logs
+from ..clients.budget import ClientAccount, ClientBudget
 from ..const import MAX_FRAME_BYTES
 
 RECEIVE_BYTES: Final = 65536
 HANDSHAKE_TIMEOUT_S: Final = 3.0
 LISTEN_BACKLOG: Final = 1024
 DATA_OPCODES: Final = (Opcode.BINARY, Opcode.CONT)
-CLOSE_NORMAL: Final = 1000  # close code of RFC 6455, section 7.4.1
+CLOSE_NORMAL: Final = 1000  # close codes of RFC 6455, section 7.4.1
+CLOSE_TOO_BIG: Final = 1009
+MAX_HELLO_BYTES: Final = 65536  # of a message before the peer is known
+MAX_UNREAD_PONG_BYTES: Final = 65536
+SEND_STALL_S: Final = 20.0  # a peer that reads nothing for longer is disconnected
 
 
 class WebSocket:
@@ -42,15 +47,45 @@
     connection has ended.
     """
 
-    def __init__(self, stream: trio.SocketStream, protocol: Protocol) -> None:
-        """Take over the socket of a connected stream, before the WebSocket handshake."""
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        protocol: Protocol,
+        budget: ClientBudget | None = None,
+    ) -> None:
+        """Take over the socket of a connected stream, before the WebSocket handshake.
+
+        A connection that a peer has opened belongs to a budget.
+        """
         self._socket = socket.socket(fileno=stream.socket.detach())
         self._socket.setblocking(False)
         self._protocol = protocol
         self._unsent = bytearray()
         self._received: deque[bytes] = deque()
         self._fragments: list[bytes] = []
+        self._fragment_bytes = 0
+        self._pong_bytes = 0
         self._closed = False
+        self._budget = budget
+        self._account: ClientAccount | None = None
+        self._charged = budget is not None
+
+    def open_account(self, now_s: float) -> bool:
+        """Return whether the budget has room for the connection."""
+        if self._budget is None:
+            return True
+        address = str(self._socket.getpeername()[0])
+        self._account = self._budget.open(address, self.close, now_s)
+        return self._account is not None
+
+    def admit(self, trusted: bool) -> None:
+        """Allow large messages from a peer that is known; a trusted one is not limited further."""
+        if self._budget is None or self._account is None:
+            return
+        self._account.busy = True
+        self._charged = not trusted
+        limit_bytes = MAX_FRAME_BYTES if trusted else self._budget.limits.max_bytes
+        self._protocol.max_message_size = min(MAX_FRAME_BYTES, limit_bytes)
 
     async def async_receive(self) -> bytes:
         """Return the next message, at once if it has already arrived with an earlier one."""
@@ -58,7 +93,8 @@
             self._raise_if_ended()
             await self._async_read()
             self._handle_events()
-            self._try_flush()  # pongs and closing frames
+            self._flush_replies()
+            self._charge()
         return self._received.popleft()
 
     async def async_send(self, data: bytes) -> None:
@@ -77,6 +113,36 @@
         self._closed = True
         trio.lowlevel.notify_closing(self._socket)
         self._socket.close()
+        self._free()
+
+    def _free(self) -> None:
+        """Free what the connection holds; the protocol's parser refers to the protocol."""
+        self._fragments.clear()
+        self._unsent.clear()
+        self._protocol.reader.discard()
+        self._protocol.parser.close()
+        if self._account is not None and self._budget is not None:
+            self._budget.close(self._account)
+
+    def _charge(self) -> None:
+        """Charge the part of a message that has arrived, and close the connection if it is much."""
+        if not self._charged or self._closed or self._account is None or self._budget is None:
+            return
+        held_bytes = len(self._protocol.reader.buffer) + self._fragment_bytes
+        if held_bytes == self._account.used_bytes:
+            return
+        if not self._budget.hold(self._account, held_bytes):
+            self.close(CLOSE_TOO_BIG, "too much memory is held")
+
+    def _flush_replies(self) -> None:
+        """Send pongs and closing frames; a peer that doesn't read many of them is disconnected."""
+        unsent_bytes = len(self._unsent)
+        self._try_flush()
+        self._pong_bytes += max(0, len(self._unsent) - unsent_bytes)
+        if not self._unsent:
+            self._pong_bytes = 0
+        if self._pong_bytes > MAX_UNREAD_PONG_BYTES:
+            self.close()
 
     async def async_handshake_as_client(self) -> None:
         """Open the connection; raise InvalidHandshake if the peer refuses or is no WebSocket."""
@@ -84,20 +150,25 @@
         assert isinstance(protocol, ClientProtocol)
         protocol.send_request(protocol.connect())
         await self._async_flush()
-        while protocol.state is State.CONNECTING and protocol.handshake_exc is None:
+        while self._is_connecting():
             await self._async_read()
         self._handle_events()
         self._check_handshake(self._protocol.handshake_exc)
 
     async def async_handshake_as_server(self) -> None:
         """Accept the peer's request; raise InvalidHandshake if it is not a valid one."""
-        protocol = self._protocol
-        while protocol.state is State.CONNECTING and protocol.handshake_exc is None:
+        while self._is_connecting():
             await self._async_read()
             self._handle_events()
+            self._charge()
         self._try_flush()
         self._check_handshake(self._protocol.handshake_exc)
 
+    def _is_connecting(self) -> bool:
+        protocol = self._protocol
+        connecting = protocol.state is State.CONNECTING and protocol.handshake_exc is None
+        return connecting and not self._closed
+
     def _check_handshake(self, error: Exception | None) -> None:
         if isinstance(error, InvalidHandshake):
             raise error
@@ -122,6 +193,8 @@
                 continue
             except (OSError, trio.ClosedResourceError):
                 data = b""
+        if self._closed:
+            return
         if data:
             self._protocol.receive_data(data)
             return
@@ -136,16 +209,20 @@
             if not isinstance(event, Frame) or event.opcode not in DATA_OPCODES:
                 continue
             self._fragments.append(bytes(event.data))
+            self._fragment_bytes += len(event.data)
             if event.fin:
                 self._received.append(b"".join(self._fragments))
                 self._fragments.clear()
+                self._fragment_bytes = 0
 
     async def _async_flush(self) -> None:
         """Send all that the protocol has written."""
         self._try_flush()
         while self._unsent:
-            with suppress(trio.ClosedResourceError):
+            with trio.move_on_after(SEND_STALL_S) as stall, suppress(trio.ClosedResourceError):
                 await trio.lowlevel.wait_writable(self._socket)
+            if stall.cancelled_caught:
+                self.close()
             self._raise_if_ended()
             self._try_flush()
 
@@ -198,21 +275,26 @@
     handler: Callable[[WebSocket], Awaitable[None]],
     host: str,
     port: int,
+    budget: ClientBudget | None = None,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Accept connections until cancelled; each is closed when its handler returns.
 
-    An unexpected error of a handler is logged and ends only its own connection.
+    An unexpected error of a handler is logged and ends only its own connection. All connections
+    together hold no more than `budget` allows; without one they are not limited.
     """
+    max_bytes = MAX_FRAME_BYTES if budget is None else MAX_HELLO_BYTES
 
     async def async_handle(stream: trio.SocketStream) -> None:
-        websocket = WebSocket(stream, ServerProtocol(max_size=MAX_FRAME_BYTES))
+        websocket = WebSocket(stream, ServerProtocol(max_size=max_bytes), budget)
         try:
+            if not websocket.open_account(clock.boot_s()):
+                return
             with trio.move_on_after(HANDSHAKE_TIMEOUT_S) as handshake:
                 await websocket.async_handshake_as_server()
             if not handshake.cancelled_caught:
                 await handler(websocket)
-        except (InvalidHandshake, ConnectionClosed):
+        except (InvalidHandshake, ConnectionClosed, OSError):
             return
         except Exception as err:
             logs.exception("connection_failed", err)
--- a/tests/failures/crowds.py
+++ b/tests/failures/crowds.py
@@ -94,11 +94,10 @@
     data = message(door)
     sent = 0
 
-    async def async_send(task_status: trio.TaskStatus[None]) -> None:
+    async def async_send() -> None:
         nonlocal sent
         with suppress(OSError, trio.BrokenResourceError):
             stream = await trio.open_tcp_stream(host, int(port))
-            task_status.started()
             step = 1 if dribble else max(1, len(data))
             for start in range(0, len(data), step):
                 await stream.send_all(data[start : start + step])
@@ -107,11 +106,10 @@
             sent += not dribble
             await trio.sleep_forever()
         sent += 1  # cut off
-        task_status.started()
 
     async with trio.open_nursery() as nursery:
         for _ in range(size):
-            await nursery.start(async_send)
+            nursery.start_soon(async_send)
         with trio.move_on_after(SETTLE_S):
             while sent < size:
                 await trio.sleep(DRIBBLE_S)
--- a/tests/http/test_direct_server.py
+++ b/tests/http/test_direct_server.py
@@ -12,9 +12,10 @@
 
 from pistachiohill import clock
 from pistachiohill.http.app import async_send_response
-from pistachiohill.http.direct_server import MAX_RECEIVE_BYTES, RequestReader, async_serve_directly
+from pistachiohill.http.direct_server import MAX_RECEIVE_BYTES, async_serve_directly
 from pistachiohill.http.models import json_response
 from pistachiohill.http.origin import RequestOrigin
+from pistachiohill.http.request_reader import RequestReader
 
 from ..base import TestCase
 
--- a/tests/platform/test_agent.py
+++ b/tests/platform/test_agent.py
@@ -8,6 +8,7 @@
 from pistachiohill import clock
 from pistachiohill.agent.const import LEASE_S, MAX_CLOCK_DRIFT
 from pistachiohill.agent.leased_target import LeasedTarget
+from pistachiohill.agent.metrics import AgentMetrics
 from pistachiohill.agent.models import TargetCall, TargetState
 from pistachiohill.agent.service import AgentService
 from pistachiohill.http.app import HttpApp
@@ -41,7 +42,10 @@
         self.service = FakeService()
         self.sequence = 0
         adapter = AgentPlatformAdapter(
-            AgentSettings(), cast(AgentService, self.service), self.target
+            AgentSettings(),
+            cast(AgentService, self.service),
+            self.target,
+            AgentMetrics().limited,
         )
         self.app = HttpApp(adapter._registry.routes(), 65536)
         nursery.start_soon(self.target.async_run)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from pistachiohill.consortium.view import ConsortiumView
+from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.entry.routes import RouteTable
 from pistachiohill.platform.entry import EntryPlatformAdapter
 from pistachiohill.platform.store import StoreClient
@@ -17,7 +18,10 @@
     unused: Any = None
     jobs: Any = StubJobs(COMPLETE)
     store = StoreClient("http://127.0.0.1:1")
-    return EntryPlatformAdapter(EntrySettings(), store, view, RouteTable(view), jobs, unused)
+    limited = EntryMetrics().limited
+    return EntryPlatformAdapter(
+        EntrySettings(), store, view, RouteTable(view), jobs, unused, limited
+    )
 
 
 class EntryPlatformAdapterTest(TestCase):
