--- a/pistachiohill/clients/limits.py
+++ b/pistachiohill/clients/limits.py
@@ -22,7 +22,7 @@
     """The settings of an entry or an agent that say how large its machine is."""
 
     @property
-    def memory_mb(self) -> int:
+    def memory_mb(self) -> float:
         """Memory of the process."""
 
     @property
--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -62,7 +62,7 @@
         """Return the body on the first call; later calls wait until the client disconnects."""
         if not self._body_delivered:
             self._body_delivered = True
-            body, self.request.body = bytes(self.request.body), bytearray()
+            body = self.request.take_body()
             return {"type": "http.request", "body": body, "more_body": False}
         await self._disconnected.wait()
         return {"type": "http.disconnect"}
@@ -111,6 +111,7 @@
         self._disconnected = trio.Event()
         self._request_ready = trio.Event()
         self._send_lock = trio.Lock()
+        self._has_waited = False
         self._busy = False
         self._stopping = False
         self._scope = trio.CancelScope()
@@ -159,7 +160,7 @@
         """Read requests until the client disconnects, times out or sends an invalid request."""
         try:
             while not self._reader.is_far_ahead and await self._async_read_some(account):
-                pass
+                await self._async_yield()
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
@@ -228,7 +229,7 @@
 
     async def _async_receive_some(self) -> bytes:
         """Return received bytes, empty at the end; raise OSError if the connection is broken."""
-        waited = False
+        self._has_waited = False
         while True:
             now_s = clock.boot_s()
             try:
@@ -236,12 +237,18 @@
                 break
             except BlockingIOError:
                 await self._empty.async_wait_readable(self._socket, now_s)
-                waited = True
+                self._has_waited = True
         self._received_at_s = now_s
-        if not waited:
-            await trio.lowlevel.cancel_shielded_checkpoint()
         return data
 
+    async def _async_yield(self) -> None:
+        """Let other connections run if bytes were there without waiting.
+
+        This follows the parsing, so that no received bytes are held meanwhile.
+        """
+        if not self._has_waited:
+            await trio.lowlevel.cancel_shielded_checkpoint()
+
     async def _async_refuse(self, status: HTTPStatus) -> None:
         """Send an error for bytes that are no request, unless an earlier request is pending."""
         if self._busy or self._reader.complete:
@@ -258,7 +265,7 @@
             try:
                 await self._stream.send_eof()
                 while await self._async_receive_some():
-                    pass
+                    await self._async_yield()
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
                 return
 
--- a/pistachiohill/http/request_reader.py
+++ b/pistachiohill/http/request_reader.py
@@ -13,6 +13,7 @@
 MAX_PIPELINED_REQUESTS: Final = 16  # further unanswered requests end reading from the client
 REQUEST_BYTES: Final = 1024  # of a request as an object
 FIELD_BYTES: Final = 200  # of a header field as objects, beside its text
+BLOCK_BYTES: Final = 16384  # a body is kept in blocks, as growing one array fragments memory
 
 # The parser can't be interrupted, so it gets a few bytes at a time.
 SLICE_BYTES: Final = 4096
@@ -30,10 +31,27 @@
     method: str = ""
     target: bytes = b""
     headers: list[tuple[bytes, bytes]] = field(factory=list)
-    body: bytearray = field(factory=bytearray)
+    body_bytes: int = 0
     keep_alive: bool = True
     arrived_after_s: float = math.inf
     held_bytes: int = REQUEST_BYTES
+    _blocks: list[bytes] = field(factory=list)
+    _last_block: bytearray = field(factory=bytearray)
+
+    def append_body(self, part: bytes) -> None:
+        """Append a part of the body."""
+        self.body_bytes += len(part)
+        self._last_block += part
+        if len(self._last_block) >= BLOCK_BYTES:
+            self._blocks.append(bytes(self._last_block))
+            self._last_block = bytearray()
+
+    def take_body(self) -> bytes:
+        """Return the body, which is not held any longer."""
+        body = b"".join((*self._blocks, self._last_block))
+        self._blocks.clear()
+        self._last_block = bytearray()
+        return body
 
     def scope(self) -> Scope:
         """Return the request's ASGI scope; raise HttpParserError for an invalid target."""
@@ -48,6 +66,9 @@
         }
 
 
+_NO_REQUEST: Final = ReceivedRequest()
+
+
 class RequestReader:
     """Parses a byte stream into requests; the `on_` methods are called by httptools."""
 
@@ -64,7 +85,7 @@
         self._received_at_s = -math.inf
         self._max_body_bytes = max_body_bytes
         self._arrived_after_s = math.inf
-        self._request = ReceivedRequest()
+        self._request = _NO_REQUEST
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
 
     @property
@@ -95,7 +116,7 @@
     def drop_incomplete(self) -> None:
         """Free the request that is being received; nothing can be parsed after that."""
         self.in_request = False
-        self._request = ReceivedRequest()
+        self._request = _NO_REQUEST
         self._parser = None
 
     def feed(
@@ -162,10 +183,10 @@
     def on_body(self, part: bytes) -> None:
         """Append a part of the body; what frames it is bounded like a header."""
         self._header_bytes = 0
-        if len(self._request.body) + len(part) > self._max_body_bytes:
+        if self._request.body_bytes + len(part) > self._max_body_bytes:
             self.too_large = True
             return
-        self._request.body += part
+        self._request.append_body(part)
         self._hold(len(part))
 
     def on_message_complete(self) -> None:
@@ -179,6 +200,7 @@
         if not self.too_large:
             self.complete.append(self._request)
             self._complete_bytes += self._request.held_bytes
+        self._request = _NO_REQUEST
 
 
 def _is_over(length: bytes, max_bytes: int) -> bool:
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -351,7 +351,7 @@
     jobs_address: str = ""
     ready_address: str = ""
     seeds: tuple[str, ...] = ()
-    memory_mb: int = 160
+    memory_mb: float = 160.0
     max_descriptors: int = 1638
     client_memory_share: float = 0.15
 
@@ -456,7 +456,7 @@
     ),
     FieldSpec(
         "memory_mb",
-        "int",
+        "float",
         "Memory that this process may take up on its machine, in MB.",
         64.0,
         1048576.0,
@@ -528,7 +528,7 @@
     target_ttl_s: float = 6.0
     control_address: str = ""
     seeds: tuple[str, ...] = ()
-    memory_mb: int = 160
+    memory_mb: float = 160.0
     max_descriptors: int = 1638
     client_memory_share: float = 0.15
 
@@ -610,7 +610,7 @@
     ),
     FieldSpec(
         "memory_mb",
-        "int",
+        "float",
         "Memory that this process may take up on its machine, in MB.",
         64.0,
         1048576.0,
