--- a/pistachiohill/clients/budget.py
+++ b/pistachiohill/clients/budget.py
@@ -14,6 +14,9 @@
 
 CONNECTION_BYTES: Final = 24 * 1024  # of an open connection without a request
 
+# What an ordinary request holds; it finds room even if requests that are being served hold all.
+ORDINARY_BYTES: Final = 8 * 1024
+
 
 class Limit(StrEnum):
     """Which limit a client has met."""
@@ -96,8 +99,10 @@
             return False
         self._charge(account, used_bytes)
         while self.used_bytes > self.limits.max_bytes:
-            self.on_limit(Limit.MEMORY)
             slowest = self._slowest_holder(account)
+            if slowest is None and used_bytes <= ORDINARY_BYTES:
+                return True
+            self.on_limit(Limit.MEMORY)
             if slowest is None:
                 return False
             self._evict(slowest)
--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -253,6 +253,8 @@
         """Send an error for bytes that are no request, unless an earlier request is pending."""
         if self._busy or self._reader.complete:
             return
+        if self._account is not None:
+            self._account.busy = False  # it gives way to others while it is discarded
         await self._async_send_error(status)
         await self._async_discard()
 
--- a/tests/clients/test_budget.py
+++ b/tests/clients/test_budget.py
@@ -2,7 +2,13 @@
 
 from prometheus_client import CollectorRegistry
 
-from pistachiohill.clients.budget import ClientAccount, ClientBudget, ClientLimits, Limit
+from pistachiohill.clients.budget import (
+    ORDINARY_BYTES,
+    ClientAccount,
+    ClientBudget,
+    ClientLimits,
+    Limit,
+)
 from pistachiohill.clients.limits import link_limits, main_limits, side_limits
 from pistachiohill.clients.recorder import LimitRecorder, limit_metric
 from pistachiohill.settings.models import AgentSettings, EntrySettings
@@ -18,7 +24,7 @@
         super().setUp()
         self.evicted: list[str] = []
         self.met: list[Limit] = []
-        self.budget = ClientBudget(ClientLimits(3, 1000), self.met.append)
+        self.budget = ClientBudget(ClientLimits(3, 100_000), self.met.append)
 
     def open(self, name: str, now_s: float, address: str = "a") -> ClientAccount:
         account = self.budget.open(address, lambda: self.evicted.append(name), now_s)
@@ -27,25 +33,33 @@
 
     def test_slowest_request_gives_way_to_a_later_one(self) -> None:
         slow, later = self.open("slow", 1.0), self.open("later", 2.0)
-        self.assertTrue(self.budget.hold(slow, 600))
-        self.assertTrue(self.budget.hold(later, 600))
+        self.assertTrue(self.budget.hold(slow, 60_000))
+        self.assertTrue(self.budget.hold(later, 60_000))
         self.assertEqual(["slow"], self.evicted)
         self.assertEqual([Limit.MEMORY], self.met)
-        self.assertEqual(600, self.budget.used_bytes)
+        self.assertEqual(60_000, self.budget.used_bytes)
         self.assertFalse(self.budget.hold(slow, 1))
 
     def test_requests_that_are_served_stay_and_the_newest_is_refused(self) -> None:
         served, newest = self.open("served", 1.0), self.open("newest", 2.0)
         served.busy = True
-        self.assertTrue(self.budget.hold(served, 600))
-        self.assertFalse(self.budget.hold(newest, 600))
+        self.assertTrue(self.budget.hold(served, 60_000))
+        self.assertFalse(self.budget.hold(newest, 60_000))
         self.assertTrue(self.budget.hold(newest, 0))
         self.assertEqual([], self.evicted)
 
+    def test_ordinary_request_finds_room_beside_served_ones_that_hold_all(self) -> None:
+        served, ordinary = self.open("served", 1.0), self.open("ordinary", 2.0)
+        served.busy = True
+        self.assertTrue(self.budget.hold(served, 100_000))
+        self.assertTrue(self.budget.hold(ordinary, ORDINARY_BYTES))
+        self.assertFalse(self.budget.hold(ordinary, ORDINARY_BYTES + 1))
+        self.assertEqual([], self.evicted)
+
     def test_address_that_holds_most_gives_way(self) -> None:
         other = self.open("other", 1.0, "b")
         first, second = self.open("first", 2.0), self.open("second", 3.0)
-        for account, held_bytes in ((other, 300), (first, 400), (second, 400)):
+        for account, held_bytes in ((other, 30_000), (first, 40_000), (second, 40_000)):
             self.assertTrue(self.budget.hold(account, held_bytes))
         self.assertEqual(["first"], self.evicted)
 
@@ -66,7 +80,7 @@
 
     def test_closed_connections_leave_nothing(self) -> None:
         account = self.open("a", 1.0)
-        self.budget.hold(account, 900)
+        self.budget.hold(account, 90_000)
         self.budget.close(account)
         self.budget.close(account)
         self.assertEqual(0, self.budget.used_bytes)
@@ -83,7 +97,7 @@
             self.assertLess(sum(item.max_connections for item in limits), 0.9 * sockets)
 
     def test_smallest_settings_have_room_for_a_heartbeat(self) -> None:
-        settings = AgentSettings(memory_mb=64, max_descriptors=300, client_memory_share=0.1)
+        settings = AgentSettings(memory_mb=64, max_descriptors=30_000, client_memory_share=0.1)
         self.assertGreater(main_limits(settings).max_bytes, HEARTBEAT_BYTES)
         self.assertGreater(side_limits(settings).max_connections, 4)
 
