--- a/pistachiohill/platform/const.py
+++ b/pistachiohill/platform/const.py
@@ -36,6 +36,7 @@
 MAX_MEM_MB: Final = 10**9
 MAX_RUNNER_CLOCK_MS: Final = 100 * 365 * 86_400_000  # a century, also for a clock of the day
 MAX_ANNOUNCEMENT_BYTES: Final = 4 * 1024 * 1024
+MAX_RUN_LIST_ITEMS: Final = 262_144  # values in a runner's list of thousands of runs
 MAX_ANNOUNCEMENT_ITEMS: Final = 65_536  # values, in lists of runs for example
 MAX_JOB_BODY_BYTES: Final = 262144  # limit given in the manifest
 MAX_SPEC_BYTES: Final = 4000
--- a/pistachiohill/platform/http_client.py
+++ b/pistachiohill/platform/http_client.py
@@ -16,6 +16,7 @@
 RECEIVE_BUFFER_BYTES: Final = 65536
 MAX_RESPONSE_BODY_BYTES: Final = 8 * 1024 * 1024
 MAX_RESPONSE_HEADER_BYTES: Final = 32 * 1024
+MAX_RESPONSE_BYTES: Final = 2 * MAX_RESPONSE_BODY_BYTES  # with what frames the chunks of a body
 
 
 @dataclass(frozen=True)
@@ -56,26 +57,39 @@
 
     def __init__(self) -> None:
         self.status = 0
-        self.chunks: list[bytes] = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.headers_complete = False
         self.complete = False
         self.keep_alive = False
-        self._parser = httptools.HttpResponseParser(self)
+        self._received_bytes = 0
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+
+    @property
+    def too_large(self) -> bool:
+        """Return whether the response is larger than any that is expected."""
+        limit = MAX_RESPONSE_BYTES if self.headers_complete else MAX_RESPONSE_HEADER_BYTES
+        return len(self.body) > MAX_RESPONSE_BODY_BYTES or self._received_bytes > limit
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raise HttpParserError if they are not a valid response."""
+        assert self._parser is not None
+        self._received_bytes += len(data)
         self._parser.feed_data(data)
 
+    def close(self) -> None:
+        """Free the parser, which refers to this object."""
+        self._parser = None
+
     def on_headers_complete(self) -> None:
+        assert self._parser is not None
         self.headers_complete = True
         self.status = self._parser.get_status_code()
 
     def on_body(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
-        self.body_bytes += len(chunk)
+        self.body += chunk
 
     def on_message_complete(self) -> None:
+        assert self._parser is not None
         # The parser resets this flag when it prepares for the next response.
         self.keep_alive = bool(self._parser.should_keep_alive())
         self.complete = True
@@ -202,19 +216,20 @@
 async def _async_read_response(stream: trio.SocketStream) -> tuple[HttpResponse | NoResponse, bool]:
     """Read a complete response; return it and whether the connection can be reused."""
     parser = _ResponseParser()
-    header_bytes = 0
-    while not parser.complete:
-        # The response is never available right after the request, so wait first to avoid a read
-        # that fails.
-        await trio.lowlevel.wait_readable(stream.socket)
-        data = await stream.receive_some(RECEIVE_BUFFER_BYTES)
-        if not data:
-            return NoResponse(True, "connection closed before the response was complete"), False
-        parser.feed(data)
-        header_bytes += 0 if parser.headers_complete else len(data)
-        if parser.body_bytes > MAX_RESPONSE_BODY_BYTES or header_bytes > MAX_RESPONSE_HEADER_BYTES:
-            return NoResponse(True, "response is too large"), False
-    return HttpResponse(parser.status, b"".join(parser.chunks)), parser.keep_alive
+    try:
+        while not parser.complete:
+            # The response is never available right after the request, so wait first to avoid a
+            # read that fails.
+            await trio.lowlevel.wait_readable(stream.socket)
+            data = await stream.receive_some(RECEIVE_BUFFER_BYTES)
+            if not data:
+                return NoResponse(True, "connection closed before the response was complete"), False
+            parser.feed(data)
+            if parser.too_large:
+                return NoResponse(True, "response is too large"), False
+        return HttpResponse(parser.status, bytes(parser.body)), parser.keep_alive
+    finally:
+        parser.close()
 
 
 def _is_readable(stream: trio.SocketStream) -> bool:
--- a/pistachiohill/platform/runner_client.py
+++ b/pistachiohill/platform/runner_client.py
@@ -26,6 +26,7 @@
 from .address import parse_runner_address
 from .const import (
     HEADER_TARGET_INSTANCE,
+    MAX_RUN_LIST_ITEMS,
     MAX_RUNNER_CLOCK_MS,
     PATH_HOLD,
     PATH_RUN_START,
@@ -167,7 +168,7 @@
     if response.status == 400:
         return NotStarted(StartRefusal.INVALID)
     try:
-        fields = decode_object(response.body)
+        fields = decode_object(response.body, MAX_RUN_LIST_ITEMS)
         if response.status == 200:
             return Started(_read_clock_s(fields))
         if response.status == 409 and read_str(fields, "reason") in REFUSAL_BY_REASON:
@@ -186,7 +187,7 @@
 
 
 def _parse_run_list(body: bytes, runner: RunnerIdentity) -> RunList:
-    fields = decode_object(body)
+    fields = decode_object(body, MAX_RUN_LIST_ITEMS)
     running = [_parse_run_name(row, 0) for row in read_list(fields, "running", [])]
     ended = [_parse_ended_run(row) for row in read_list(fields, "finished", [])]
     return RunList(
