--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -757,8 +757,8 @@
         (
             Edit(
                 "pistachiohill/http/direct_server.py",
-                "reader.feed(data, self._empty.seen_at_s, self._received_at_s)",
-                "reader.feed(data, clock.boot_s(), self._received_at_s)",
+                "self._reader.feed(data, self._empty.seen_at_s, self._received_at_s)",
+                "self._reader.feed(data, clock.boot_s(), self._received_at_s)",
             ),
         ),
     ),
--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -30,7 +30,8 @@
 from .origin import EmptySince, RequestOrigin, has_peer_closed, is_readable, poll_times
 from .request_reader import ReceivedRequest, RequestReader
 
-MAX_RECEIVE_BYTES: Final = 65536
+MAX_RECEIVE_BYTES: Final = 8192
+PARSING_TURNS: Final = 4  # connections that go on with long requests in a round of the event loop
 HEADER_TIMEOUT_S: Final = 10.0  # for a whole header
 REQUEST_TIMEOUT_S: Final = 40.0  # for a whole request
 LARGE_RESPONSE_BYTES: Final = 16384  # those that are counted while they are sent
@@ -98,8 +99,13 @@
         max_body_bytes: int,
         connected_after_s: float,
         budget: ClientBudget,
+        parsing_turns: trio.CapacityLimiter,
     ) -> None:
-        """Initialize the connection for a socket, to which nothing was sent before a boot time."""
+        """Initialize the connection for a socket, to which nothing was sent before a boot time.
+
+        `parsing_turns` keeps many long requests from occupying the event loop together.
+        """
+        self._parsing_turns = parsing_turns
         self._app = app
         self._socket = client_socket
         self._budget = budget
@@ -180,7 +186,12 @@
         data = await self._async_receive()
         if not data:
             return False
-        reader.feed(data, self._empty.seen_at_s, self._received_at_s)
+        if reader.in_request or reader.complete:
+            async with self._parsing_turns:
+                self._feed(data)
+                await trio.lowlevel.cancel_shielded_checkpoint()
+        else:
+            self._feed(data)
         del data  # not held while the following waits
         if reader.in_request:
             account.since_s = reader.began_at_s
@@ -201,6 +212,9 @@
             self._request_ready.set()
         return True
 
+    def _feed(self, data: bytes) -> None:
+        self._reader.feed(data, self._empty.seen_at_s, self._received_at_s)
+
     async def _async_refuse_for_memory(self, account: ClientAccount) -> None:
         """Drop the requests that are not being answered; none of them has run."""
         self._reader.close()
@@ -378,9 +392,12 @@
     host, _, port = address.rpartition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=LISTEN_BACKLOG)
     connections: set[HttpConnection] = set()
+    parsing_turns = trio.CapacityLimiter(PARSING_TURNS)
 
     async def async_handle(client_socket: socket.socket, connected_after_s: float) -> None:
-        connection = HttpConnection(app, client_socket, max_body_bytes, connected_after_s, budget)
+        connection = HttpConnection(
+            app, client_socket, max_body_bytes, connected_after_s, budget, parsing_turns
+        )
         connections.add(connection)
         try:
             await connection.async_run()
--- a/pistachiohill/protocol/websocket.py
+++ b/pistachiohill/protocol/websocket.py
@@ -35,6 +35,7 @@
 DATA_OPCODES: Final = (Opcode.BINARY, Opcode.CONT)
 CLOSE_NORMAL: Final = 1000  # close codes of RFC 6455, section 7.4.1
 CLOSE_TOO_BIG: Final = 1009
+UNKNOWN_PEER_RECEIVE_BYTES: Final = 4096
 MAX_HELLO_BYTES: Final = 65536  # of a message before the peer is known
 MAX_UNREAD_PONG_BYTES: Final = 65536
 SEND_STALL_S: Final = 20.0  # a peer that reads nothing for longer is disconnected
@@ -69,6 +70,7 @@
         self._budget = budget
         self._account: ClientAccount | None = None
         self._charged = budget is not None
+        self._receive_bytes = RECEIVE_BYTES if budget is None else UNKNOWN_PEER_RECEIVE_BYTES
 
     def open_account(self, now_s: float) -> bool:
         """Return whether the budget has room for the connection."""
@@ -83,6 +85,7 @@
         if self._budget is None or self._account is None:
             return
         self._account.busy = True
+        self._receive_bytes = RECEIVE_BYTES
         self._charged = not trusted
         limit_bytes = MAX_FRAME_BYTES if trusted else self._budget.limits.max_bytes
         self._protocol.max_message_size = min(MAX_FRAME_BYTES, limit_bytes)
@@ -188,7 +191,7 @@
         while data is None:
             try:
                 await trio.lowlevel.wait_readable(self._socket)
-                data = self._socket.recv(RECEIVE_BYTES)
+                data = self._socket.recv(self._receive_bytes)
             except BlockingIOError:
                 continue
             except (OSError, trio.ClosedResourceError):
--- a/tests/http/test_direct_server.py
+++ b/tests/http/test_direct_server.py
@@ -212,11 +212,12 @@
 
     async def test_request_with_an_odd_target_and_more_bytes_does_not_stop_the_server(self) -> None:
         """Reader and responder both have an error to send, in the same round of the event loop."""
+        max_body_bytes = 8 * MAX_RECEIVE_BYTES
         head = b"PUT http:///a HTTP/1.1\r\nHost: h\r\nContent-Length: "
-        for size in (MAX_RECEIVE_BYTES, 20000):  # the bytes that follow are read separately, or not
+        for size in (max_body_bytes, 20000):  # the bytes that follow are read separately, or not
             length = size - len(head) - len(b"00000\r\n\r\n")
             data = head + b"%d\r\n\r\n" % length + b"\xff" * length + b"\x00\xff\xfe\x01\r\n\r\n"
-            async with running_server(max_body_bytes=MAX_RECEIVE_BYTES) as server:
+            async with running_server(max_body_bytes=max_body_bytes) as server:
                 for _ in range(20):
                     async with await server.async_open() as stream:
                         await stream.send_all(data)
