--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -4,6 +4,9 @@
 from attrs import define, field
 
 from .. import clock, logs
+from ..clients.budget import ClientBudget
+from ..clients.limits import link_limits
+from ..clients.recorder import LimitRecorder
 from ..consortium.const import NO_OFFSET
 from ..consortium.tail import (
     async_announce,
@@ -66,6 +69,7 @@
             view,
             ENTRIES_DIALED if settings.jobs_address else ALL_ENTRIES,
             self._end_unreachable_entry,
+            ClientBudget(link_limits(settings), LimitRecorder("links", self.metrics.limited)),
         )
         self.accounting = Accounting(self.metrics)
         self.directory = AgentDirectory(
@@ -251,6 +255,7 @@
         entry.directory,
         StartupCheck(entry.view, entry.peers),
         JobCancels(entry.peers),
+        entry.metrics.limited,
     )
     entry.nursery.start_soon(platform.async_follow)
     await entry.async_start()
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -9,6 +9,7 @@
 from pistachiohill import clock
 from pistachiohill.consortium.view import ConsortiumView
 from pistachiohill.entry.const import PEERS_ASKED_S
+from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.entry.routes import RouteTable
 from pistachiohill.entry.startup_check import StartupCheck
 from pistachiohill.platform.entry import EntryPlatformAdapter
@@ -42,7 +43,15 @@
         self.startup = StartupCheck(self.view, self.peers)
         routes = RouteTable(self.view)
         adapter = EntryPlatformAdapter(
-            EntrySettings(), store, self.view, routes, jobs, unused, self.startup, unused
+            EntrySettings(),
+            store,
+            self.view,
+            routes,
+            jobs,
+            unused,
+            self.startup,
+            unused,
+            EntryMetrics().limited,
         )
         self.api = adapter.jobs_api
 
--- a/tests/platform/test_entry_callers.py
+++ b/tests/platform/test_entry_callers.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.entry.routes import RouteTable
 from pistachiohill.http.app import HttpApp
 from pistachiohill.platform import entry as platform_entry
@@ -71,6 +72,7 @@
             unused,
             entry.startup,
             unused,
+            EntryMetrics().limited,
         )
         app = HttpApp([], settings.max_body_bytes)
         await adapter.async_serve(nursery, app, trio.Event())
