Overload: tasks at slow or leaving targets are stopped and placed elsewhere

Ruled out: a second run beside the first (two runs at once), a decision by one run's time alone (3 in 100 tasks are long by themselves), a new protocol version (a receiver ignores unknown messages). Change: the agent judges its target by its latest runs and reports the slowdown; the entry's TaskMover asks the agent to stop a placement if that changes what the caller gets, within a budget. The task is placed again once the agent has reported the end.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -255,15 +255,20 @@
     def _find_run_of(self, task_id: str) -> Run | None:
         return next((run for run in self._runs.values() if run.call.task_id == task_id), None)
 
-    def stop(self, call: TargetCall) -> None:
+    def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Ask the runner to stop a run; its call returns once the run is known to have ended.
 
-        A request that waits for another run of its task stops nothing.
+        A request that waits for another run of its task stops nothing. If the run must end, the
+        lease is not renewed while the stop is not carried out.
         """
         run = self._runs.get(RunName(call.task_id, call.run))
-        if run is None or run.call is not call or run.stop_requested_at_s < math.inf:
+        if run is None or run.call is not call:
             return
-        run.stop_requested_at_s = clock.boot_s()
+        if must_end:
+            run.stop_requested_at_s = min(run.stop_requested_at_s, clock.boot_s())
+        if run.is_stop_requested:
+            return
+        run.is_stop_requested = True
         logs.event("run_stopped", name=call.name, run=call.run, runner=self._runner_id)
         assert self._nursery is not None
         self._nursery.start_soon(self._async_stop, run)
--- a/pistachiohill/agent/models.py
+++ b/pistachiohill/agent/models.py
@@ -84,8 +84,11 @@
         The permission is checked when the task is sent to the target.
         """
 
-    def stop(self, call: TargetCall) -> None:
-        """Request that a task be stopped, if the target supports it; its call returns as usual."""
+    def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
+        """Request that a task be stopped, if the target supports it; its call returns as usual.
+
+        `must_end` tells whether the task must not go on if the request is not carried out.
+        """
 
 
 @define
@@ -99,6 +102,7 @@
         leaving: Whether the target is shutting down and accepts no more work.
         expires_at_s: Boot time at which the announcement expires; a target that stops announcing
             itself gets no more work.
+        leaves_at_s: Boot time until which a leaving target is certain to go on, infinite if unknown.
     """
 
     service: str = ""
@@ -107,6 +111,13 @@
     mem_mb: int = 0
     leaving: bool = False
     expires_at_s: float = float("-inf")
+    leaves_at_s: float = math.inf
+
+    def leaves_in_s(self, now_s: float) -> float:
+        """Return for how long a leaving target is certain to go on, -1 if that is unknown."""
+        if not self.leaving or self.leaves_at_s == math.inf:
+            return -1.0
+        return max(0.0, self.leaves_at_s - now_s)
 
     def is_available(self, now_s: float) -> bool:
         """Return whether the target accepts new work."""
--- a/pistachiohill/agent/resources.py
+++ b/pistachiohill/agent/resources.py
@@ -4,11 +4,13 @@
 
 from attrs import define, field, frozen
 
+from ..overload.slowdown import NOT_SLOW, SlowdownDetector
 from ..protocol.models import AgentLoad
 from ..scheduling.models import Demand
 
 OVERDUE_FRACTION = 0.2  # expected remaining time of an overdue task, as a fraction of its run time
 MIN_WAIT_CHANGE_S = 0.02  # smaller changes of an expected wait are not sent
+MIN_SLOWDOWN_CHANGE = 1.25  # ratio; smaller changes of a slowdown are not sent
 REPORTED_PRIORITIES = 3  # waits are sent for this many priorities; lower ones share the last
 
 
@@ -48,13 +50,16 @@
     def differs(self, load: AgentLoad, step_cpu_m: float, now_s: float) -> bool:
         """Return whether a load differs enough from the one that was sent to send it again.
 
-        This is so if the CPU load changed by more than a step, or an expected wait changed. Waits
-        are compared after subtracting the elapsed time, as the entry does so itself.
+        This is so if the CPU load changed by more than a step, or an expected wait or the slowdown
+        changed. Waits are compared after subtracting the elapsed time, as the entry does so itself.
         """
         if abs(load.others_cpu_m - self.load.others_cpu_m) > step_cpu_m:
             return True
         if bool(load.waits_s) != bool(self.load.waits_s):
             return True
+        slowdowns = (load.slowdown, self.load.slowdown)
+        if max(slowdowns) > MIN_SLOWDOWN_CHANGE * min(slowdowns):
+            return True
         age_s = now_s - self.at_s
         pairs = zip(load.waits_s, self.load.waits_s, strict=False)
         return any(
@@ -66,13 +71,15 @@
 class ResourceTracker:
     """Tracks the resources of admitted tasks, in total, by owner and for running tasks.
 
-    A task that is being stopped, or whose start request is unanswered, counts as running.
+    A task that is being stopped, or whose start request is unanswered, counts as running. With a
+    detector, the load for entries tells whether the target has turned slow.
     """
 
     total: ResourceTotals = field(factory=ResourceTotals)
     running: ResourceTotals = field(factory=ResourceTotals)
     by_owner: dict[str, ResourceTotals] = field(factory=dict)
     _started: dict[int, Reservation] = field(factory=dict)
+    detector: SlowdownDetector | None = None
 
     def admit(self, task: Reservation) -> None:
         """Add a task that has been queued."""
@@ -92,9 +99,16 @@
     def start(self, task: Reservation, now_s: float) -> None:
         """Mark a queued task as running."""
         task.end_s = now_s + task.run_s
+        if self.detector is not None:
+            self.detector.run_started(id(task), task.run_s, now_s)
         self._started[id(task)] = task
         self.running.add(task.demand, 1)
 
+    def record_end(self, task: Reservation, succeeded: bool, now_s: float) -> None:
+        """Let the detector learn from the end of a run."""
+        if self.detector is not None:
+            self.detector.run_ended(id(task), succeeded, now_s)
+
     def fits(self, demand: Demand, cpu_m: int, mem_mb: int) -> bool:
         """Return whether a task fits on a target of this capacity besides the running tasks."""
         fits_cpu = self.running.cpu_m + demand.cpu_m <= cpu_m
@@ -105,11 +119,14 @@
     ) -> AgentLoad:
         """Return the load to send to an entry: other owners' tasks and the expected waits."""
         own = self.by_owner.get(owner, ResourceTotals())
+        slowdown = NOT_SLOW if self.detector is None else self.detector.slowdown(now_s)
         return AgentLoad(
             self.total.tasks - own.tasks,
             self.total.cpu_m - own.cpu_m,
             self.total.mem_mb - own.mem_mb,
             self.expected_waits_s(queue, cpu_m, now_s),
+            slowdown.factor,
+            slowdown.for_s,
         )
 
     def expected_waits_s(
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -53,7 +53,8 @@
         starts_sent: How many times the start was sent.
         unsettled_until_s: Boot time until which the end of the lease does not settle the run, as
             the next process of the runner may execute an unanswered start.
-        stop_requested_at_s: Boot time from which the runner has been asked to stop the run.
+        is_stop_requested: Whether the runner has been asked to stop the run.
+        stop_requested_at_s: Boot time from which the run must not go on, as it was stopped.
         done: Set together with the result.
         removed: Set when the call has returned, so that the task may be run again.
     """
@@ -67,6 +68,7 @@
     is_start_pending: bool = False
     starts_sent: int = 0
     unsettled_until_s: float = -math.inf
+    is_stop_requested: bool = False
     stop_requested_at_s: float = math.inf
     done: trio.Event = field(factory=trio.Event)
     removed: trio.Event = field(factory=trio.Event)
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -11,6 +11,7 @@
 from .. import clock, logs
 from ..const import TaskState
 from ..errors import RefusalReason, Verdict
+from ..overload.slowdown import SlowdownDetector
 from ..protocol.link import Link
 from ..protocol.models import (
     AgentLoad,
@@ -21,6 +22,7 @@
     SealReply,
     SealSubmissions,
     StartTasks,
+    StopTask,
     TaskRef,
     TaskReport,
     TaskReports,
@@ -96,7 +98,8 @@
         self._nursery = nursery
         self._target_client = target
         self._metrics = metrics
-        self._resources = ResourceTracker()
+        detector = SlowdownDetector() if settings.detect_slowdown else None
+        self._resources = ResourceTracker(detector=detector)
         self._queue: list[AdmittedTask] = []
         self._running: set[AdmittedTask] = set()
         self._reports = ReportSender(
@@ -160,6 +163,7 @@
             load=self.record_sent_load(link, now_s),
             applied_offset=self.view.offset,
             view_age_s=min(self.view.age_s(now_s), 1e9),
+            leaves_in_s=self.target.leaves_in_s(now_s),
         )
 
     def broadcast_state(self, now_s: float) -> None:
@@ -230,6 +234,22 @@
         self._stop_running(lambda task: task.record is record, RefusalReason.CANCELLED)
         self._start_queued(now_s)
 
+    def stop_task(self, message: StopTask, now_s: float) -> None:
+        """Withdraw or stop one placement of a best-effort task, which its entry places elsewhere.
+
+        If the run ends by itself first, its outcome is reported as usual. A stop that the runner
+        leaves unanswered doesn't end the other runs there.
+        """
+        record = self.table.find(message.submission_id)
+        ref = TaskRef(message.index, message.attempt)
+
+        def is_meant(task: AdmittedTask) -> bool:
+            return task.best_effort and task.record is record and task.ref == ref
+
+        self._withdraw_queued(is_meant, RefusalReason.MOVED)
+        self._stop_running(is_meant, RefusalReason.MOVED, must_end=False)
+        self._start_queued(now_s)
+
     def seal(self, link: Link, message: SealSubmissions, now_s: float) -> None:
         """Prevent further starts of submissions and reply with their recorded state."""
         sealed = []
@@ -277,6 +297,8 @@
             await trio.sleep(LEASE_CHECK_INTERVAL_S)
             if self.occupied:
                 self.end_orphaned_tasks(clock.boot_s())
+                if self._settings.detect_slowdown:
+                    self._signal_load_changed()  # a run may have become late
 
     def end_orphaned_tasks(self, now_s: float) -> None:
         """Withdraw or stop the best-effort tasks of entries whose lease has ended.
@@ -464,6 +486,7 @@
         now_s = clock.boot_s()
         self._running.discard(task)
         self._resources.release(task.reservation)
+        self._resources.record_end(task.reservation, result.reason is None, now_s)
         reason = result.reason
         if reason == RefusalReason.CANCELLED and task.stop_reason is not None:
             reason = task.stop_reason
@@ -517,7 +540,11 @@
             )
 
     def _stop_running(
-        self, predicate: Callable[[AdmittedTask], bool], reason: RefusalReason
+        self,
+        predicate: Callable[[AdmittedTask], bool],
+        reason: RefusalReason,
+        *,
+        must_end: bool = True,
     ) -> int:
         """Stop the running best-effort tasks that match, and return their number."""
         found = [task for task in self._running if task.best_effort and predicate(task)]
@@ -525,7 +552,7 @@
             if task.stop_reason is None:
                 task.stop_reason = reason
                 _log_stop(task)
-            self._target_client.stop(task.call)
+            self._target_client.stop(task.call, must_end=must_end)
         return len(found)
 
     def _withdraw_submission(self, record: SubmissionRecord, reason: RefusalReason) -> None:
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -19,6 +19,7 @@
     QueryTasks,
     SealSubmissions,
     StartTasks,
+    StopTask,
 )
 from ..protocol.websocket import WebSocket, async_serve
 from ..settings.models import AgentSettings
@@ -160,6 +161,10 @@
     def _(self, message: CancelTasks, link: Link, now_s: float) -> None:
         self._runner.cancel(message, now_s)
 
+    @_handle.register
+    def _(self, message: StopTask, link: Link, now_s: float) -> None:
+        self._runner.stop_task(message, now_s)
+
     @_handle.register
     def _(self, message: SealSubmissions, link: Link, now_s: float) -> None:
         self._runner.seal(link, message, now_s)
--- a/pistachiohill/agent/target_client.py
+++ b/pistachiohill/agent/target_client.py
@@ -32,7 +32,7 @@
         """Return True: a target called over HTTP is tried for every task."""
         return True
 
-    def stop(self, call: TargetCall) -> None:
+    def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Do nothing: a target called over HTTP has no way to stop a running task."""
 
     async def async_close(self) -> None:
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -30,6 +30,8 @@
 from ..entry.routes import RouteTable
 from ..entry.submission_service import SubmissionService
 from ..http.app import HttpApp
+from ..overload.budget import StopBudget
+from ..overload.mover import TaskMover
 from ..platform.entry import EntryPlatformAdapter
 from ..platform.store import StoreClient
 from ..protocol.models import AnnounceRecord, ProcessRecord
@@ -79,6 +81,7 @@
         self.dispatcher = Dispatcher(view, self._view_confirmed_at, self.directory, self.accounting)
         self.recovery = Recovery(view, self.directory, self.nursery)
         self.dispatcher.add_listener(self.recovery)
+        self.mover = self._create_mover()
         issuer = IdIssuer(self.incarnation)
         self.submissions = SubmissionService(
             settings,
@@ -110,6 +113,15 @@
             self.submissions.issue_ids_for_peer,
         )
 
+    def _create_mover(self) -> TaskMover | None:
+        """Create what moves tasks away from slow and leaving targets, if settings allow that."""
+        if not self.settings.overrun_budget:
+            return None
+        budget = StopBudget(self.settings.overrun_budget)
+        mover = TaskMover(self.directory, self.dispatcher.waiting, budget, self.metrics)
+        self.dispatcher.add_listener(mover)
+        return mover
+
     def app(self) -> HttpApp:
         """Return the HTTP application with this product's API for callers and operators."""
         fairness = FairnessReporter(self.view, self.accounting, self.peers)
@@ -167,6 +179,8 @@
         self.nursery.start_soon(self.holders.async_run)
         self.nursery.start_soon(self.directory.async_run, self.dispatcher)
         self.nursery.start_soon(self.dispatcher.async_run)
+        if self.mover is not None:
+            self.nursery.start_soon(self.mover.async_run)
         self.nursery.start_soon(self._async_expire)
         self.nursery.start_soon(async_follow_processes, self.store, self.view)
         self.nursery.start_soon(async_purge_ended_processes, self.store, self.view)
--- a/pistachiohill/entry/agent.py
+++ b/pistachiohill/entry/agent.py
@@ -1,5 +1,7 @@
 """State of an agent as seen by one entry, and the interface of those who follow its changes."""
 
+import math
+
 from attrs import define, field
 
 from ..agent.const import RUNS_END_S
@@ -7,6 +9,7 @@
 from ..peer_clock import PeerClock
 from ..protocol.link import Link
 from ..protocol.models import AgentLoad, SealReply, TaskReports
+from ..scheduling.estimates import MAX_FACTOR
 from ..scheduling.models import TargetLoad
 from ..submissions.models import Submission, Task
 from .agent_assignment import Address
@@ -54,6 +57,12 @@
         self.load.others_mem_mb = load.others_mem_mb
         self.load.waits_s = tuple(load.waits_s)
         self.load.reported_at_s = now_s
+        self.load.slowdown = min(MAX_FACTOR, max(1.0, load.slowdown))
+        self.load.slow_since_s = now_s - load.slow_for_s
+
+    def record_notice(self, leaves_in_s: float, now_s: float) -> None:
+        """Store for how long the target is certain to stay; a negative time means that it stays."""
+        self.load.leaves_at_s = now_s + leaves_in_s if leaves_in_s >= 0.0 else math.inf
 
     def runs_end_s(self) -> float:
         """Return when best-effort runs have certainly ended, if nothing more is sent to the agent.
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -400,6 +400,7 @@
     def _(self, message: AgentState, agent: Agent, listener: AgentListener, now_s: float) -> None:
         self._record_clock(agent, message.stamp_s, now_s)
         agent.record_load(message.load, now_s)
+        agent.record_notice(message.leaves_in_s, now_s)
         agent.service = message.service
         agent.load.cpu_m = message.cpu_m
         agent.load.mem_mb = message.mem_mb
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -233,7 +233,7 @@
         key = (submission.submission_id, task.index)
         submission.outstanding += 1
         agent.outstanding[key] = (submission, task)
-        agent.load.place(key, task.spec.demand, placement.end_s)
+        agent.load.place(key, task.spec.demand, placement.start_s, placement.end_s)
 
     def _send(self, batch: list[Placement], now_s: float) -> None:
         """Send all placements of one submission at one agent in a single message."""
--- a/pistachiohill/entry/metrics.py
+++ b/pistachiohill/entry/metrics.py
@@ -60,6 +60,17 @@
             ["kind"],
             registry=self.registry,
         )
+        self.task_moves = Counter(
+            "pistachiohill_task_moves",
+            "Placed tasks that were to run elsewhere, by cause and what came of it.",
+            ["cause", "outcome"],
+            registry=self.registry,
+        )
+        self.moved_run_s = Counter(
+            "pistachiohill_moved_run_seconds",
+            "Run time that was thrown away when tasks were moved.",
+            registry=self.registry,
+        )
         self.link_frames = Gauge(
             "pistachiohill_link_frames",
             "Frames sent to and received from agents and other entries.",
--- a/pistachiohill/entry/retry_rules.py
+++ b/pistachiohill/entry/retry_rules.py
@@ -10,6 +10,7 @@
 )
 AVOID_AGENT_REASONS = frozenset(
     {
+        RefusalReason.MOVED,
         RefusalReason.WRONG_INCARNATION,
         RefusalReason.TARGET_FAILED,
         RefusalReason.TARGET_LOST,
@@ -29,6 +30,7 @@
         RefusalReason.CANCELLED,
         RefusalReason.LEASE_ENDED,
         RefusalReason.LOST_AGENT,
+        RefusalReason.MOVED,
         RefusalReason.TARGET_LOST,
     }
 )
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -29,11 +29,12 @@
 
 @define(slots=True)
 class Placement:
-    """A task and the agent selected for it; `end_s` is its expected end as a boot time."""
+    """A task, the agent selected for it, and its expected start and end as boot times."""
 
     agent: Agent
     submission: Submission
     task: Task
+    start_s: float
     end_s: float
 
 
@@ -129,6 +130,10 @@
         goal_s = latency_goal_s(submission.settings, run_s)
         return goal_s, now_s - submission.submitted_at_s, run_s
 
+    def goal_s(self, submission: Submission) -> float:
+        """Return the time from arrival within which a submission should end."""
+        return self._times(submission, submission.submitted_at_s)[0]
+
     def _sort(self, fair_queue: FairQueue[Submission], now_s: float) -> None:
         """Let the newest submissions go first while waits are long, and the oldest otherwise.
 
@@ -221,12 +226,7 @@
 
         Waiting tasks that are served before or with its class are planned ahead of it.
         """
-        root = self._view.state.settings(ROOT_PATH)
-        mean_s = self.estimates.expected_run_s(request.path)
-        targets = self._eligible_targets(settings.service, now_s)
-        plan = PlacementPlan(targets, now_s, 0.0, root.ramp_s, mean_s, max_queued=math.inf)
-        for needs in self._needs_ahead(settings, waits_as):
-            plan.assign_slot(needs)
+        plan = self.plan_behind_waiting(request.path, settings, now_s, waits_as)
         end_s = now_s
         for spec in request.tasks:
             run_s = self.estimates.expected_run_s(request.path, spec.declared_s)
@@ -234,6 +234,18 @@
             end_s = max(end_s, math.inf if slot is None else slot.end_s)
         return Forecast(end_s, self.longest_run_s(request))
 
+    def plan_behind_waiting(
+        self, path: str, settings: JobSettings, now_s: float, waits_as: Urgency = Urgency.ON_TIME
+    ) -> PlacementPlan:
+        """Return a plan in which all tasks have slots that wait before or with an urgency."""
+        root = self._view.state.settings(ROOT_PATH)
+        mean_s = self.estimates.expected_run_s(path)
+        targets = self._eligible_targets(settings.service, now_s)
+        plan = PlacementPlan(targets, now_s, 0.0, root.ramp_s, mean_s, max_queued=math.inf)
+        for needs in self._needs_ahead(settings, waits_as):
+            plan.assign_slot(needs)
+        return plan
+
     def longest_run_s(self, request: JobRequest) -> float:
         """Return the expected run time of a job's longest task at a target of average speed."""
         path = request.path
@@ -344,7 +356,9 @@
                 order.skip_first()
             elif plan.should_bind(slot):
                 placements.append(
-                    self._dequeue(member, submission, task, slot.plan.target, slot.end_s)
+                    self._dequeue(
+                        member, submission, task, slot.plan.target, slot.start_s, slot.end_s
+                    )
                 )
                 order.charge_served(needs.run_s)
             else:
@@ -379,7 +393,7 @@
                 capacities[target.name] -= 1
                 run_s = self._run_s(submission, task)
                 end_s = now_s + run_s * target.factor
-                placements.append(self._dequeue(member, submission, task, target, end_s))
+                placements.append(self._dequeue(member, submission, task, target, now_s, end_s))
                 order.charge_served(run_s)
         return placements
 
@@ -443,6 +457,7 @@
         submission: Submission,
         task: Task,
         target: TargetLoad,
+        start_s: float,
         end_s: float,
     ) -> Placement:
         """Remove a task from its queue and return its placement."""
@@ -451,7 +466,7 @@
             member.items.remove(submission)
         self._accounting.record_placement(submission.request.member)
         agent = self._directory.agents[target.name]
-        return Placement(agent, submission, task, end_s)
+        return Placement(agent, submission, task, start_s, end_s)
 
 
 def _simple_policy_capacity(target: TargetLoad, now_s: float) -> int:
--- a/pistachiohill/errors.py
+++ b/pistachiohill/errors.py
@@ -27,6 +27,7 @@
     LEAVING = "leaving"
     LOST_AGENT = "lost_agent"
     MEMBER_QUEUE = "member_queue"
+    MOVED = "moved"
     NO_TARGET = "no_target"
     OLD_RUN = "old_run"
     OVERLOAD = "overload"
--- a/pistachiohill/platform/agent.py
+++ b/pistachiohill/platform/agent.py
@@ -73,6 +73,7 @@
             mem_mb=announcement.capacity.mem_mb,
             leaving=announcement.leaving,
             expires_at_s=now_s + self._settings.target_ttl_s,
+            leaves_at_s=now_s + announcement.remaining_s,
         )
         self._announced = AnnouncedState(identity, state)
         self._apply_announced_state(now_s)
--- a/pistachiohill/platform/models.py
+++ b/pistachiohill/platform/models.py
@@ -1,5 +1,6 @@
 """Models of the data that is exchanged with the platform."""
 
+import math
 from dataclasses import dataclass
 
 from attrs import frozen
@@ -131,6 +132,7 @@
         capacity: CPU and memory capacity.
         leaving: Whether the runner is draining and accepts no more tasks.
         clock_s: Reading of the runner's monotonic clock.
+        remaining_s: Minimum time that a leaving runner is left, infinite if it doesn't say.
     """
 
     runner_id: str
@@ -141,3 +143,4 @@
     capacity: Demand
     leaving: bool
     clock_s: float
+    remaining_s: float = math.inf
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -1,5 +1,6 @@
 """HTTP endpoints at which a runner announces itself to its agent."""
 
+import math
 import re
 from collections.abc import Callable
 
@@ -19,7 +20,7 @@
 )
 from .errors import WireError
 from .models import RunnerAnnouncement
-from .wire import decode_object, read_int, read_name, read_str, require_object
+from .wire import Fields, decode_object, read_int, read_name, read_str, require_object
 
 RUNNER_ID_PATTERN = re.compile(r"[!-~]{1,128}")  # fits into a header of a request
 LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -44,9 +45,17 @@
         ),
         leaving=LEAVING_BY_STATE[state],
         clock_s=read_int(fields, "clockMs", 0, maximum=MAX_RUNNER_CLOCK_MS) / 1000,
+        remaining_s=_read_remaining_s(fields) if LEAVING_BY_STATE[state] else math.inf,
     )
 
 
+def _read_remaining_s(fields: Fields) -> float:
+    """Return the minimum time that a leaving runner is left, infinite if it isn't given."""
+    if "remainingMs" not in fields:
+        return math.inf
+    return read_int(fields, "remainingMs", maximum=MAX_RUNNER_CLOCK_MS) / 1000
+
+
 def require_runner_id(runner_id: str) -> str:
     """Return a runner's id; raise WireError if no request could name it."""
     if not RUNNER_ID_PATTERN.fullmatch(runner_id):
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -57,16 +57,28 @@
         others_mem_mb: Memory demand of those tasks in MB.
         waits_s: Expected wait of one more task in seconds, by priority from 0; empty while
             capacity is free.
+        slowdown: How many times longer than expected the target's latest runs take, 1 if most
+            are in time.
+        slow_for_s: Seconds for which the target has been so slow.
     """
 
     others: int
     others_cpu_m: int
     others_mem_mb: int
     waits_s: list[float]
+    slowdown: float = 1.0
+    slow_for_s: float = 0.0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.others, self.others_cpu_m, self.others_mem_mb, self.waits_s]
+        return [
+            self.others,
+            self.others_cpu_m,
+            self.others_mem_mb,
+            self.waits_s,
+            self.slowdown,
+            self.slow_for_s,
+        ]
 
     @classmethod
     def from_wire(cls, source: object) -> "AgentLoad":
@@ -77,6 +89,8 @@
             others_cpu_m=wire.read_int(items[1]),
             others_mem_mb=wire.read_int(items[2]),
             waits_s=[wire.read_float(item) for item in wire.read_list(items[3])],
+            slowdown=wire.read_float(items[4]) if len(items) > 4 else 1.0,
+            slow_for_s=wire.read_float(items[5]) if len(items) > 5 else 0.0,
         )
 
 
@@ -677,6 +691,35 @@
         )
 
 
+@define(slots=True)
+class StopTask:
+    """Requests that one placement of a best-effort task be withdrawn or stopped, so that the task can be placed elsewhere.
+
+    Fields:
+        submission_id: Identifier of the submission.
+        index: Position of the task in its submission.
+        attempt: Number of the placement attempt; other attempts go on.
+    """
+
+    submission_id: str
+    index: int
+    attempt: int
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.submission_id, self.index, self.attempt]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "StopTask":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 3, "StopTask")
+        return cls(
+            submission_id=wire.read_str(items[0]),
+            index=wire.read_int(items[1]),
+            attempt=wire.read_int(items[2]),
+        )
+
+
 @define(slots=True)
 class JobReleased:
     """Answers ReleaseJob.
@@ -1331,6 +1374,7 @@
         load: Load that other entries have placed on the agent.
         applied_offset: Log offset of the view that the agent uses.
         view_age_s: Age of that view in seconds.
+        leaves_in_s: Minimum time in seconds until the target ends, -1 if it isn't known to end.
     """
 
     stamp_s: float
@@ -1342,6 +1386,7 @@
     load: AgentLoad
     applied_offset: int
     view_age_s: float
+    leaves_in_s: float = -1.0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
@@ -1355,6 +1400,7 @@
             self.load.to_wire(),
             self.applied_offset,
             self.view_age_s,
+            self.leaves_in_s,
         ]
 
     @classmethod
@@ -1371,6 +1417,7 @@
             load=AgentLoad.from_wire(items[6]),
             applied_offset=wire.read_int(items[7]),
             view_age_s=wire.read_float(items[8]),
+            leaves_in_s=wire.read_float(items[9]) if len(items) > 9 else -1.0,
         )
 
 
@@ -1474,6 +1521,7 @@
     | JobsHeld
     | ReleaseJob
     | JobReleased
+    | StopTask
     | EndRecord
     | AnnounceRecord
     | PublishRecord
@@ -1506,6 +1554,7 @@
     21: JobsHeld,
     22: ReleaseJob,
     23: JobReleased,
+    28: StopTask,
     39: EndRecord,
     40: AnnounceRecord,
     42: PublishRecord,
@@ -1538,6 +1587,7 @@
     JobsHeld: 21,
     ReleaseJob: 22,
     JobReleased: 23,
+    StopTask: 28,
     EndRecord: 39,
     AnnounceRecord: 40,
     PublishRecord: 42,
--- a/pistachiohill/scheduling/models.py
+++ b/pistachiohill/scheduling/models.py
@@ -1,5 +1,6 @@
 """Resource demand of tasks and load of targets, as known to one entry."""
 
+import math
 from typing import Final
 
 from attrs import define, field, frozen
@@ -21,10 +22,11 @@
 class PlacedTask:
     """A task that this entry has placed at a target.
 
-    `end_s` is the boot time at which it is expected to end.
+    `start_s` and `end_s` are the boot times at which it is expected to start and to end, as planned.
     """
 
     demand: Demand
+    start_s: float
     end_s: float
 
 
@@ -48,6 +50,9 @@
         quarantined_until_s: Boot time until which the target gets no task.
         factor_updated_at_s: Boot time of the latest update of the factor.
         probation_limit: Maximum number of tasks until one succeeds, None if not on probation.
+        slowdown: How many times longer than expected its latest runs took, 1 if it isn't slow.
+        slow_since_s: Boot time since which it has been slow.
+        leaves_at_s: Boot time from which the target may end, infinite if it isn't leaving.
     """
 
     name: str
@@ -67,6 +72,14 @@
     quarantined_until_s: float = -1e9
     factor_updated_at_s: float = 0.0
     probation_limit: int | None = None
+    slowdown: float = 1.0
+    slow_since_s: float = math.inf
+    leaves_at_s: float = math.inf
+
+    @property
+    def is_slow(self) -> bool:
+        """Return whether most of its latest runs took far longer than expected."""
+        return self.slowdown > 1.0
 
     @property
     def factor(self) -> float:
@@ -78,9 +91,9 @@
         """Return the number of tasks at the target that this entry knows of."""
         return len(self.placed) + self.others
 
-    def place(self, key: TaskKey, demand: Demand, end_s: float) -> None:
+    def place(self, key: TaskKey, demand: Demand, start_s: float, end_s: float) -> None:
         """Add a task that is placed at the target."""
-        self.placed[key] = PlacedTask(demand, end_s)
+        self.placed[key] = PlacedTask(demand, start_s, end_s)
         self.own_cpu_m += demand.cpu_m
         self.own_mem_mb += demand.mem_mb
 
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -220,8 +220,14 @@
 
     Overdue tasks raise the factor before they end, so that a straggler is detected while it is
     still slow. A factor above 1 decays unless recent runs confirm it, so that a target that has
-    recovered is used again.
+    recovered is used again. A slow target's factor is at least the slowdown that its agent reports.
     """
+    learned = _learned_factor(target, mean_run_s, now_s)
+    return max(target.slowdown, learned) if target.is_slow else learned
+
+
+def _learned_factor(target: TargetLoad, mean_run_s: float, now_s: float) -> float:
+    """Return the run time factor as far as this entry knows it from its own tasks."""
     factor = target.factor
     if factor > 1.0:
         idle_s = max(0.0, now_s - target.factor_updated_at_s)
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -326,6 +326,8 @@
         ready_address: host:port for the platform's load balancer, which asks there whether the
             entry accepts callers.
         seeds: host:port of processes of this deployment that may be running at startup.
+        overrun_budget: Largest fraction of best-effort runs that may be stopped at slow targets
+            to run elsewhere; 0 to move no task from a slow or leaving target.
     """
 
     name: str = "entry"
@@ -348,6 +350,7 @@
     jobs_address: str = ""
     ready_address: str = ""
     seeds: tuple[str, ...] = ()
+    overrun_budget: float = 0.0
 
 
 ENTRY_FIELDS: tuple[FieldSpec, ...] = (
@@ -448,6 +451,14 @@
         256.0,
         (),
     ),
+    FieldSpec(
+        "overrun_budget",
+        "float",
+        "Largest fraction of best-effort runs that may be stopped at slow targets to run elsewhere; 0 to move no task from a slow or leaving target.",
+        0.0,
+        1.0,
+        (),
+    ),
 )
 
 
@@ -476,6 +487,8 @@
         control_address: host:port at which the platform's runner announces itself; empty for a
             target that is called over HTTP.
         seeds: host:port of processes of this deployment that may be running at startup.
+        detect_slowdown: Whether entries are told that most of the target's runs take far longer
+            than expected.
     """
 
     name: str = "agent"
@@ -495,6 +508,7 @@
     target_ttl_s: float = 6.0
     control_address: str = ""
     seeds: tuple[str, ...] = ()
+    detect_slowdown: bool = False
 
 
 AGENT_FIELDS: tuple[FieldSpec, ...] = (
@@ -572,4 +586,12 @@
         256.0,
         (),
     ),
+    FieldSpec(
+        "detect_slowdown",
+        "bool",
+        "Whether entries are told that most of the target's runs take far longer than expected.",
+        0.0,
+        0.0,
+        (),
+    ),
 )
--- a/tests/agent/test_runner.py
+++ b/tests/agent/test_runner.py
@@ -85,7 +85,7 @@
         await stopped.wait()
         return TargetResult(Verdict.RAN, RefusalReason.CANCELLED)
 
-    def stop(self, call: TargetCall) -> None:
+    def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         stopped = self.running.get(call.task_id)
         if stopped is not None:
             stopped.set()
--- a/tests/scheduling/test_plan.py
+++ b/tests/scheduling/test_plan.py
@@ -46,7 +46,7 @@
     )
     target.reported_at_s = NOW_S
     for index, end_s in enumerate(ends[:cores]):
-        target.place(("s", index), Demand(), NOW_S + end_s)
+        target.place(("s", index), Demand(), NOW_S, NOW_S + end_s)
     return target
 
 
@@ -157,7 +157,7 @@
     def test_baseline_policies(self) -> None:
         targets = [load(number, 2, 1.0, []) for number in range(3)]
         for index in range(2):
-            targets[0].place(("s", index), Demand(), NOW_S)
+            targets[0].place(("s", index), Demand(), NOW_S, NOW_S)
         targets[2].others = 1
         self.assertIs(targets[1], choose_target(make_policy(Policy.LEAST_OUTSTANDING), targets))
         round_robin = make_policy(Policy.ROUND_ROBIN)
