--- a/pistachiohill/overload/mover.py
+++ b/pistachiohill/overload/mover.py
@@ -19,9 +19,9 @@
 from ..entry.waiting import WaitingTasks
 from ..errors import RefusalReason, Verdict
 from ..protocol.models import SealReply, StopTask, TaskReports
-from ..scheduling.models import PlacedTask
+from ..scheduling.models import Demand, PlacedTask, TargetLoad
 from ..scheduling.plan import PlacementPlan
-from ..scheduling.urgency import MAX_LATENCY_FACTOR
+from ..scheduling.urgency import MAX_LATENCY_FACTOR, Urgency
 from ..submissions.models import Submission, Task
 from .budget import StopBudget
 from .overrun import MoveCause, Outlook, choose_moves, expected_end_s, move_cause
@@ -29,6 +29,7 @@
 CHECK_INTERVAL_S: Final = 0.05
 MOVE_DELAY_S: Final = 0.1  # for the request, the runner's stop, which takes 0.05 s, and the report
 REPEAT_S: Final = 0.5  # a request that has had no answer for so long is forgotten
+LATE_RESERVE: Final = 0.25  # of a target's CPU, which tasks that will be late leave free
 MOVED_OUTCOME: Final = "moved"
 ENDED_OUTCOME: Final = "ended"  # before it was stopped; its outcome counts
 OVER_BUDGET_OUTCOME: Final = "over_budget"
@@ -48,10 +49,10 @@
 
 @define
 class Round:
-    """Plans of one round of decisions, by job path; tasks that are to be moved take slots."""
+    """Plans of one round of decisions, by job path and urgency; tasks to be moved take slots."""
 
     now_s: float
-    plans: dict[str, PlacementPlan]
+    plans: dict[tuple[str, Urgency], PlacementPlan]
 
 
 class TaskMover(AgentListener):
@@ -167,28 +168,36 @@
         cause = move_cause(placed, agent.load, now_s) if agent.link is not None else None
         if cause is None or (cause == MoveCause.SLOW and stay_end_s <= goal_at_s):
             return Outlook(task.index, task.agent, stay_end_s)
-        move_end_s = MOVE_DELAY_S + self._end_elsewhere_s(submission, task, this_round)
+        move_end_s = self._move_end_s(submission, task, goal_at_s, this_round)
         if cause == MoveCause.LEAVING:
             stay_end_s = max(stay_end_s, move_end_s + agent.load.leaves_at_s - now_s)
         return Outlook(task.index, task.agent, stay_end_s, move_end_s, cause)
 
-    def _end_elsewhere_s(self, submission: Submission, task: Task, this_round: Round) -> float:
-        """Return when a task would end at a sound target, behind all tasks that wait before it."""
+    def _move_end_s(
+        self, submission: Submission, task: Task, goal_at_s: float, this_round: Round
+    ) -> float:
+        """Return when a task would end at a sound target, behind all tasks that go before it.
+
+        Once it can't end in time any more, all tasks that can go before it.
+        """
         settings, path = submission.settings, submission.request.path
-        plan = this_round.plans.get(path)
+        needs = self._waiting.task_needs(submission, task)
+        earliest_end_s = this_round.now_s + MOVE_DELAY_S + needs.run_s
+        urgency = Urgency.ON_TIME if earliest_end_s <= goal_at_s else Urgency.LATE
+        plan = this_round.plans.get((path, urgency))
         if plan is None:
-            plan = self._waiting.plan_behind_waiting(path, settings, this_round.now_s)
-            this_round.plans[path] = plan
+            plan = self._waiting.plan_behind_waiting(path, settings, this_round.now_s, urgency)
+            this_round.plans[path, urgency] = plan
         sound = [
             agent.load
             for agent in self._waiting.agents_of(settings.service)
-            if not agent.load.is_slow
-            and agent.incarnation not in task.refused_by
+            if agent.incarnation not in task.refused_by
             and agent.incarnation != task.agent
             and (not settings.domains_allowed or agent.domain in settings.domains_allowed)
+            and _has_room(agent.load, needs.demand, urgency)
         ]
-        slot = plan.assign_slot(self._waiting.task_needs(submission, task), sound)
-        return math.inf if slot is None else slot.end_s
+        slot = plan.assign_slot(needs, sound)
+        return math.inf if slot is None else slot.end_s + MOVE_DELAY_S
 
     def _is_affordable(self, moves: list[Outlook], now_s: float) -> bool:
         """Return whether the budget allows moves; at a leaving target the work is lost anyway."""
@@ -228,6 +237,17 @@
     return agent.link is not None and bool(agent.outstanding) and (agent.load.is_slow or leaving)
 
 
+def _has_room(target: TargetLoad, demand: Demand, urgency: Urgency) -> bool:
+    """Return whether a task may be moved to a target.
+
+    A task that will be late anyway only gets room that those in time are unlikely to need.
+    """
+    if target.is_slow:
+        return False
+    free_cpu_m = target.cpu_m - target.own_cpu_m - target.others_cpu_m - demand.cpu_m
+    return urgency == Urgency.ON_TIME or free_cpu_m >= LATE_RESERVE * target.cpu_m
+
+
 def _jobs_at(agents: list[Agent]) -> Iterator[Submission]:
     """Yield the unfinished best-effort jobs that have tasks at any of the agents."""
     found: dict[str, Submission] = {}
--- a/pistachiohill/overload/slowdown.py
+++ b/pistachiohill/overload/slowdown.py
@@ -20,6 +20,7 @@
 LATE_MARGIN_S: Final = 0.05  # for requests to the target, which weigh on short runs
 JUDGED_RUNS: Final = 5  # latest runs that count
 MIN_LATE_RUNS: Final = 4  # among them; with 3 % long tasks, chance alone rarely brings so many
+OUTSTANDING_FRACTION: Final = 1.0  # of its time so far that a late run is expected to go on
 MAX_AGE_S: Final = 3.0  # older runs don't count, so that a target without work is tried again
 
 
@@ -58,8 +59,13 @@
         return min(self.late_at_s, self.ended_s)
 
     def ratio(self, now_s: float) -> float:
-        """Return its run time so far, relative to the expected one."""
-        return (min(now_s, self.ended_s) - self.started_s) / self.expected_s
+        """Return its run time relative to the expected one.
+
+        A run that goes on is taken to last as long again as it has lasted so far.
+        """
+        if now_s < self.ended_s:
+            return (1.0 + OUTSTANDING_FRACTION) * (now_s - self.started_s) / self.expected_s
+        return (self.ended_s - self.started_s) / self.expected_s
 
 
 @define(eq=False)
