--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -37,6 +37,8 @@
 RUN_PROOFS_TESTS = "tests/agent/test_run_proofs.py::RunProofsTest::"
 RESENT_TESTS = "tests/failures/test_resent_jobs.py::ResentJobsTest::"
 RELEASE_TESTS = "tests/entry/test_best_effort.py::ReleaseTest::"
+MOVES_TESTS = "tests/overload/test_moves.py::MovesTest::"
+SLOW_TARGETS_TESTS = "tests/overload/test_slow_targets.py::SlowTargetsTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
 
 MUTANTS = (
@@ -878,4 +880,72 @@
             ),
         ),
     ),
+    Mutant(
+        "a run that was stopped to run elsewhere counts as a failed one",
+        MOVES_TESTS + "test_a_task_runs_elsewhere_once_its_stop_is_reported_and_not_before",
+        (
+            Edit(
+                "pistachiohill/entry/retry_rules.py",
+                "        RefusalReason.LOST_AGENT,\n        RefusalReason.MOVED,\n",
+                "        RefusalReason.LOST_AGENT,\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a run is stopped although its job is served in time or not at all either way",
+        MOVES_TESTS + "test_no_task_moves_for_a_caller_who_is_served_in_time_or_gets_nothing"
+        "_either_way",
+        (
+            Edit(
+                "pistachiohill/overload/overrun.py",
+                "        if best_end_s <= limit_s:\n",
+                "        if True:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "stops have no budget",
+        SLOW_TARGETS_TESTS + "test_a_fleet_that_is_slow_as_a_whole_stops_no_more_than_its_budget",
+        (
+            Edit(
+                "pistachiohill/overload/mover.py",
+                "if not targets or self._budget.allows(targets, now_s):",
+                "if True:",
+            ),
+        ),
+    ),
+    Mutant(
+        "a single late run makes its target slow",
+        SLOW_TARGETS_TESTS + "test_long_tasks_at_sound_targets_are_left_alone",
+        (
+            Edit(
+                "pistachiohill/overload/slowdown.py",
+                "        if len(late) < MIN_LATE_RUNS:\n",
+                "        if not late:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "moves for late answers take the room of jobs in time",
+        SLOW_TARGETS_TESTS + "test_callers_whose_targets_turn_slow_are_served_elsewhere",
+        (
+            Edit(
+                "pistachiohill/overload/mover.py",
+                "urgency == Urgency.ON_TIME or free_cpu_m >= LATE_RESERVE * target.cpu_m",
+                "True",
+            ),
+        ),
+    ),
+    Mutant(
+        "a stop that is not carried out ends the other runs of the runner",
+        "tests/agent/test_stop_task.py::StopTaskTest::"
+        "test_a_stop_that_is_not_carried_out_does_not_end_the_other_runs",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "        if must_end:\n            run.stop_requested_at_s",
+                "        if True:\n            run.stop_requested_at_s",
+            ),
+        ),
+    ),
 )
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -1,6 +1,7 @@
 """Announcements of a runner: those that are late or malformed are not passed on."""
 
 import json
+import math
 from typing import Any
 
 from pistachiohill.http.app import HttpApp
@@ -61,6 +62,13 @@
         self.assertEqual(200, await self._async_announce(seq=5, state="draining"))
         self.assertTrue(self.announcements[-1].leaving)
 
+    async def test_the_notice_of_a_leaving_runner_is_read(self) -> None:
+        for seq, changes in enumerate(({}, {"remainingMs": 1800}), 5):
+            await self._async_announce(seq=seq, state="draining", **changes)
+        self.assertEqual([math.inf, 1.8], [item.remaining_s for item in self.announcements])
+        odd = {"state": "draining", "remainingMs": "soon"}
+        self.assertEqual(400, await self._async_announce(seq=9, **odd))
+
     async def test_late_announcements_are_acknowledged_and_ignored(self) -> None:
         await self._async_announce(seq=9)
         self.assertEqual(200, await self._async_announce(seq=8, state="draining"))
