--- a/pistachiohill/agent/resources.py
+++ b/pistachiohill/agent/resources.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from ..overload.slowdown import NOT_SLOW, SlowdownDetector
+from ..overload.slowdown import NOT_SLOW, Slowdown, SlowdownDetector
 from ..protocol.models import AgentLoad
 from ..scheduling.models import Demand
 
@@ -109,6 +109,10 @@
         if self.detector is not None:
             self.detector.run_ended(id(task), succeeded, now_s)
 
+    def slowdown(self, now_s: float) -> Slowdown:
+        """Return whether the target has turned slow; without a detector it has not."""
+        return NOT_SLOW if self.detector is None else self.detector.slowdown(now_s)
+
     def fits(self, demand: Demand, cpu_m: int, mem_mb: int) -> bool:
         """Return whether a task fits on a target of this capacity besides the running tasks."""
         fits_cpu = self.running.cpu_m + demand.cpu_m <= cpu_m
@@ -119,7 +123,7 @@
     ) -> AgentLoad:
         """Return the load to send to an entry: other owners' tasks and the expected waits."""
         own = self.by_owner.get(owner, ResourceTotals())
-        slowdown = NOT_SLOW if self.detector is None else self.detector.slowdown(now_s)
+        slowdown = self.slowdown(now_s)
         return AgentLoad(
             self.total.tasks - own.tasks,
             self.total.cpu_m - own.cpu_m,
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -296,9 +296,10 @@
         while True:
             await trio.sleep(LEASE_CHECK_INTERVAL_S)
             if self.occupied:
-                self.end_orphaned_tasks(clock.boot_s())
-                if self._settings.detect_slowdown:
-                    self._signal_load_changed()  # a run may have become late
+                now_s = clock.boot_s()
+                self.end_orphaned_tasks(now_s)
+                if self._resources.slowdown(now_s).is_slow:
+                    self._signal_load_changed()
 
     def end_orphaned_tasks(self, now_s: float) -> None:
         """Withdraw or stop the best-effort tasks of entries whose lease has ended.
--- a/pistachiohill/explain/cause.py
+++ b/pistachiohill/explain/cause.py
@@ -72,6 +72,9 @@
         detail = (
             f"{len(retries)} tasks were placed again, the first because of {first.text('reason')}"
         )
+        moves = timeline.lines_of("task_move_requested")
+        if moves:
+            detail += f"; {_describe_moves(moves)}"
         return Diagnosis(
             Outcome.COMPLETE, f"placed again: {first.text('reason')}", detail, elapsed_s
         )
@@ -93,6 +96,17 @@
     return Diagnosis(Outcome.COMPLETE, "run time", detail, elapsed_s)
 
 
+def _describe_moves(moves: list[LogLine]) -> str:
+    """Return how many tasks were moved, and what was expected of the first move."""
+    first = moves[0]
+    stay_s, move_s = first.number("stay_s"), first.number("move_s")
+    return (
+        f"{len(moves)} were moved, the first from {first.text('agent')}, which was "
+        f"{first.text('cause')}: it would have ended there in {stay_s:.3f} s, elsewhere in "
+        f"{move_s:.3f} s"
+    )
+
+
 def _describe_progress(timeline: JobTimeline) -> str:
     """Return how many tasks of an unfinished job were placed and had ended, and a likely cause."""
     accepted = timeline.last_line("job_accepted")
--- a/tests/explain/test_cause.py
+++ b/tests/explain/test_cause.py
@@ -85,6 +85,15 @@
         )
         self.assertEqual("placed again: lost_agent", diagnosis.cause)
 
+    def test_a_move_names_the_target_and_what_was_expected(self) -> None:
+        move = {"agent": "a1", "cause": "slow", "stay_s": 3.0, "move_s": 0.5}
+        names = {"submission": SUBMISSION, "task": 0}
+        request = line(1.4, "entry0", "task_move_requested", **names, **move)
+        retry = line(1.5, "entry0", "task_again", **names, reason="moved")
+        diagnosis = diagnose(accepted(), placed(1.01), request, retry, answered(2.0))
+        self.assertEqual("placed again: moved", diagnosis.cause)
+        self.assertIn("from a1, which was slow: it would have ended there in 3", diagnosis.detail)
+
     def test_failed_runs_name_their_agents(self) -> None:
         failed = line(1.2, "agent1", "task_failed", submission=SUBMISSION, task=0, reason="x")
         end = answered(1.3, "failed", reason="target_failed", detail="task 0: target_failed")
