--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -905,7 +905,8 @@
     ),
     Mutant(
         "stops have no budget",
-        SLOW_TARGETS_TESTS + "test_a_fleet_that_is_slow_as_a_whole_stops_no_more_than_its_budget",
+        SLOW_TARGETS_TESTS
+        + "test_a_fleet_that_is_slow_for_the_most_part_stops_no_more_than_its_budget",
         (
             Edit(
                 "pistachiohill/overload/mover.py",
--- a/tests/overload/test_slow_targets.py
+++ b/tests/overload/test_slow_targets.py
@@ -203,7 +203,7 @@
     def test_long_tasks_at_sound_targets_are_left_alone(self) -> None:
         self.assertEqual(0, Play(0.05, 0, 1).outcomes()["stops"])
 
-    def test_a_fleet_that_is_slow_as_a_whole_stops_no_more_than_its_budget(self) -> None:
-        budget = 0.01
-        outcomes = Play(budget, TARGETS, 1).outcomes()
+    def test_a_fleet_that_is_slow_for_the_most_part_stops_no_more_than_its_budget(self) -> None:
+        budget = 0.05
+        outcomes = Play(budget, 7, 1).outcomes()
         self.assertLessEqual(outcomes["stops"], budget * outcomes["tasks"])
