--- a/pistachiohill/agent/late_starts.py
+++ b/pistachiohill/agent/late_starts.py
@@ -6,7 +6,6 @@
 is not placed elsewhere, and the start is sent again to the same runner as soon as it may be.
 """
 
-import math
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -82,6 +81,6 @@
         """Return whether a run that did not begin may be started again at its runner."""
         if withheld.verdict != Verdict.NOT_RUN or withheld.reason in FINAL_REASONS:
             return False
-        if run.fencing_token is not None or run.stop_requested_at_s < math.inf:
+        if run.fencing_token is not None or run.is_stop_requested:
             return False
         return self._is_ready() and run.start_refusal(now_s) is None
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -244,15 +244,20 @@
         assert run.result is not None
         return run.result
 
-    def stop(self, call: TargetCall) -> None:
+    def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Ask the runner to stop a run; its call returns once the run is known to have ended.
 
-        A request that waits for another run of its task stops nothing.
+        A request that waits for another run of its task stops nothing. If the run must end, the
+        lease is not renewed while the stop is not carried out.
         """
         run = self._runs.get(RunName(call.task_id, call.run))
-        if run is None or run.call is not call or run.stop_requested_at_s < math.inf:
+        if run is None or run.call is not call:
             return
-        run.stop_requested_at_s = clock.boot_s()
+        if must_end:
+            run.stop_requested_at_s = min(run.stop_requested_at_s, clock.boot_s())
+        if run.is_stop_requested:
+            return
+        run.is_stop_requested = True
         logs.event("run_stopped", name=call.name, run=call.run, runner=self._runner_id)
         self._stop_soon(run)
 
@@ -481,7 +486,7 @@
         self._lease.record_unknown_lease(now_s)
         if run.withheld is not None:
             run.withheld = None
-            if run.stop_requested_at_s < math.inf:
+            if run.is_stop_requested:
                 self._stop_soon(run)
 
     async def _async_start(self, run: Run) -> None:
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -56,7 +56,8 @@
             unanswered start, so that only the end `done` settles the run.
         withheld: Result that is reported once no start can be executed any more, None if there is
             none; the runner's present process has not got the run.
-        stop_requested_at_s: Boot time from which the runner has been asked to stop the run.
+        is_stop_requested: Whether the runner has been asked to stop the run.
+        stop_requested_at_s: Boot time from which the run must not go on, as it was stopped.
         done: Set together with the result.
         removed: Set when the call has returned, so that the task may be run again.
     """
@@ -71,6 +72,7 @@
     starts_sent: int = 0
     unsettled_until_s: float = -math.inf
     withheld: TargetResult | None = None
+    is_stop_requested: bool = False
     stop_requested_at_s: float = math.inf
     done: trio.Event = field(factory=trio.Event)
     removed: trio.Event = field(factory=trio.Event)
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -20,6 +20,7 @@
     QueryTasks,
     SealSubmissions,
     StartTasks,
+    StopTask,
 )
 from ..protocol.websocket import WebSocket, async_serve
 from ..settings.models import AgentSettings
@@ -168,6 +169,10 @@
     def _(self, message: CancelTasks, link: Link, now_s: float) -> None:
         self._runner.cancel(message, now_s)
 
+    @_handle.register
+    def _(self, message: StopTask, link: Link, now_s: float) -> None:
+        self._runner.stop_task(message, now_s)
+
     @_handle.register
     def _(self, message: SealSubmissions, link: Link, now_s: float) -> None:
         self._runner.seal(link, message, now_s)
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -35,6 +35,8 @@
 from ..entry.startup_check import StartupCheck
 from ..entry.submission_service import SubmissionService
 from ..http.app import HttpApp
+from ..overload.budget import StopBudget
+from ..overload.mover import TaskMover
 from ..platform.entry import EntryPlatformAdapter
 from ..platform.store import StoreClient
 from ..protocol.models import AnnounceRecord, ProcessRecord
@@ -85,6 +87,7 @@
         self.dispatcher = Dispatcher(view, self._view_confirmed_at, self.directory, self.accounting)
         self.recovery = Recovery(view, self.directory, self.nursery)
         self.dispatcher.add_listener(self.recovery)
+        self.mover = self._create_mover()
         issuer = IdIssuer(self.incarnation)
         self.submissions = SubmissionService(
             settings,
@@ -117,6 +120,15 @@
             self.jobs.cancel,
         )
 
+    def _create_mover(self) -> TaskMover | None:
+        """Create what moves tasks away from slow and leaving targets, if settings allow that."""
+        if not self.settings.overrun_budget:
+            return None
+        budget = StopBudget(self.settings.overrun_budget)
+        mover = TaskMover(self.directory, self.dispatcher.waiting, budget, self.metrics)
+        self.dispatcher.add_listener(mover)
+        return mover
+
     def app(self) -> HttpApp:
         """Return the HTTP application with this product's API for callers and operators."""
         fairness = FairnessReporter(self.view, self.accounting, self.peers)
@@ -174,6 +186,8 @@
         self.nursery.start_soon(self.holders.async_run)
         self.nursery.start_soon(self.directory.async_run, self.dispatcher)
         self.nursery.start_soon(self.dispatcher.async_run)
+        if self.mover is not None:
+            self.nursery.start_soon(self.mover.async_run)
         self.nursery.start_soon(self._async_expire)
         self.nursery.start_soon(async_follow_processes, self.store, self.view)
         self.nursery.start_soon(async_purge_ended_processes, self.store, self.view)
--- a/pistachiohill/platform/agent.py
+++ b/pistachiohill/platform/agent.py
@@ -28,6 +28,7 @@
     identity: RunnerIdentity
     service: str
     expires_at_s: float
+    leaves_at_s: float
 
     @property
     def process(self) -> RunnerProcess:
@@ -103,7 +104,8 @@
         self._target.handle_announcement(identity, now_s)
         self._states.record(announcement, True, self._process_in_use(), now_s)
         expires_at_s = now_s + self._settings.target_ttl_s
-        self._announced = AnnouncedRunner(identity, announcement.service, expires_at_s)
+        leaves_at_s = now_s + announcement.remaining_s
+        self._announced = AnnouncedRunner(identity, announcement.service, expires_at_s, leaves_at_s)
         self._apply_announced_state(now_s)
 
     def _on_out_of_order(self, announcement: RunnerAnnouncement, now_s: float) -> None:
@@ -136,6 +138,7 @@
             mem_mb=allowance.capacity.mem_mb,
             leaving=allowance.leaving,
             expires_at_s=runner.expires_at_s,
+            leaves_at_s=runner.leaves_at_s,
         )
         self._service.update_target(target, now_s)
 
--- a/pistachiohill/platform/registry.py
+++ b/pistachiohill/platform/registry.py
@@ -1,5 +1,6 @@
 """HTTP endpoints at which a runner announces itself to its agent."""
 
+import math
 import re
 from collections.abc import Callable
 
@@ -54,9 +55,15 @@
         ),
         leaving=LEAVING_BY_STATE[state],
         clock_s=read_int(fields, "clockMs", maximum=MAX_RUNNER_CLOCK_MS) / 1000,
+        remaining_s=_read_remaining_s(fields) if LEAVING_BY_STATE[state] else math.inf,
     )
 
 
+def _read_remaining_s(fields: Fields) -> float:
+    """Return the minimum time that a leaving runner is left, infinite if it doesn't say."""
+    return read_int(fields, "remainingMs") / 1000 if "remainingMs" in fields else math.inf
+
+
 def _check_unused(fields: Fields, capacity: Fields) -> None:
     """Raise WireError if a field that this product has no use for is missing or of another type.
 
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -341,6 +341,8 @@
         memory_mb: Memory that this process may take up on its machine, in MB.
         max_descriptors: Number of file descriptors that this process may open.
         client_memory_share: Share of memory_mb that the requests of clients may take up.
+        overrun_budget: Largest fraction of best-effort runs that may be stopped at slow targets
+            to run elsewhere; 0 to move no task from a slow or leaving target.
     """
 
     name: str = "entry"
@@ -366,6 +368,7 @@
     memory_mb: float = 160.0
     max_descriptors: int = 1638
     client_memory_share: float = 0.15
+    overrun_budget: float = 0.0
 
 
 ENTRY_FIELDS: tuple[FieldSpec, ...] = (
@@ -490,6 +493,14 @@
         0.5,
         (),
     ),
+    FieldSpec(
+        "overrun_budget",
+        "float",
+        "Largest fraction of best-effort runs that may be stopped at slow targets to run elsewhere; 0 to move no task from a slow or leaving target.",
+        0.0,
+        1.0,
+        (),
+    ),
 )
 
 
@@ -524,6 +535,8 @@
         memory_mb: Memory that this process may take up on its machine, in MB.
         max_descriptors: Number of file descriptors that this process may open.
         client_memory_share: Share of memory_mb that the requests of clients may take up.
+        detect_slowdown: Whether entries are told that most of the target's runs take far longer
+            than expected.
     """
 
     name: str = "agent"
@@ -547,6 +560,7 @@
     memory_mb: float = 160.0
     max_descriptors: int = 1638
     client_memory_share: float = 0.15
+    detect_slowdown: bool = False
 
 
 AGENT_FIELDS: tuple[FieldSpec, ...] = (
@@ -656,4 +670,12 @@
         0.5,
         (),
     ),
+    FieldSpec(
+        "detect_slowdown",
+        "bool",
+        "Whether entries are told that most of the target's runs take far longer than expected.",
+        0.0,
+        0.0,
+        (),
+    ),
 )
