--- a/pistachiohill/clients/budget.py
+++ b/pistachiohill/clients/budget.py
@@ -12,7 +12,7 @@
 
 from attrs import define, frozen
 
-CONNECTION_BYTES: Final = 24 * 1024  # of an open connection without a request
+CONNECTION_BYTES: Final = 16 * 1024  # of an open connection without a request
 
 # What an ordinary request holds; it finds room even if requests that are being served hold all.
 ORDINARY_BYTES: Final = 8 * 1024
--- a/pistachiohill/http/direct_server.py
+++ b/pistachiohill/http/direct_server.py
@@ -36,7 +36,7 @@
 REQUEST_TIMEOUT_S: Final = 40.0  # for a whole request
 LARGE_RESPONSE_BYTES: Final = 16384  # those that are counted while they are sent
 LIMIT_RETRY_AFTER_S: Final = 1.0
-DEFAULT_LIMITS: Final = ClientLimits(max_connections=700, max_bytes=24_000_000)
+DEFAULT_LIMITS: Final = ClientLimits(max_connections=700, max_bytes=12_000_000)
 SEND_TIMEOUT_S: Final = 10.0  # a client that takes longer to read a response is disconnected
 DISCARD_TIMEOUT_S: Final = 1.0
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -328,7 +328,8 @@
         seeds: host:port of processes of this deployment that may be running at startup.
         memory_mb: Memory that this process may take up on its machine, in MB.
         max_descriptors: Number of file descriptors that this process may open.
-        client_memory_share: Share of memory_mb that the requests of clients may take up.
+        client_memory_share: Share of memory_mb that the requests of clients may hold at a time;
+            closed ones leave gaps beside it.
     """
 
     name: str = "entry"
@@ -353,7 +354,7 @@
     seeds: tuple[str, ...] = ()
     memory_mb: float = 160.0
     max_descriptors: int = 1638
-    client_memory_share: float = 0.15
+    client_memory_share: float = 0.1
 
 
 ENTRY_FIELDS: tuple[FieldSpec, ...] = (
@@ -473,7 +474,7 @@
     FieldSpec(
         "client_memory_share",
         "float",
-        "Share of memory_mb that the requests of clients may take up.",
+        "Share of memory_mb that the requests of clients may hold at a time; closed ones leave gaps beside it.",
         0.1,
         0.5,
         (),
@@ -508,7 +509,8 @@
         seeds: host:port of processes of this deployment that may be running at startup.
         memory_mb: Memory that this process may take up on its machine, in MB.
         max_descriptors: Number of file descriptors that this process may open.
-        client_memory_share: Share of memory_mb that the requests of clients may take up.
+        client_memory_share: Share of memory_mb that the requests of clients may hold at a time;
+            closed ones leave gaps beside it.
     """
 
     name: str = "agent"
@@ -530,7 +532,7 @@
     seeds: tuple[str, ...] = ()
     memory_mb: float = 160.0
     max_descriptors: int = 1638
-    client_memory_share: float = 0.15
+    client_memory_share: float = 0.1
 
 
 AGENT_FIELDS: tuple[FieldSpec, ...] = (
@@ -627,7 +629,7 @@
     FieldSpec(
         "client_memory_share",
         "float",
-        "Share of memory_mb that the requests of clients may take up.",
+        "Share of memory_mb that the requests of clients may hold at a time; closed ones leave gaps beside it.",
         0.1,
         0.5,
         (),
