--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -340,7 +340,8 @@
         seeds: host:port of processes of this deployment that may be running at startup.
         memory_mb: Memory that this process may take up on its machine, in MB.
         max_descriptors: Number of file descriptors that this process may open.
-        client_memory_share: Share of memory_mb that the requests of clients may take up.
+        client_memory_share: Share of memory_mb that the requests of clients may hold at a time;
+            closed ones leave gaps beside it.
         overrun_budget: Largest fraction of best-effort runs that may be stopped at slow targets
             to run elsewhere; 0 to move no task from a slow or leaving target.
     """
@@ -367,7 +368,7 @@
     seeds: tuple[str, ...] = ()
     memory_mb: float = 160.0
     max_descriptors: int = 1638
-    client_memory_share: float = 0.15
+    client_memory_share: float = 0.1
     overrun_budget: float = 0.0
 
 
@@ -488,7 +489,7 @@
     FieldSpec(
         "client_memory_share",
         "float",
-        "Share of memory_mb that the requests of clients may take up.",
+        "Share of memory_mb that the requests of clients may hold at a time; closed ones leave gaps beside it.",
         0.1,
         0.5,
         (),
@@ -534,7 +535,8 @@
         seeds: host:port of processes of this deployment that may be running at startup.
         memory_mb: Memory that this process may take up on its machine, in MB.
         max_descriptors: Number of file descriptors that this process may open.
-        client_memory_share: Share of memory_mb that the requests of clients may take up.
+        client_memory_share: Share of memory_mb that the requests of clients may hold at a time;
+            closed ones leave gaps beside it.
         detect_slowdown: Whether entries are told that most of the target's runs take far longer
             than expected.
     """
@@ -559,7 +561,7 @@
     seeds: tuple[str, ...] = ()
     memory_mb: float = 160.0
     max_descriptors: int = 1638
-    client_memory_share: float = 0.15
+    client_memory_share: float = 0.1
     detect_slowdown: bool = False
 
 
@@ -665,7 +667,7 @@
     FieldSpec(
         "client_memory_share",
         "float",
-        "Share of memory_mb that the requests of clients may take up.",
+        "Share of memory_mb that the requests of clients may hold at a time; closed ones leave gaps beside it.",
         0.1,
         0.5,
         (),
