--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -100,6 +100,7 @@
         self._metrics = metrics
         detector = SlowdownDetector() if settings.detect_slowdown else None
         self._resources = ResourceTracker(detector=detector)
+        self._is_slow = False
         self._queue: list[AdmittedTask] = []
         self._running: set[AdmittedTask] = set()
         self._reports = ReportSender(
@@ -298,8 +299,16 @@
             if self.occupied:
                 now_s = clock.boot_s()
                 self.end_orphaned_tasks(now_s)
-                if self._resources.slowdown(now_s).is_slow:
-                    self._signal_load_changed()
+                self._watch_slowdown(now_s)
+
+    def _watch_slowdown(self, now_s: float) -> None:
+        """Let entries know that the target turns slow, and log it and its end."""
+        slowdown = self._resources.slowdown(now_s)
+        if slowdown.is_slow:
+            self._signal_load_changed()
+        if slowdown.is_slow != self._is_slow:
+            self._is_slow = slowdown.is_slow
+            logs.event("target_slowdown", factor=slowdown.factor, for_s=slowdown.for_s)
 
     def end_orphaned_tasks(self, now_s: float) -> None:
         """Withdraw or stop the best-effort tasks of entries whose lease has ended.
