--- a/pistachiohill/platform/manifest.py
+++ b/pistachiohill/platform/manifest.py
@@ -19,7 +19,7 @@
 # Jobs continue to run while the store is unavailable. Operators accept that a change then takes
 # effect late. The callers' goals leave about 0.1 s for waiting, so tasks must not wait long at an
 # agent, where newer ones can't overtake them.
-CONSORTIUM_TOML = "view_max_age_s = 86400.0\nhorizon_s = 0.05\nlate_horizon_s = 0.0\n"
+CONSORTIUM_TOML = "view_max_age_s = 86400.0\nhorizon_s = 0.05\n"
 NAME_DIGEST_CHARS: Final = 8
 # Largest values that the settings tree accepts; larger ones of a route have no further effect.
 MAX_PRIORITY: Final = 100
