--- a/pistachiohill/protocol/websocket.py
+++ b/pistachiohill/protocol/websocket.py
@@ -76,7 +76,10 @@
         """Return whether the budget has room for the connection."""
         if self._budget is None:
             return True
-        address = str(self._socket.getpeername()[0])
+        try:
+            address = str(self._socket.getpeername()[0])
+        except OSError:  # the peer has left
+            return False
         self._account = self._budget.open(address, self.close, now_s)
         return self._account is not None
 
@@ -297,7 +300,7 @@
                 await websocket.async_handshake_as_server()
             if not handshake.cancelled_caught:
                 await handler(websocket)
-        except (InvalidHandshake, ConnectionClosed, OSError):
+        except (InvalidHandshake, ConnectionClosed):
             return
         except Exception as err:
             logs.exception("connection_failed", err)
