Shared load: agents keep the target's speed and entries' waiting work

Cause: with more entries than serve an agent, each entry learns a target's run time factor from its own few runs, forgets it at a restart, and counts only its own waiting work in forecasts.

Ruled out: factors of entries averaged as they are (entries scale them by the median of their own targets, so the same job has different means); a list of means on each message (bytes).

Change: StartTasks carries the estimates behind its run times, Freshness and StartTasks the sender's waiting work, AgentLoad what the agent learned from all. Optional structures are left out of the wire while absent.

--- a/pistachiohill/agent/resources.py
+++ b/pistachiohill/agent/resources.py
@@ -6,6 +6,7 @@
 
 from ..protocol.models import AgentLoad
 from ..scheduling.models import Demand
+from ..shared_load.target_speed import RunningTask
 
 OVERDUE_FRACTION = 0.2  # expected remaining time of an overdue task, as a fraction of its run time
 MIN_WAIT_CHANGE_S = 0.02  # smaller changes of an expected wait are not sent
@@ -14,13 +15,18 @@
 
 @define(eq=False, slots=True)
 class Reservation:
-    """Resources of one admitted task; `end_s` is its expected end (boot time) once it runs."""
+    """Resources of one admitted task.
+
+    `end_s` is its expected end (boot time) once it runs; `base_run_s` is its expected run time at a
+    target with factor 1, 0 if unknown.
+    """
 
     owner: str
     demand: Demand
     priority: int
     run_s: float
     end_s: float = 0.0
+    base_run_s: float = 0.0
 
 
 @define
@@ -95,6 +101,12 @@
         self._started[id(task)] = task
         self.running.add(task.demand, 1)
 
+    def running_tasks(self) -> list[RunningTask]:
+        """Return what is expected of each running task."""
+        return [
+            RunningTask(task.base_run_s, task.end_s - task.run_s) for task in self._started.values()
+        ]
+
     def fits(self, demand: Demand, cpu_m: int, mem_mb: int) -> bool:
         """Return whether a task fits on a target of this capacity besides the running tasks."""
         fits_cpu = self.running.cpu_m + demand.cpu_m <= cpu_m
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -29,6 +29,7 @@
 )
 from ..scheduling.models import Demand
 from ..settings.models import AgentSettings
+from ..shared_load.agent import AgentSharedLoad
 from ..submissions.identifiers import task_name
 from .admission import start_refusal, submission_refusal
 from .const import (
@@ -97,6 +98,7 @@
         self._target_client = target
         self._metrics = metrics
         self._resources = ResourceTracker()
+        self.shared = AgentSharedLoad(self._resources.running_tasks)
         self._queue: list[AdmittedTask] = []
         self._running: set[AdmittedTask] = set()
         self._reports = ReportSender(
@@ -136,6 +138,7 @@
     def record_sent_load(self, link: Link, now_s: float) -> AgentLoad:
         """Return the load for a message to an entry, and record it as the last one sent."""
         load = self.load_for(link, now_s)
+        load.shared = self.shared.load_for(link.peer_incarnation, now_s)
         self._sent_loads[link] = SentLoad(load, now_s)
         return load
 
@@ -345,6 +348,7 @@
             return
         self._sequence += 1
         reservation = Reservation(link.peer_incarnation, demand, message.priority, task.run_s)
+        reservation.base_run_s = self.shared.base_run_s(message, task)
         queued = AdmittedTask(
             link,
             record,
@@ -478,6 +482,8 @@
             run_s=now_s - started_s,
         )
         self.table.settle(task.record, report)
+        if result.verdict == Verdict.RAN and not reason:
+            self.shared.speed.record_run(task.reservation.base_run_s, report.run_s, now_s)
         self._record_outcome(task, report, started_s - task.admitted_at_s)
         self._reports.task_settled(task.record.submission_id)
         self._start_queued(now_s)
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -26,6 +26,7 @@
 from .const import (
     HEARTBEAT_INTERVAL_S,
     LOAD_PUSH_INTERVAL_S,
+    SHARED_LOAD_INTERVAL_S,
     STATE_REPLY_INTERVAL_S,
 )
 from .models import TargetState
@@ -122,6 +123,18 @@
                 if self._runner.needs_load_update(link, now_s):
                     self._runner.send_state(link, now_s)
 
+    async def async_push_shared_load(self) -> None:
+        """Send a changed run time factor to the entries that share their load."""
+        while True:
+            await trio.sleep(SHARED_LOAD_INTERVAL_S)
+            if not self._runner.occupied or not self._runner.shared.is_used:
+                continue
+            now_s = clock.boot_s()
+            outdated = self._runner.shared.entries_to_update(now_s)
+            for link in self._runner.links:
+                if link.peer_incarnation in outdated:
+                    self._runner.send_state(link, now_s)
+
     async def _async_link(self, connection: WebSocket) -> None:
         now_s = clock.boot_s()
         offset = self._runner.announce_offset
@@ -137,6 +150,7 @@
             await link.async_run(lambda item, at_s: self._handle(item, link, at_s))
         finally:
             self._runner.remove_link(link)
+            self._runner.shared.link_closed(hello.incarnation)
             logs.event("link_closed", peer=hello.incarnation)
 
     def _reply_state(self, link: Link, now_s: float) -> None:
@@ -150,6 +164,7 @@
 
     @_handle.register
     def _(self, message: StartTasks, link: Link, now_s: float) -> None:
+        self._runner.shared.record_start(link.peer_incarnation, message, now_s)
         self._runner.start_tasks(link, message, now_s)
 
     @_handle.register
@@ -171,9 +186,13 @@
     @_handle.register
     def _(self, message: Freshness, link: Link, now_s: float) -> None:
         was_out = self._runner.view.domain_out
+        is_first = self._runner.shared.record_work(link.peer_incarnation, message.work, now_s)
         self._runner.merge_stamp(link, message.view, now_s)
         self._runner.handle_view_update(now_s)
-        self._reply_state(link, now_s)
+        if is_first:
+            self._runner.send_state(link, now_s)
+        else:
+            self._reply_state(link, now_s)
         if self._runner.view.domain_out != was_out:
             logs.event("domain_changed", out=not was_out, offset=self._runner.view.offset)
             self._runner.broadcast_state(now_s)
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -35,6 +35,7 @@
 from ..protocol.models import AnnounceRecord, ProcessRecord
 from ..settings.const import ROOT_PATH
 from ..settings.models import EntrySettings
+from ..shared_load.entry import EntrySharedLoad
 from ..submissions.identifiers import IdIssuer, new_incarnation
 from .stopping import RESPONSE_FLUSH_S, async_drain_on_signal
 
@@ -77,6 +78,10 @@
             self._view_confirmed_at,
         )
         self.dispatcher = Dispatcher(view, self._view_confirmed_at, self.directory, self.accounting)
+        waiting = self.dispatcher.waiting
+        self.directory.shared_load = EntrySharedLoad(
+            settings.shared_load_interval_s, waiting.estimates, waiting.share_core_ms
+        )
         self.recovery = Recovery(view, self.directory, self.nursery)
         self.dispatcher.add_listener(self.recovery)
         issuer = IdIssuer(self.incarnation)
@@ -90,7 +95,7 @@
             self.recovery,
             self.accounting,
         )
-        admission = Admission(self.dispatcher.waiting)
+        admission = Admission(waiting)
         self.holders = JobHolders(self.peers)
         self.jobs = BestEffortJobs(
             issuer,
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -21,6 +21,7 @@
     is_connection_refused,
 )
 from ..protocol.models import (
+    AgentLoad,
     AgentState,
     Freshness,
     FreshnessRequest,
@@ -35,6 +36,7 @@
 from ..protocol.websocket import async_connect
 from ..scheduling.models import TargetLoad
 from ..settings.const import ROOT_PATH
+from ..shared_load.entry import EntrySharedLoad
 from .agent import Agent, AgentListener
 from .agent_assignment import Address, format_address, is_served, parse_address
 from .const import (
@@ -87,6 +89,7 @@
         self._lost_agents: list[Agent] = []
         self._stalls = StallDetector(clock.boot_s())
         self._check_renewal: Callable[[float], None] = lambda _now_s: None
+        self.shared_load = EntrySharedLoad()
 
     def set_renewal_check(self, check: Callable[[float], None]) -> None:
         """Set what is called with the boot time before this entry's lease at an agent is renewed.
@@ -137,6 +140,7 @@
         own_name = format_address(self._own_address)
         names = [format_address(item) for item in entries]
         count = self._entries_per_agent
+        self.shared_load.agents_are_shared = len(names) > count
         return {item for item in agents if is_served(format_address(item), own_name, names, count)}
 
     def is_linking(self) -> bool:
@@ -253,6 +257,8 @@
         if previous is not None:
             self._mark_lost(previous, listener, "replaced")
         load = TargetLoad(reply.incarnation, reply.domain)
+        if previous is not None and self.shared_load.is_active:
+            load.mean_factor = previous.load.mean_factor
         agent = Agent(reply.incarnation, address, reply.domain, load)
         self.agents[agent.incarnation] = agent
         return agent
@@ -342,17 +348,20 @@
             silent_s = now_s - link.received_at_s
             logs.warning("link_silent", agent=agent.incarnation, silent_s=silent_s)
             link.close()
-        elif self._needs_view(agent) and now_s - link.sent_at_s >= ECHO_INTERVAL_S:
+        elif self._needs_view(agent, now_s) and now_s - link.sent_at_s >= ECHO_INTERVAL_S:
             self._send_view(agent, now_s)
         elif now_s - link.received_at_s >= IDLE_SILENCE_TIMEOUT_S:
             self._request_answer(agent, now_s)
 
-    def _needs_view(self, agent: Agent) -> bool:
+    def _needs_view(self, agent: Agent, now_s: float) -> bool:
         """Return whether to renew the lease, or to repeat a view stamp that is unanswered.
 
-        An agent doesn't answer a stamp that arrives shortly after it has sent something.
+        An agent doesn't answer a stamp that arrives shortly after it has sent something. A stamp
+        also tells the agent what waits here.
         """
-        return bool(agent.outstanding) or agent.awaited_since_s is not None
+        if agent.outstanding or agent.awaited_since_s is not None:
+            return True
+        return self.shared_load.has_work(agent.service, now_s)
 
     def silence_s(self, agent: Agent, now_s: float) -> float:
         """Return for how long the agent has owed an answer; 0 if it owes none.
@@ -373,7 +382,8 @@
     def _send_view(self, agent: Agent, now_s: float) -> None:
         """Send a view stamp, which renews this entry's lease, and which the agent answers."""
         if agent.link is not None:
-            agent.link.send(Freshness(self.view_stamp(agent, now_s)))
+            work = self.shared_load.work(agent.service, now_s)
+            agent.link.send(Freshness(self.view_stamp(agent, now_s), work))
             agent.awaited_since_s = agent.awaited_since_s or now_s
 
     def _request_answer(self, agent: Agent, now_s: float) -> None:
@@ -384,6 +394,10 @@
     def _record_clock(self, agent: Agent, reading_s: float, now_s: float) -> None:
         agent.clock.record(reading_s, now_s, self._stalls.running_since_s(now_s))
 
+    def _record_load(self, agent: Agent, load: AgentLoad, now_s: float) -> None:
+        agent.record_load(load, now_s)
+        self.shared_load.record(agent.load, agent.service, load.shared, now_s)
+
     def _handle_answer(
         self, message: Message, agent: Agent, listener: AgentListener, now_s: float
     ) -> None:
@@ -399,8 +413,8 @@
     @_handle.register
     def _(self, message: AgentState, agent: Agent, listener: AgentListener, now_s: float) -> None:
         self._record_clock(agent, message.stamp_s, now_s)
-        agent.record_load(message.load, now_s)
         agent.service = message.service
+        self._record_load(agent, message.load, now_s)
         agent.load.cpu_m = message.cpu_m
         agent.load.mem_mb = message.mem_mb
         if message.accepting and not agent.accepting:
@@ -424,7 +438,7 @@
     @_handle.register
     def _(self, message: TaskReports, agent: Agent, listener: AgentListener, now_s: float) -> None:
         self._record_clock(agent, message.stamp_s, now_s)
-        agent.record_load(message.load, now_s)
+        self._record_load(agent, message.load, now_s)
         listener.tasks_reported(agent, message, now_s)
 
     @_handle.register
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -257,6 +257,8 @@
             job_key=submission.request.key,
             best_effort=settings.best_effort,
             priority=settings.priority,
+            estimate=self._directory.shared_load.estimate(submission.request.path, factor),
+            work=self._directory.shared_load.work(settings.service, now_s),
         )
         self._directory.send_tasks(agent, message, now_s)
         logs.event(
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -15,6 +15,7 @@
 from ..scheduling.urgency import Urgency, is_long_wait, latency_goal_s, urgency
 from ..settings.const import ROOT_PATH, Policy
 from ..settings.models import JobSettings
+from ..shared_load.waiting_work import SHARED_PRIORITIES
 from ..submissions.models import JobRequest, Submission, Task
 from .accounting import Accounting
 from .agent import Agent
@@ -183,6 +184,22 @@
             for task in item.waiting
         )
 
+    def share_core_ms(self, service: str) -> list[int]:
+        """Return the work of a service that waits here on time, as the share of one of its agents.
+
+        Late submissions are left out, since all others go before them.
+        """
+        queue = self._queues.get(service)
+        if queue is None or not queue.waiting_tasks:
+            return []
+        core_s = [0.0] * SHARED_PRIORITIES
+        for key, fair_queue in queue.by_class.items():
+            if key.urgency == Urgency.ON_TIME:
+                priority = min(key.priority, SHARED_PRIORITIES - 1)
+                core_s[priority] += self._waiting_core_s(fair_queue.all_items())
+        agents = max(1, len(self.agents_of(service)))
+        return [round(1000 * item / agents) for item in core_s]
+
     def _run_s(self, submission: Submission, task: Task) -> float:
         return self.estimates.expected_run_s(submission.request.path, task.spec.declared_s)
 
@@ -224,7 +241,15 @@
         root = self._view.state.settings(ROOT_PATH)
         mean_s = self.estimates.expected_run_s(request.path)
         targets = self._eligible_targets(settings.service, now_s)
-        plan = PlacementPlan(targets, now_s, 0.0, root.ramp_s, mean_s, max_queued=math.inf)
+        plan = PlacementPlan(
+            targets,
+            now_s,
+            0.0,
+            root.ramp_s,
+            mean_s,
+            max_queued=math.inf,
+            waiting_priority=settings.priority,
+        )
         for needs in self._needs_ahead(settings, waits_as):
             plan.assign_slot(needs)
         end_s = now_s
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -47,6 +47,83 @@
         )
 
 
+@define(slots=True)
+class JobRunTime:
+    """Run time of a job's tasks at a target with factor 1.
+
+    Fields:
+        path: Path of the job in the settings tree.
+        run_s: Mean run time in seconds.
+        declared_s: Mean declared run time in seconds, 0 if none is declared.
+    """
+
+    path: str
+    run_s: float
+    declared_s: float
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.path, self.run_s, self.declared_s]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "JobRunTime":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 3, "JobRunTime")
+        return cls(
+            path=wire.read_str(items[0]),
+            run_s=wire.read_float(items[1]),
+            declared_s=wire.read_float(items[2]),
+        )
+
+
+@define(slots=True)
+class SharedLoad:
+    """What an agent has learned from all of its entries.
+
+    Fields:
+        waiting_core_ms: Work that waits for this agent at its other entries, by priority from
+            0; empty if none.
+        factor: Run time factor of the target by all ended runs, relative to the run times of
+            jobs that the agent lists.
+        runs: Number of ended runs that the factor is based on.
+        age_s: Time since the latest of these runs in seconds.
+        overdue: By how much the running tasks exceed the factor so far, on average.
+        jobs: Run times of the latest jobs; empty if they differ little from those last sent on
+            this link.
+    """
+
+    waiting_core_ms: list[int]
+    factor: float
+    runs: int
+    age_s: float
+    overdue: float
+    jobs: list[JobRunTime]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [
+            self.waiting_core_ms,
+            self.factor,
+            self.runs,
+            self.age_s,
+            self.overdue,
+            [item.to_wire() for item in self.jobs],
+        ]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "SharedLoad":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 6, "SharedLoad")
+        return cls(
+            waiting_core_ms=[wire.read_int(item) for item in wire.read_list(items[0])],
+            factor=wire.read_float(items[1]),
+            runs=wire.read_int(items[2]),
+            age_s=wire.read_float(items[3]),
+            overdue=wire.read_float(items[4]),
+            jobs=[JobRunTime.from_wire(item) for item in wire.read_list(items[5])],
+        )
+
+
 @define(slots=True)
 class AgentLoad:
     """Load that other entries have placed on an agent, and the expected wait of one more task.
@@ -57,16 +134,27 @@
         others_mem_mb: Memory demand of those tasks in MB.
         waits_s: Expected wait of one more task in seconds, by priority from 0; empty while
             capacity is free.
+        shared: What the agent has learned from all of its entries; absent for an entry that
+            shares nothing.
     """
 
     others: int
     others_cpu_m: int
     others_mem_mb: int
     waits_s: list[float]
+    shared: SharedLoad | None = None
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.others, self.others_cpu_m, self.others_mem_mb, self.waits_s]
+        return wire.without_absent(
+            [
+                self.others,
+                self.others_cpu_m,
+                self.others_mem_mb,
+                self.waits_s,
+                None if self.shared is None else self.shared.to_wire(),
+            ]
+        )
 
     @classmethod
     def from_wire(cls, source: object) -> "AgentLoad":
@@ -77,6 +165,64 @@
             others_cpu_m=wire.read_int(items[1]),
             others_mem_mb=wire.read_int(items[2]),
             waits_s=[wire.read_float(item) for item in wire.read_list(items[3])],
+            shared=(
+                (None if items[4] is None else SharedLoad.from_wire(items[4]))
+                if len(items) > 4
+                else None
+            ),
+        )
+
+
+@define(slots=True)
+class RunEstimate:
+    """Estimates from which an entry expects the run times of the tasks that it starts.
+
+    Fields:
+        factor: Run time factor of the target.
+        job_run_s: Mean run time of the job in seconds, at a target with factor 1.
+        job_declared_s: Mean declared run time of the job in seconds, 0 if none is declared.
+    """
+
+    factor: float
+    job_run_s: float
+    job_declared_s: float
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.factor, self.job_run_s, self.job_declared_s]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "RunEstimate":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 3, "RunEstimate")
+        return cls(
+            factor=wire.read_float(items[0]),
+            job_run_s=wire.read_float(items[1]),
+            job_declared_s=wire.read_float(items[2]),
+        )
+
+
+@define(slots=True)
+class SharedWork:
+    """Work that waits at an entry, as the share of one agent. It expires unless it is repeated.
+
+    Fields:
+        waiting_core_ms: Core-milliseconds by priority from 0, the last for all lower
+            priorities; empty if none.
+    """
+
+    waiting_core_ms: list[int]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.waiting_core_ms]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "SharedWork":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 1, "SharedWork")
+        return cls(
+            waiting_core_ms=[wire.read_int(item) for item in wire.read_list(items[0])],
         )
 
 
@@ -1081,13 +1227,17 @@
 
     Fields:
         view: Freshness of the sender's view of the log.
+        work: Work that waits at the sender; absent if it shares none.
     """
 
     view: ViewStamp
+    work: SharedWork | None = None
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.view.to_wire()]
+        return wire.without_absent(
+            [self.view.to_wire(), None if self.work is None else self.work.to_wire()]
+        )
 
     @classmethod
     def from_wire(cls, source: object) -> "Freshness":
@@ -1095,6 +1245,11 @@
         items = wire.read_fields(source, 1, "Freshness")
         return cls(
             view=ViewStamp.from_wire(items[0]),
+            work=(
+                (None if items[1] is None else SharedWork.from_wire(items[1]))
+                if len(items) > 1
+                else None
+            ),
         )
 
 
@@ -1262,6 +1417,9 @@
             apart.
         best_effort: Whether a task may run again once an earlier run is known to have ended.
         priority: Priority in the agent's queue; 0 is served first.
+        estimate: Estimates that the expected run times are based on; absent if the sender
+            shares none.
+        work: Work that waits at the sender; absent if it shares none.
     """
 
     submission_id: str
@@ -1277,24 +1435,30 @@
     job_key: str = ""
     best_effort: bool = False
     priority: int = 0
+    estimate: RunEstimate | None = None
+    work: SharedWork | None = None
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [
-            self.submission_id,
-            self.member,
-            self.job,
-            self.task_count,
-            self.deadline_in_s,
-            self.task_timeout_s,
-            self.refusal_is_not_run,
-            self.view.to_wire(),
-            [item.to_wire() for item in self.tasks],
-            self.shared_payload,
-            self.job_key,
-            self.best_effort,
-            self.priority,
-        ]
+        return wire.without_absent(
+            [
+                self.submission_id,
+                self.member,
+                self.job,
+                self.task_count,
+                self.deadline_in_s,
+                self.task_timeout_s,
+                self.refusal_is_not_run,
+                self.view.to_wire(),
+                [item.to_wire() for item in self.tasks],
+                self.shared_payload,
+                self.job_key,
+                self.best_effort,
+                self.priority,
+                None if self.estimate is None else self.estimate.to_wire(),
+                None if self.work is None else self.work.to_wire(),
+            ]
+        )
 
     @classmethod
     def from_wire(cls, source: object) -> "StartTasks":
@@ -1314,6 +1478,16 @@
             job_key=wire.read_str(items[10]) if len(items) > 10 else "",
             best_effort=wire.read_bool(items[11]) if len(items) > 11 else False,
             priority=wire.read_int(items[12]) if len(items) > 12 else 0,
+            estimate=(
+                (None if items[13] is None else RunEstimate.from_wire(items[13]))
+                if len(items) > 13
+                else None
+            ),
+            work=(
+                (None if items[14] is None else SharedWork.from_wire(items[14]))
+                if len(items) > 14
+                else None
+            ),
         )
 
 
--- a/pistachiohill/protocol/wire.py
+++ b/pistachiohill/protocol/wire.py
@@ -67,3 +67,10 @@
     if len(items) < required:
         raise DecodeError(f"{name}: expected {required} fields or more, got {len(items)}")
     return items
+
+
+def without_absent(fields: list[object]) -> list[object]:
+    """Return the fields of a structure without absent ones at its end."""
+    while fields and fields[-1] is None:
+        fields.pop()
+    return fields
--- a/pistachiohill/scheduling/estimates.py
+++ b/pistachiohill/scheduling/estimates.py
@@ -71,6 +71,17 @@
             declared_s / run_times.declared.value, DECLARED_EXPONENT
         )
 
+    def job(self, job_path: str) -> JobRunTimes | None:
+        """Return what is known of a job, None if none of its tasks has run."""
+        return self._jobs.get(job_path)
+
+    def adopt(self, job_path: str, run_s: float, declared_s: float, service: str) -> None:
+        """Take over the run time of a job that is still unknown here."""
+        if job_path not in self._jobs:
+            self._evict_oldest()
+            actual, declared = RunningMean(run_s, samples=1), RunningMean(declared_s, samples=1)
+            self._jobs[job_path] = JobRunTimes(actual, declared, service)
+
     def anchor(self, service: str, factors: Sequence[RunningMean]) -> None:
         """Scale the estimates of a service so that the median factor of its targets is 1."""
         if not factors:
--- a/pistachiohill/scheduling/models.py
+++ b/pistachiohill/scheduling/models.py
@@ -6,6 +6,7 @@
 
 from .estimates import RunningMean
 
+REPORT_TTL_S: Final = 0.5  # agents repeat what other entries wait for within this
 SLOT_CPU_M: Final = 1000  # a task without a declared size takes one slot, which is one core
 
 
@@ -41,12 +42,16 @@
         own_cpu_m, own_mem_mb: Resources that the tasks in `placed` take.
         others: Number of tasks of other entries, as of the latest report.
         others_cpu_m, others_mem_mb: Resources that the tasks of other entries take.
+        others_waiting_core_s: Work that waits for the target at other entries, by priority; empty
+            if none is known.
         waits_s: Reported expected wait of one more task, by priority; empty if capacity is free.
         reported_at_s: Boot time of the latest report.
         mean_factor: Running mean of the run time factor, relative to the mean of all targets.
         ramp_start_s: Boot time at which a returning target started to ramp up.
         quarantined_until_s: Boot time until which the target gets no task.
         factor_updated_at_s: Boot time of the latest update of the factor.
+        reported_overdue: Reported excess of all running tasks over the factor, on average.
+        listed_run_s: Run times of jobs to which the factor that the agent reports relates.
         probation_limit: Maximum number of tasks until one succeeds, None if not on probation.
     """
 
@@ -60,12 +65,15 @@
     others: int = 0
     others_cpu_m: int = 0
     others_mem_mb: int = 0
+    others_waiting_core_s: tuple[float, ...] = ()
     waits_s: tuple[float, ...] = ()
     reported_at_s: float = 0.0
     mean_factor: RunningMean = field(factory=lambda: RunningMean(1.0))
     ramp_start_s: float = -1e9
     quarantined_until_s: float = -1e9
     factor_updated_at_s: float = 0.0
+    reported_overdue: float = 0.0
+    listed_run_s: dict[str, float] = field(factory=dict)
     probation_limit: int | None = None
 
     @property
@@ -90,6 +98,19 @@
         self.own_cpu_m -= demand.cpu_m
         self.own_mem_mb -= demand.mem_mb
 
+    def others_waiting_s(self, priority: int, now_s: float) -> float:
+        """Return the core-seconds that wait at other entries ahead of a new task of a priority."""
+        if not self.others_waiting_core_s or not self._is_recent(now_s):
+            return 0.0
+        return sum(self.others_waiting_core_s[: priority + 1])
+
+    def overdue(self, now_s: float) -> float:
+        """Return the reported excess of the running tasks over the factor, 0 if it is old."""
+        return self.reported_overdue if self._is_recent(now_s) else 0.0
+
+    def _is_recent(self, now_s: float) -> bool:
+        return now_s - self.reported_at_s <= REPORT_TTL_S
+
     def ramp_fraction(self, now_s: float, ramp_s: float) -> float:
         """Return the fraction of the capacity that may be used; it grows to 1 during the ramp."""
         elapsed_s = now_s - self.ramp_start_s
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -112,16 +112,21 @@
         ramp_s: float,
         mean_run_s: float,
         max_queued: float = MAX_QUEUED,
+        waiting_priority: int | None = None,
     ) -> None:
         """Initialize the plan from the loads of the targets.
 
         `mean_run_s` is the run time assumed for tasks without a known end. `max_queued` limits how
-        many tasks of one size may be queued at a target.
+        many tasks of one size may be queued at a target. With a `waiting_priority`, work of that or
+        a higher priority that waits at other entries takes its share of each target first.
         """
         self._max_queued = max_queued
         self._now_s = now_s
         self._horizon_end_s = now_s + horizon_s
-        plans = (_create_target_plan(target, now_s, ramp_s, mean_run_s) for target in targets)
+        plans = (
+            _create_target_plan(target, now_s, ramp_s, mean_run_s, waiting_priority)
+            for target in targets
+        )
         self._plans = [plan for plan in plans if plan is not None]
         self._costs: list[tuple[float, int]] = []
         self._costs_for: TaskNeeds | None = None
@@ -184,7 +189,11 @@
 
 
 def _create_target_plan(
-    target: TargetLoad, now_s: float, ramp_s: float, mean_run_s: float
+    target: TargetLoad,
+    now_s: float,
+    ramp_s: float,
+    mean_run_s: float,
+    waiting_priority: int | None,
 ) -> TargetPlan | None:
     if target.cpu_m <= 0:
         return None
@@ -193,6 +202,8 @@
     age_s = now_s - target.reported_at_s
     run_s = mean_run_s * factor
     free_cpu_m = target.cpu_m * ramp_fraction - target.own_cpu_m - target.others_cpu_m
+    if waiting_priority is not None and run_s > 0.0:
+        free_cpu_m -= 1000 * target.others_waiting_s(waiting_priority, now_s) / run_s
     queued_s = run_s * max(0.0, -free_cpu_m) / target.cpu_m
     plan = TargetPlan(
         target,
@@ -226,8 +237,9 @@
     if factor > 1.0:
         idle_s = max(0.0, now_s - target.factor_updated_at_s)
         factor = 1.0 + (factor - 1.0) * math.exp(-idle_s / FACTOR_DECAY_S)
+    reported = target.overdue(now_s)
     if not target.placed or mean_run_s <= 0.0:
-        return factor
+        return factor + reported
     ends = [task.end_s for task in target.placed.values()]
     overdue_s = sum(max(0.0, now_s - end_s) for end_s in ends) / len(ends)
-    return factor + overdue_s / mean_run_s
+    return factor + max(reported, overdue_s / mean_run_s)
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -326,6 +326,9 @@
         ready_address: host:port for the platform's load balancer, which asks there whether the
             entry accepts callers.
         seeds: host:port of processes of this deployment that may be running at startup.
+        shared_load_interval_s: How often the work that waits here is told to the agents, where
+            agents are not served by all entries; their reports on waiting work and run times
+            are used then. 0 for never.
     """
 
     name: str = "entry"
@@ -348,6 +351,7 @@
     jobs_address: str = ""
     ready_address: str = ""
     seeds: tuple[str, ...] = ()
+    shared_load_interval_s: float = 0.0
 
 
 ENTRY_FIELDS: tuple[FieldSpec, ...] = (
@@ -448,6 +452,14 @@
         256.0,
         (),
     ),
+    FieldSpec(
+        "shared_load_interval_s",
+        "float",
+        "How often the work that waits here is told to the agents, where agents are not served by all entries; their reports on waiting work and run times are used then. 0 for never.",
+        0.0,
+        1.0,
+        (),
+    ),
 )
 
 
--- /dev/null
+++ b/pistachiohill/shared_load/entry.py
@@ -0,0 +1,114 @@
+"""The entry's part: tells agents its estimates and waiting work, and uses what they report.
+
+It is active only where agents are not served by all entries: an entry that serves every agent sees
+as many runs of each target as the others, and learns soon what they know.
+"""
+
+import math
+from collections.abc import Callable
+from statistics import median
+
+from attrs import define, field
+
+from ..protocol.models import JobRunTime, RunEstimate, SharedLoad, SharedWork
+from ..scheduling.estimates import MAX_FACTOR, MIN_FACTOR, MIN_RUN_S, RunEstimates
+from ..scheduling.models import TargetLoad
+
+# Number of runs after which an agent's factor replaces the entry's own. A factor remembers about as
+# many, and the agent sees all runs of its target, those of this entry too.
+FACTOR_RUNS = 7
+
+
+@define
+class CachedWork:
+    """Work that waits for one service, as told to each of its agents, and when it was summed up."""
+
+    work: SharedWork
+    at_s: float
+
+
+def _no_work(_service: str) -> list[int]:
+    return []
+
+
+@define(eq=False)
+class EntrySharedLoad:
+    """Exchange of load between one entry and its agents.
+
+    Fields:
+        interval_s: How often waiting work is summed up anew; 0 if nothing is shared.
+        estimates: The entry's own run time estimates.
+        waiting_core_ms: Returns the share of one agent of a service in the waiting work, by
+            priority.
+        agents_are_shared: Whether there are more entries than serve an agent.
+    """
+
+    interval_s: float = 0.0
+    estimates: RunEstimates = field(factory=RunEstimates)
+    waiting_core_ms: Callable[[str], list[int]] = _no_work
+    agents_are_shared: bool = False
+    _work: dict[str, CachedWork] = field(factory=dict)
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether the entry tells agents its load and uses what they report."""
+        return self.interval_s > 0.0 and self.agents_are_shared
+
+    def work(self, service: str, now_s: float) -> SharedWork | None:
+        """Return the waiting work to tell an agent of a service, None if nothing is shared."""
+        if not self.is_active:
+            return None
+        cached = self._work.get(service)
+        if cached is None or now_s - cached.at_s >= self.interval_s:
+            work = SharedWork(self.waiting_core_ms(service))
+            cached = self._work[service] = CachedWork(work, now_s)
+        return cached.work
+
+    def has_work(self, service: str, now_s: float) -> bool:
+        """Return whether work waits that the agents of a service must be told of repeatedly."""
+        work = self.work(service, now_s)
+        return work is not None and bool(work.waiting_core_ms)
+
+    def estimate(self, path: str, factor: float) -> RunEstimate | None:
+        """Return the estimates for tasks of a job at a target with a factor, None if unknown."""
+        job = self.estimates.job(path) if self.is_active else None
+        if job is None:
+            return None
+        return RunEstimate(factor, job.actual.value, job.declared.value)
+
+    def record(
+        self, target: TargetLoad, service: str, shared: SharedLoad | None, now_s: float
+    ) -> None:
+        """Use an agent's report: waiting work of other entries, run times and the factor."""
+        if shared is None or not self.is_active:
+            return
+        target.others_waiting_core_s = tuple(
+            max(0, core_ms) / 1000 for core_ms in shared.waiting_core_ms
+        )
+        target.reported_overdue = min(MAX_FACTOR, max(0.0, shared.overdue))
+        if shared.jobs:
+            self._adopt_jobs(target, service, shared.jobs)
+        scale = self._scale(target)
+        if scale is not None and shared.runs > 0 and math.isfinite(shared.factor):
+            factor = min(MAX_FACTOR, max(MIN_FACTOR, shared.factor / scale))
+            own = target.mean_factor
+            own.value += min(1.0, shared.runs / FACTOR_RUNS) * (factor - own.value)
+            run_at_s = now_s - max(0.0, shared.age_s)
+            target.factor_updated_at_s = max(target.factor_updated_at_s, run_at_s)
+
+    def _adopt_jobs(self, target: TargetLoad, service: str, jobs: list[JobRunTime]) -> None:
+        """Keep the run times that an agent's factor relates to, and take over unknown ones."""
+        valid = [job for job in jobs if MIN_RUN_S <= job.run_s < math.inf and job.declared_s >= 0.0]
+        target.listed_run_s = {job.path: job.run_s for job in valid}
+        scale = self._scale(target) or 1.0
+        for job in valid:
+            self.estimates.adopt(job.path, job.run_s * scale, job.declared_s, service)
+
+    def _scale(self, target: TargetLoad) -> float | None:
+        """Return this entry's run times in proportion to those of an agent, None if unknown."""
+        ratios = [
+            job.actual.value / run_s
+            for path, run_s in target.listed_run_s.items()
+            if (job := self.estimates.job(path)) is not None
+        ]
+        return median(ratios) if ratios else None
--- a/pistachiohill/submissions/identifiers.py
+++ b/pistachiohill/submissions/identifiers.py
@@ -33,6 +33,11 @@
     tag: str
 
 
+def job_path(member: str, job: str) -> str:
+    """Return the path of a job in the settings tree."""
+    return f"consortium/{member}/{job}"
+
+
 def task_name(job: str, index: int | str) -> str:
     """Return the name of a task in logs and at runners, such as `5c0e7a21d94b36f8.0.0.17`.
 
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -13,7 +13,7 @@
 from ..scheduling.models import Demand
 from ..scheduling.urgency import Urgency
 from ..settings.models import JobSettings
-from .identifiers import parse_submission_id, task_name
+from .identifiers import job_path, parse_submission_id, task_name
 
 
 @frozen
@@ -47,7 +47,7 @@
     @property
     def path(self) -> str:
         """Return the path of the job in the settings tree."""
-        return f"consortium/{self.member}/{self.job}"
+        return job_path(self.member, self.job)
 
 
 @frozen
--- a/script/generate.py
+++ b/script/generate.py
@@ -27,6 +27,9 @@
     """Return an expression that validates and decodes a wire value."""
     if type_name in SCALARS:
         return f"wire.read_{type_name}({source})"
+    if type_name.endswith("?"):
+        name = type_name[:-1]
+        return f"None if {source} is None else {name}.from_wire({source})"
     if match := re.fullmatch(r"list\[(\w+)\]", type_name):
         return f"[{decode_expression(match[1], 'item')} for item in wire.read_list({source})]"
     return f"{type_name}.from_wire({source})"
@@ -40,11 +43,20 @@
         if match[1] in SCALARS:
             return source
         return f"[item.to_wire() for item in {source}]"
+    if type_name.endswith("?"):
+        return f"None if {source} is None else {source}.to_wire()"
     return f"{source}.to_wire()"
 
 
+def annotation(type_name: str) -> str:
+    """Return the annotation of a field; the name of an optional structure ends in "?"."""
+    return f"{type_name[:-1]} | None" if type_name.endswith("?") else type_name
+
+
 def default_literal(type_name: str, value: object) -> str:
     """Return the Python literal of a default value."""
+    if type_name.endswith("?"):
+        return "None"
     if type_name == "bytes":
         return repr(str(value).encode())
     return repr(value)
@@ -63,11 +75,14 @@
     lines.append("")
     for field in fields:
         default = f" = {default_literal(field[1], field[3])}" if len(field) > 3 else ""
-        lines.append(f"    {field[0]}: {field[1]}{default}")
+        lines.append(f"    {field[0]}: {annotation(field[1])}{default}")
     lines += ["", "    def to_wire(self) -> list[object]:"]
     lines.append('        """Return the fields by position."""')
     items = ", ".join(encode_expression(f[1], f"self.{f[0]}") for f in fields)
-    lines.append(f"        return [{items}]")
+    if fields[-1][1].endswith("?"):
+        lines.append(f"        return wire.without_absent([{items}])")
+    else:
+        lines.append(f"        return [{items}]")
     lines += ["", "    @classmethod", f'    def from_wire(cls, source: object) -> "{name}":']
     lines.append('        """Read the fields by position; raise DecodeError on bad input."""')
     lines.append(f'        items = wire.read_fields(source, {required}, "{name}")')
@@ -76,6 +91,8 @@
         value = decode_expression(field[1], f"items[{position}]")
         if len(field) > 3:
             fallback = default_literal(field[1], field[3])
+            if field[1].endswith("?"):
+                value = f"({value})"
             value = f"{value} if len(items) > {position} else {fallback}"
         lines.append(f"            {field[0]}={value},")
     lines.append("        )")
