Shared load: work that is placed is subtracted, others get no more than a fair share

Cause: in a burst of nine entries on 18 agents, counting all waiting work of other entries ahead of a new job refused jobs that would have been served: the sums are up to 0.2 s old, and entries place one after the other, so an entry with little waiting work is served sooner than by the sum.

Change: agents subtract what an entry places after it told; a forecast counts of each other entry no more than its own share up to the end of the job. Two settings in place of one. The report on running tasks replaces what an entry derives from its own. Forecasts have a module of their own.

The six mutants are detected.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -39,6 +39,9 @@
 RELEASE_TESTS = "tests/entry/test_best_effort.py::ReleaseTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
 
+SHARED_WORK_TESTS = "tests/shared_load/test_shared_work.py::"
+TARGET_SPEED_TESTS = "tests/shared_load/test_target_speed.py::"
+
 MUTANTS = (
     Mutant(
         "a resubmission at another entry runs without recovery",
@@ -878,4 +881,74 @@
             ),
         ),
     ),
+    Mutant(
+        "work of a lost entry is counted for ever",
+        SHARED_WORK_TESTS
+        + "WaitingWorkTest::test_work_of_a_lost_entry_expires_and_repeated_messages_count_once",
+        (
+            Edit(
+                "pistachiohill/shared_load/waiting_work.py",
+                "if now_s - told.at_s > WORK_TTL_S:",
+                "if False:",
+            ),
+        ),
+    ),
+    Mutant(
+        "old reports of waiting work are counted",
+        SHARED_WORK_TESTS + "WaitingWorkTest::test_an_old_report_is_not_counted",
+        (
+            Edit(
+                "pistachiohill/scheduling/models.py",
+                "return now_s - self.reported_at_s <= REPORT_TTL_S",
+                "return True",
+            ),
+        ),
+    ),
+    Mutant(
+        "waiting work is taken as told, however odd",
+        SHARED_WORK_TESTS + "WaitingWorkTest::test_odd_work_is_bounded",
+        (
+            Edit(
+                "pistachiohill/shared_load/waiting_work.py",
+                "float(min(MAX_CORE_MS, max(0, item)))",
+                "float(item)",
+            ),
+        ),
+    ),
+    Mutant(
+        "factors pass between entries without regard to their scales",
+        TARGET_SPEED_TESTS
+        + "TargetSpeedTest::"
+        + "test_entries_with_different_job_means_each_get_the_factor_on_their_own_scale",
+        (
+            Edit(
+                "pistachiohill/shared_load/entry.py",
+                "return median(ratios) if ratios else None",
+                "return 1.0 if ratios else None",
+            ),
+        ),
+    ),
+    Mutant(
+        "odd estimates change a target's factor",
+        TARGET_SPEED_TESTS + "TargetSpeedTest::test_odd_estimates_and_reports_change_nothing",
+        (
+            Edit(
+                "pistachiohill/shared_load/target_speed.py",
+                "        if not _is_valid(estimate):\n            return\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "other entries' waiting work is not counted",
+        SHARED_WORK_TESTS
+        + "BurstTest::test_fewer_jobs_end_late_or_wait_in_vain_and_no_kind_is_worse_off",
+        (
+            Edit(
+                "pistachiohill/scheduling/plan.py",
+                "if ahead is not None and run_s > 0.0:",
+                "if False:",
+            ),
+        ),
+    ),
 )
--- a/pistachiohill/agent/http_api.py
+++ b/pistachiohill/agent/http_api.py
@@ -61,6 +61,7 @@
 
     async def _async_metrics(self, request: Request) -> Response:
         self._metrics.view_age_s.set(self._runner.view.age_s(clock.boot_s()))
+        self._metrics.factor.set(self._runner.shared.speed.factor)
         return Response(200, generate_latest(self._metrics.registry), CONTENT_TYPE_LATEST)
 
 
--- a/pistachiohill/agent/metrics.py
+++ b/pistachiohill/agent/metrics.py
@@ -36,6 +36,11 @@
             "Tasks queued or running.",
             registry=self.registry,
         )
+        self.factor = Gauge(
+            "pistachiohill_target_run_time_factor",
+            "Run time factor of the target by the runs of all entries that share their load.",
+            registry=self.registry,
+        )
         self.view_age_s = Gauge(
             "pistachiohill_view_age_seconds",
             "Age of the view of the failure domain.",
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -138,7 +138,7 @@
     def record_sent_load(self, link: Link, now_s: float) -> AgentLoad:
         """Return the load for a message to an entry, and record it as the last one sent."""
         load = self.load_for(link, now_s)
-        load.shared = self.shared.load_for(link.peer_incarnation, now_s)
+        load.shared = self.shared.load_for(link, now_s)
         self._sent_loads[link] = SentLoad(load, now_s)
         return load
 
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -130,9 +130,9 @@
             if not self._runner.occupied or not self._runner.shared.is_used:
                 continue
             now_s = clock.boot_s()
-            outdated = self._runner.shared.entries_to_update(now_s)
+            outdated = self._runner.shared.links_to_update(now_s)
             for link in self._runner.links:
-                if link.peer_incarnation in outdated:
+                if link in outdated:
                     self._runner.send_state(link, now_s)
 
     async def _async_link(self, connection: WebSocket) -> None:
@@ -150,7 +150,7 @@
             await link.async_run(lambda item, at_s: self._handle(item, link, at_s))
         finally:
             self._runner.remove_link(link)
-            self._runner.shared.link_closed(hello.incarnation)
+            self._runner.shared.link_closed(link)
             logs.event("link_closed", peer=hello.incarnation)
 
     def _reply_state(self, link: Link, now_s: float) -> None:
@@ -164,7 +164,7 @@
 
     @_handle.register
     def _(self, message: StartTasks, link: Link, now_s: float) -> None:
-        self._runner.shared.record_start(link.peer_incarnation, message, now_s)
+        self._runner.shared.record_start(link, message, now_s)
         self._runner.start_tasks(link, message, now_s)
 
     @_handle.register
@@ -186,7 +186,7 @@
     @_handle.register
     def _(self, message: Freshness, link: Link, now_s: float) -> None:
         was_out = self._runner.view.domain_out
-        is_first = self._runner.shared.record_work(link.peer_incarnation, message.work, now_s)
+        is_first = self._runner.shared.record_work(link, message.work, now_s)
         self._runner.merge_stamp(link, message.view, now_s)
         self._runner.handle_view_update(now_s)
         if is_first:
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -80,7 +80,10 @@
         self.dispatcher = Dispatcher(view, self._view_confirmed_at, self.directory, self.accounting)
         waiting = self.dispatcher.waiting
         self.directory.shared_load = EntrySharedLoad(
-            settings.shared_load_interval_s, waiting.estimates, waiting.share_core_ms
+            settings.shared_run_times,
+            settings.shared_work_interval_s,
+            waiting.estimates,
+            waiting.share_core_ms,
         )
         self.recovery = Recovery(view, self.directory, self.nursery)
         self.dispatcher.add_listener(self.recovery)
--- a/pistachiohill/entry/accounting.py
+++ b/pistachiohill/entry/accounting.py
@@ -72,6 +72,10 @@
         """Count a placement or report that did not contribute to an answer."""
         self._metrics.wasted.labels(kind).inc()
 
+    def record_others_ahead(self) -> None:
+        """Count a refused job for which waiting work of other entries was counted."""
+        self._metrics.others_ahead.inc()
+
     def record_refusal(self, member: str, reason: RefusalReason) -> None:
         """Count a refused submission."""
         refusals = self._get_account(member).refusals
--- a/pistachiohill/entry/admission.py
+++ b/pistachiohill/entry/admission.py
@@ -3,11 +3,13 @@
 import math
 import random
 
+from .. import logs
 from ..errors import RefusalReason
 from ..scheduling.urgency import MAX_LATENCY_FACTOR, Urgency, latency_goal_s
 from ..settings.models import JobSettings
 from ..submissions.models import JobAnswer, JobRequest, refused_answer
 from .const import RETRY_AFTER_S
+from .forecast import Forecast
 from .waiting import WaitingTasks
 
 STOPPING_RETRY_AFTER_S = 0.1  # another entry can accept the job right away
@@ -52,6 +54,9 @@
         if forecast.end_s - now_s <= limit_s:
             return None
         overrun_s = forecast.end_s - now_s - limit_s
+        if forecast.others_core_s > 0.0:
+            self._waiting.record_others_ahead()
+            _log_others_ahead(request, forecast, limit_s, now_s)
         detail = f"would end in {forecast.end_s - now_s:.2f} s, which is {overrun_s:.2f} s too late"
         retry_s = max(RETRY_AFTER_S, overrun_s) * random.uniform(0.9, 1.1)
         return refused_answer(RefusalReason.OVERLOAD, detail, retry_s, count)
@@ -83,6 +88,20 @@
         return min(limit_s, MAX_LATENCY_FACTOR * latency_goal_s(settings, run_s))
 
 
+def _log_others_ahead(
+    request: JobRequest, forecast: Forecast, limit_s: float, now_s: float
+) -> None:
+    logs.event(
+        "others_work_ahead",
+        key=request.key,
+        own_core_s=forecast.own_core_s,
+        others_core_s=forecast.others_core_s,
+        others_age_s=forecast.others_age_s,
+        ends_in_s=forecast.end_s - now_s,
+        limit_s=limit_s,
+    )
+
+
 def stopping_answer(task_count: int) -> JobAnswer:
     """Return the refusal of a job by an entry that is about to stop."""
     detail = "this entry is stopping"
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -1,5 +1,6 @@
 """Directory of agents and of the links to them; one Trio task maintains the link to an address."""
 
+import math
 import random
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -257,7 +258,7 @@
         if previous is not None:
             self._mark_lost(previous, listener, "replaced")
         load = TargetLoad(reply.incarnation, reply.domain)
-        if previous is not None and self.shared_load.is_active:
+        if previous is not None and self.shared_load.run_times:
             load.mean_factor = previous.load.mean_factor
         agent = Agent(reply.incarnation, address, reply.domain, load)
         self.agents[agent.incarnation] = agent
@@ -281,6 +282,7 @@
         agent.announce_offset = max(agent.announce_offset, reply.announce_offset)
         self._record_clock(agent, reply.stamp_s, now_s)
         agent.link = link
+        agent.load.work_told_at_s = -math.inf
         agent.awaited_since_s = None
         self._send_view(agent, now_s)
         listener.link_opened(agent, now_s)
@@ -382,7 +384,7 @@
     def _send_view(self, agent: Agent, now_s: float) -> None:
         """Send a view stamp, which renews this entry's lease, and which the agent answers."""
         if agent.link is not None:
-            work = self.shared_load.work(agent.service, now_s)
+            work = self.shared_load.work(agent.load, agent.service, now_s)
             agent.link.send(Freshness(self.view_stamp(agent, now_s), work))
             agent.awaited_since_s = agent.awaited_since_s or now_s
 
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -258,7 +258,7 @@
             best_effort=settings.best_effort,
             priority=settings.priority,
             estimate=self._directory.shared_load.estimate(submission.request.path, factor),
-            work=self._directory.shared_load.work(settings.service, now_s),
+            work=self._directory.shared_load.work(agent.load, settings.service, now_s),
         )
         self._directory.send_tasks(agent, message, now_s)
         logs.event(
--- a/pistachiohill/entry/metrics.py
+++ b/pistachiohill/entry/metrics.py
@@ -32,6 +32,16 @@
             ["reason"],
             registry=self.registry,
         )
+        self.others_ahead = Counter(
+            "pistachiohill_others_work_ahead",
+            "Refused jobs for which work that waits at other entries was counted.",
+            registry=self.registry,
+        )
+        self.others_waiting_core_s = Gauge(
+            "pistachiohill_others_waiting_core_seconds",
+            "Work that waits for this entry's targets at other entries, by the latest reports.",
+            registry=self.registry,
+        )
         self.placement_s = Histogram(
             "pistachiohill_task_placement_seconds",
             "Time from a job's acceptance to each placement of one of its tasks.",
--- a/pistachiohill/entry/operator_api.py
+++ b/pistachiohill/entry/operator_api.py
@@ -84,6 +84,9 @@
     async def _async_metrics(self, request: Request) -> Response:
         self._metrics.view_age_s.set(self._view.age_s(clock.boot_s()))
         self._metrics.applied_offset.set(self._view.state.offset)
+        agents = self._directory.agents.values()
+        others_core_s = sum(sum(item.load.others_waiting.core_s) for item in agents)
+        self._metrics.others_waiting_core_s.set(others_core_s)
         self._metrics.set_link_traffic("agent", self._directory.counters)
         self._metrics.set_link_traffic("entry", self._peers.counters)
         return Response(200, generate_latest(self._metrics.registry), CONTENT_TYPE_LATEST)
--- a/pistachiohill/entry/service_queue.py
+++ b/pistachiohill/entry/service_queue.py
@@ -39,6 +39,14 @@
         """Return the queues that are served before or with a class."""
         return [queue for key, queue in sorted(self.by_class.items()) if key <= last]
 
+    def on_time_by_priority(self, count: int) -> list[list[Submission]]:
+        """Return the submissions that can meet their goals, by priority; the last has the rest."""
+        found: list[list[Submission]] = [[] for _ in range(count)]
+        for key, queue in self.by_class.items():
+            if key.urgency == Urgency.ON_TIME:
+                found[min(key.priority, count - 1)] += queue.all_items()
+        return found
+
     def all_items(self) -> list[Submission]:
         """Return all waiting submissions."""
         return [item for queue in self.by_class.values() for item in queue.all_items()]
--- a/pistachiohill/entry/waiting.py
+++ b/pistachiohill/entry/waiting.py
@@ -1,31 +1,36 @@
 """Queues of waiting tasks, and the selection of a target for each task."""
 
-import math
 from collections.abc import Iterable
 
-from attrs import define, frozen
+from attrs import define
 
 from ..consortium.const import NO_OFFSET
 from ..consortium.view import ConsortiumView
 from ..scheduling.estimates import RunEstimates
 from ..scheduling.fair_queue import FairQueue, MemberQueue
-from ..scheduling.models import SLOT_CPU_M, TargetLoad
+from ..scheduling.models import TargetLoad
 from ..scheduling.plan import PlacementPlan, TaskNeeds
-from ..scheduling.policy import ExpectedCompletion, SelectionPolicy, choose_target, make_policy
+from ..scheduling.policy import (
+    ExpectedCompletion,
+    SelectionPolicy,
+    choose_target,
+    make_policy,
+    simple_policy_capacity,
+)
 from ..scheduling.urgency import Urgency, is_long_wait, latency_goal_s, urgency
 from ..settings.const import ROOT_PATH, Policy
 from ..settings.models import JobSettings
 from ..shared_load.waiting_work import SHARED_PRIORITIES
-from ..submissions.models import JobRequest, Submission, Task
+from ..submissions.models import JobRequest, Submission, Task, TaskSpec
 from .accounting import Accounting
 from .agent import Agent
 from .agents import AgentDirectory
 from .const import SUSPECT_SILENCE_S
+from .forecast import Forecast, JobOutlook
 from .service_queue import ServiceClass, ServiceQueue
 
 MAX_PLANNED_TASKS = 2000  # bounds the duration of one planning round
 ANCHOR_INTERVAL_RUNS = 32
-SIMPLE_POLICY_QUEUE_TASKS = 8  # queued at an agent beyond its target's capacity
 
 
 @define(slots=True)
@@ -38,18 +43,6 @@
     end_s: float
 
 
-@frozen
-class Forecast:
-    """Expected completion of a job that arrives now.
-
-    `end_s` is the boot time of its expected end, `run_s` the expected run time of its longest task
-    at a target of average speed.
-    """
-
-    end_s: float
-    run_s: float
-
-
 class WaitingTasks:
     """Fair queues for each service, and the placement policy that takes tasks from them."""
 
@@ -184,6 +177,10 @@
             for task in item.waiting
         )
 
+    def record_others_ahead(self) -> None:
+        """Count a refused job for which waiting work of other entries was counted."""
+        self._accounting.record_others_ahead()
+
     def share_core_ms(self, service: str) -> list[int]:
         """Return the work of a service that waits here on time, as the share of one of its agents.
 
@@ -192,13 +189,9 @@
         queue = self._queues.get(service)
         if queue is None or not queue.waiting_tasks:
             return []
-        core_s = [0.0] * SHARED_PRIORITIES
-        for key, fair_queue in queue.by_class.items():
-            if key.urgency == Urgency.ON_TIME:
-                priority = min(key.priority, SHARED_PRIORITIES - 1)
-                core_s[priority] += self._waiting_core_s(fair_queue.all_items())
         agents = max(1, len(self.agents_of(service)))
-        return [round(1000 * item / agents) for item in core_s]
+        on_time = queue.on_time_by_priority(SHARED_PRIORITIES)
+        return [round(1000 * self._waiting_core_s(items) / agents) for items in on_time]
 
     def _run_s(self, submission: Submission, task: Task) -> float:
         return self.estimates.expected_run_s(submission.request.path, task.spec.declared_s)
@@ -238,31 +231,24 @@
 
         Waiting tasks that are served before or with its class are planned ahead of it.
         """
-        root = self._view.state.settings(ROOT_PATH)
-        mean_s = self.estimates.expected_run_s(request.path)
-        targets = self._eligible_targets(settings.service, now_s)
-        plan = PlacementPlan(
-            targets,
-            now_s,
-            0.0,
-            root.ramp_s,
-            mean_s,
-            max_queued=math.inf,
-            waiting_priority=settings.priority,
+        outlook = JobOutlook(
+            self._eligible_targets(settings.service, now_s),
+            self._needs_ahead(settings, waits_as),
+            [
+                TaskNeeds(spec.demand, self._spec_run_s(request, spec), settings.priority)
+                for spec in request.tasks
+            ],
+            self.estimates.expected_run_s(request.path),
+            self._view.state.settings(ROOT_PATH).ramp_s,
         )
-        for needs in self._needs_ahead(settings, waits_as):
-            plan.assign_slot(needs)
-        end_s = now_s
-        for spec in request.tasks:
-            run_s = self.estimates.expected_run_s(request.path, spec.declared_s)
-            slot = plan.assign_slot(TaskNeeds(spec.demand, run_s, settings.priority))
-            end_s = max(end_s, math.inf if slot is None else slot.end_s)
-        return Forecast(end_s, self.longest_run_s(request))
+        return outlook.forecast(now_s)
+
+    def _spec_run_s(self, request: JobRequest, spec: TaskSpec) -> float:
+        return self.estimates.expected_run_s(request.path, spec.declared_s)
 
     def longest_run_s(self, request: JobRequest) -> float:
         """Return the expected run time of a job's longest task at a target of average speed."""
-        path = request.path
-        return max(self.estimates.expected_run_s(path, spec.declared_s) for spec in request.tasks)
+        return max(self._spec_run_s(request, spec) for spec in request.tasks)
 
     def _needs_ahead(self, settings: JobSettings, waits_as: Urgency) -> list[TaskNeeds]:
         queue = self._queues.get(settings.service)
@@ -382,7 +368,7 @@
         self, queue: ServiceQueue, targets: list[TargetLoad], now_s: float
     ) -> list[Placement]:
         """Place tasks by a simple policy while any target has capacity."""
-        capacities = {target.name: _simple_policy_capacity(target, now_s) for target in targets}
+        capacities = {target.name: simple_policy_capacity(target) for target in targets}
         newest_offset = self._newest_offset(targets)
         placements: list[Placement] = []
         for fair_queue in queue.nonempty_queues():
@@ -477,11 +463,3 @@
         self._accounting.record_placement(submission.request.member)
         agent = self._directory.agents[target.name]
         return Placement(agent, submission, task, end_s)
-
-
-def _simple_policy_capacity(target: TargetLoad, now_s: float) -> int:
-    """Return how many more single-slot tasks a simple policy may place at a target."""
-    limit = target.cpu_m // SLOT_CPU_M + SIMPLE_POLICY_QUEUE_TASKS
-    if target.probation_limit is not None:
-        limit = target.probation_limit
-    return limit - target.task_count
--- a/pistachiohill/explain/cause.py
+++ b/pistachiohill/explain/cause.py
@@ -12,7 +12,7 @@
     left = timeline.last_line("caller_left")
     accepted = timeline.last_line("job_accepted")
     if refused is not None and (accepted is None or refused.at_s > accepted.at_s):
-        return _diagnose_refused(refused)
+        return _diagnose_refused(refused, timeline.last_line("others_work_ahead"))
     if left is not None:
         waited_s = left.at_s - timeline.lines[0].at_s
         progress = _describe_progress(timeline)
@@ -27,9 +27,15 @@
     return _diagnose_complete(timeline, answered)
 
 
-def _diagnose_refused(line: LogLine) -> Diagnosis:
+def _diagnose_refused(line: LogLine, others: LogLine | None = None) -> Diagnosis:
     reason = line.text("reason")
     detail = f"refused by {line.process}, nothing ran: {line.text('detail') or reason}"
+    if others is not None and others.number("others_core_s") > others.number("own_core_s"):
+        detail += (
+            f"; {others.number('others_core_s'):.1f} core-s waited at other entries, as reported"
+            f" {others.number('others_age_s'):.2f} s before"
+        )
+        return Diagnosis(Outcome.REFUSED, "refused: work of other entries", detail)
     return Diagnosis(Outcome.REFUSED, f"refused: {reason}", detail)
 
 
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -83,16 +83,19 @@
     Fields:
         waiting_core_ms: Work that waits for this agent at its other entries, by priority from
             0; empty if none.
+        waiting_entries: Number of these entries.
         factor: Run time factor of the target by all ended runs, relative to the run times of
             jobs that the agent lists.
         runs: Number of ended runs that the factor is based on.
         age_s: Time since the latest of these runs in seconds.
-        overdue: By how much the running tasks exceed the factor so far, on average.
+        overdue: By how much the running tasks exceed the factor so far, on average; negative if
+            unknown.
         jobs: Run times of the latest jobs; empty if they differ little from those last sent on
             this link.
     """
 
     waiting_core_ms: list[int]
+    waiting_entries: int
     factor: float
     runs: int
     age_s: float
@@ -103,6 +106,7 @@
         """Return the fields by position."""
         return [
             self.waiting_core_ms,
+            self.waiting_entries,
             self.factor,
             self.runs,
             self.age_s,
@@ -113,14 +117,15 @@
     @classmethod
     def from_wire(cls, source: object) -> "SharedLoad":
         """Read the fields by position; raise DecodeError on bad input."""
-        items = wire.read_fields(source, 6, "SharedLoad")
+        items = wire.read_fields(source, 7, "SharedLoad")
         return cls(
             waiting_core_ms=[wire.read_int(item) for item in wire.read_list(items[0])],
-            factor=wire.read_float(items[1]),
-            runs=wire.read_int(items[2]),
-            age_s=wire.read_float(items[3]),
-            overdue=wire.read_float(items[4]),
-            jobs=[JobRunTime.from_wire(item) for item in wire.read_list(items[5])],
+            waiting_entries=wire.read_int(items[1]),
+            factor=wire.read_float(items[2]),
+            runs=wire.read_int(items[3]),
+            age_s=wire.read_float(items[4]),
+            overdue=wire.read_float(items[5]),
+            jobs=[JobRunTime.from_wire(item) for item in wire.read_list(items[6])],
         )
 
 
--- a/pistachiohill/scheduling/models.py
+++ b/pistachiohill/scheduling/models.py
@@ -29,6 +29,31 @@
     end_s: float
 
 
+@frozen
+class WaitingAhead:
+    """An entry's own work up to the end of a new job of a priority, as the share of one target."""
+
+    priority: int
+    core_s: float
+
+
+@frozen
+class OthersWaiting:
+    """Work that waits for a target at other entries: core-seconds by priority, and their number."""
+
+    core_s: tuple[float, ...] = ()
+    entries: int = 0
+
+    def ahead_core_s(self, own: WaitingAhead) -> float:
+        """Return how much of it is served before an entry's own work is.
+
+        Entries place tasks as capacity becomes free, each about as often as the others, so each of
+        them gets no more than this entry in the same time.
+        """
+        return min(sum(self.core_s[: own.priority + 1]), self.entries * own.core_s)
+
+
+NONE_WAITING: Final = OthersWaiting()
 TaskKey = tuple[str, int]
 
 
@@ -42,15 +67,16 @@
         own_cpu_m, own_mem_mb: Resources that the tasks in `placed` take.
         others: Number of tasks of other entries, as of the latest report.
         others_cpu_m, others_mem_mb: Resources that the tasks of other entries take.
-        others_waiting_core_s: Work that waits for the target at other entries, by priority; empty
-            if none is known.
+        others_waiting: Work that waits for the target at other entries.
         waits_s: Reported expected wait of one more task, by priority; empty if capacity is free.
         reported_at_s: Boot time of the latest report.
         mean_factor: Running mean of the run time factor, relative to the mean of all targets.
         ramp_start_s: Boot time at which a returning target started to ramp up.
         quarantined_until_s: Boot time until which the target gets no task.
         factor_updated_at_s: Boot time of the latest update of the factor.
-        reported_overdue: Reported excess of all running tasks over the factor, on average.
+        reported_overdue: Reported excess of all running tasks over the factor, on average; None
+            if the agent knows none of them.
+        work_told_at_s: When the waiting work that its agent was told last had been summed up.
         listed_run_s: Run times of jobs to which the factor that the agent reports relates.
         probation_limit: Maximum number of tasks until one succeeds, None if not on probation.
     """
@@ -65,14 +91,15 @@
     others: int = 0
     others_cpu_m: int = 0
     others_mem_mb: int = 0
-    others_waiting_core_s: tuple[float, ...] = ()
+    others_waiting: OthersWaiting = NONE_WAITING
     waits_s: tuple[float, ...] = ()
     reported_at_s: float = 0.0
     mean_factor: RunningMean = field(factory=lambda: RunningMean(1.0))
     ramp_start_s: float = -1e9
     quarantined_until_s: float = -1e9
     factor_updated_at_s: float = 0.0
-    reported_overdue: float = 0.0
+    reported_overdue: float | None = None
+    work_told_at_s: float = -1e9
     listed_run_s: dict[str, float] = field(factory=dict)
     probation_limit: int | None = None
 
@@ -98,15 +125,13 @@
         self.own_cpu_m -= demand.cpu_m
         self.own_mem_mb -= demand.mem_mb
 
-    def others_waiting_s(self, priority: int, now_s: float) -> float:
-        """Return the core-seconds that wait at other entries ahead of a new task of a priority."""
-        if not self.others_waiting_core_s or not self._is_recent(now_s):
-            return 0.0
-        return sum(self.others_waiting_core_s[: priority + 1])
+    def others_ahead_core_s(self, own: WaitingAhead, now_s: float) -> float:
+        """Return the core-seconds of other entries that are served before a new task ends."""
+        return self.others_waiting.ahead_core_s(own) if self._is_recent(now_s) else 0.0
 
-    def overdue(self, now_s: float) -> float:
-        """Return the reported excess of the running tasks over the factor, 0 if it is old."""
-        return self.reported_overdue if self._is_recent(now_s) else 0.0
+    def overdue(self, now_s: float) -> float | None:
+        """Return the reported excess of the running tasks over the factor, None if it is old."""
+        return self.reported_overdue if self._is_recent(now_s) else None
 
     def _is_recent(self, now_s: float) -> bool:
         return now_s - self.reported_at_s <= REPORT_TTL_S
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -12,7 +12,7 @@
 
 from attrs import define, frozen
 
-from .models import Demand, TargetLoad
+from .models import Demand, TargetLoad, WaitingAhead
 
 # Expected remaining time of an overdue task, as a fraction of its run time.
 OVERDUE_FRACTION = 0.2
@@ -35,6 +35,11 @@
     run_s: float
     priority: int = 0
 
+    @property
+    def core_s(self) -> float:
+        """Return the processor time that the task takes at a target with factor 1."""
+        return self.run_s * self.demand.cpu_m / 1000
+
 
 @define(eq=False)
 class TargetPlan:
@@ -112,20 +117,19 @@
         ramp_s: float,
         mean_run_s: float,
         max_queued: float = MAX_QUEUED,
-        waiting_priority: int | None = None,
+        ahead: WaitingAhead | None = None,
     ) -> None:
         """Initialize the plan from the loads of the targets.
 
         `mean_run_s` is the run time assumed for tasks without a known end. `max_queued` limits how
-        many tasks of one size may be queued at a target. With a `waiting_priority`, work of that or
-        a higher priority that waits at other entries takes its share of each target first.
+        many tasks of one size may be queued at a target. With `ahead`, the own work that is
+        planned, the share of other entries' waiting work that is served meanwhile takes room too.
         """
         self._max_queued = max_queued
         self._now_s = now_s
         self._horizon_end_s = now_s + horizon_s
         plans = (
-            _create_target_plan(target, now_s, ramp_s, mean_run_s, waiting_priority)
-            for target in targets
+            _create_target_plan(target, now_s, ramp_s, mean_run_s, ahead) for target in targets
         )
         self._plans = [plan for plan in plans if plan is not None]
         self._costs: list[tuple[float, int]] = []
@@ -193,7 +197,7 @@
     now_s: float,
     ramp_s: float,
     mean_run_s: float,
-    waiting_priority: int | None,
+    ahead: WaitingAhead | None,
 ) -> TargetPlan | None:
     if target.cpu_m <= 0:
         return None
@@ -202,8 +206,8 @@
     age_s = now_s - target.reported_at_s
     run_s = mean_run_s * factor
     free_cpu_m = target.cpu_m * ramp_fraction - target.own_cpu_m - target.others_cpu_m
-    if waiting_priority is not None and run_s > 0.0:
-        free_cpu_m -= 1000 * target.others_waiting_s(waiting_priority, now_s) / run_s
+    if ahead is not None and run_s > 0.0:
+        free_cpu_m -= 1000 * target.others_ahead_core_s(ahead, now_s) / run_s
     queued_s = run_s * max(0.0, -free_cpu_m) / target.cpu_m
     plan = TargetPlan(
         target,
@@ -230,7 +234,8 @@
     """Return the current run time factor of a target.
 
     Overdue tasks raise the factor before they end, so that a straggler is detected while it is
-    still slow. A factor above 1 decays unless recent runs confirm it, so that a target that has
+    still slow; an agent that reports on all running tasks knows more than this entry, which sees
+    only its own. A factor above 1 decays unless recent runs confirm it, so that a target that has
     recovered is used again.
     """
     factor = target.factor
@@ -238,8 +243,10 @@
         idle_s = max(0.0, now_s - target.factor_updated_at_s)
         factor = 1.0 + (factor - 1.0) * math.exp(-idle_s / FACTOR_DECAY_S)
     reported = target.overdue(now_s)
-    if not target.placed or mean_run_s <= 0.0:
+    if reported is not None:
         return factor + reported
+    if not target.placed or mean_run_s <= 0.0:
+        return factor
     ends = [task.end_s for task in target.placed.values()]
     overdue_s = sum(max(0.0, now_s - end_s) for end_s in ends) / len(ends)
-    return factor + max(reported, overdue_s / mean_run_s)
+    return factor + overdue_s / mean_run_s
--- a/pistachiohill/scheduling/policy.py
+++ b/pistachiohill/scheduling/policy.py
@@ -12,7 +12,9 @@
 from attrs import define
 
 from ..settings.const import Policy
-from .models import TargetLoad
+from .models import SLOT_CPU_M, TargetLoad
+
+SIMPLE_POLICY_QUEUE_TASKS = 8  # queued at an agent beyond its target's capacity
 
 
 @define
@@ -76,3 +78,11 @@
 @choose_target.register
 def _(policy: RandomChoice, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
     return random.choice(candidates) if candidates else None
+
+
+def simple_policy_capacity(target: TargetLoad) -> int:
+    """Return how many more single-slot tasks a simple policy may place at a target."""
+    limit = target.cpu_m // SLOT_CPU_M + SIMPLE_POLICY_QUEUE_TASKS
+    if target.probation_limit is not None:
+        limit = target.probation_limit
+    return limit - target.task_count
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -326,9 +326,10 @@
         ready_address: host:port for the platform's load balancer, which asks there whether the
             entry accepts callers.
         seeds: host:port of processes of this deployment that may be running at startup.
-        shared_load_interval_s: How often the work that waits here is told to the agents, where
-            agents are not served by all entries; their reports on waiting work and run times
-            are used then. 0 for never.
+        shared_run_times: Whether run times are learned from agents that other entries serve
+            too, where agents are not served by all entries.
+        shared_work_interval_s: How often the work that waits here is told to such agents, whose
+            reports on waiting work are used then; 0 for never.
     """
 
     name: str = "entry"
@@ -351,7 +352,8 @@
     jobs_address: str = ""
     ready_address: str = ""
     seeds: tuple[str, ...] = ()
-    shared_load_interval_s: float = 0.0
+    shared_run_times: bool = False
+    shared_work_interval_s: float = 0.0
 
 
 ENTRY_FIELDS: tuple[FieldSpec, ...] = (
@@ -453,11 +455,19 @@
         (),
     ),
     FieldSpec(
-        "shared_load_interval_s",
+        "shared_run_times",
+        "bool",
+        "Whether run times are learned from agents that other entries serve too, where agents are not served by all entries.",
+        0.0,
+        0.0,
+        (),
+    ),
+    FieldSpec(
+        "shared_work_interval_s",
         "float",
-        "How often the work that waits here is told to the agents, where agents are not served by all entries; their reports on waiting work and run times are used then. 0 for never.",
+        "How often the work that waits here is told to such agents, whose reports on waiting work are used then; 0 for never.",
         0.0,
-        1.0,
+        0.4,
         (),
     ),
 )
--- a/pistachiohill/shared_load/agent.py
+++ b/pistachiohill/shared_load/agent.py
@@ -1,6 +1,7 @@
 """The agent's part: collects what its entries tell and what its target shows, and reports it."""
 
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from attrs import define, field
 
@@ -9,13 +10,21 @@
 from .target_speed import RunningTask, TargetSpeed
 from .waiting_work import WaitingWork
 
-FACTOR_STEP_FRACTION = 0.2  # a larger change of the factor is sent without waiting for a message
+FACTOR_STEP_FRACTION = 0.5  # a change by which jobs miss their goals is sent without delay
 MAX_AGE_S = 1e6
 
 
+class EntryLink(Protocol):
+    """A link to an entry; it is compared by identity or has a hash."""
+
+    @property
+    def peer_incarnation(self) -> str:
+        """Return the incarnation of the entry."""
+
+
 @define
 class SentShare:
-    """What was last sent to an entry: the list of jobs by version, and the factor with overdue."""
+    """What was last sent on a link: the list of jobs by version, and the factor with overdue."""
 
     list_version: int = 0
     factor: float = 1.0
@@ -28,28 +37,31 @@
     running: Callable[[], Iterable[RunningTask]]
     speed: TargetSpeed = field(factory=TargetSpeed)
     _work: WaitingWork = field(factory=WaitingWork)
-    _sent: dict[str, SentShare] = field(factory=dict)
+    _sent: dict[EntryLink, SentShare] = field(factory=dict)
 
     @property
     def is_used(self) -> bool:
         """Return whether any linked entry shares its load."""
         return bool(self._sent)
 
-    def record_work(self, entry: str, work: SharedWork | None, now_s: float) -> bool:
+    def record_work(self, link: EntryLink, work: SharedWork | None, now_s: float) -> bool:
         """Store the work that waits at an entry; None if the entry shares nothing.
 
         Return whether it is the first on this link, so that the entry should be answered at once.
         """
         if work is None:
             return False
-        self._work.record(entry, work, now_s)
-        is_first = entry not in self._sent
-        self._sent.setdefault(entry, SentShare())
+        self._work.record(link.peer_incarnation, work, now_s)
+        is_first = link not in self._sent
+        self._sent.setdefault(link, SentShare())
         return is_first
 
-    def record_start(self, entry: str, message: StartTasks, now_s: float) -> None:
+    def record_start(self, link: EntryLink, message: StartTasks, now_s: float) -> None:
         """Store what an entry tells with a request to start tasks."""
-        self.record_work(entry, message.work, now_s)
+        self.record_work(link, message.work, now_s)
+        if message.work is None:
+            core_ms = sum(task.cpu_m * task.run_s for task in message.tasks)
+            self._work.record_start(link.peer_incarnation, message.priority, core_ms)
         if message.estimate is not None:
             self.speed.record_estimate(job_path(message.member, message.job), message.estimate)
 
@@ -58,21 +70,23 @@
         path = job_path(message.member, message.job)
         return self.speed.base_run_s(path, message.estimate, task.run_s)
 
-    def link_closed(self, entry: str) -> None:
-        """Send everything again on the next link of an entry."""
-        self._sent.pop(entry, None)
+    def link_closed(self, link: EntryLink) -> None:
+        """Forget what was sent on a link; everything is sent again on the next one."""
+        self._sent.pop(link, None)
 
-    def load_for(self, entry: str, now_s: float) -> SharedLoad | None:
-        """Return what to send to an entry now, None if it shares nothing."""
-        sent = self._sent.get(entry)
+    def load_for(self, link: EntryLink, now_s: float) -> SharedLoad | None:
+        """Return what to send on a link now, None if its entry shares nothing."""
+        sent = self._sent.get(link)
         if sent is None:
             return None
         speed = self.speed
         overdue = speed.overdue(self.running(), now_s)
         jobs = [] if sent.list_version == speed.list_version else speed.listed_jobs()
-        sent.list_version, sent.factor = speed.list_version, speed.factor + overdue
+        sent.list_version, sent.factor = speed.list_version, speed.factor + max(0.0, overdue)
+        waiting_core_ms, waiting_entries = self._work.others_core_ms(link.peer_incarnation, now_s)
         return SharedLoad(
-            self._work.others_core_ms(entry, now_s),
+            waiting_core_ms,
+            waiting_entries,
             speed.factor,
             speed.runs,
             min(MAX_AGE_S, max(0.0, now_s - speed.updated_at_s)),
@@ -80,13 +94,13 @@
             jobs,
         )
 
-    def entries_to_update(self, now_s: float) -> list[str]:
-        """Return the entries that should learn a changed factor without waiting for a message."""
+    def links_to_update(self, now_s: float) -> list[EntryLink]:
+        """Return the links on which a changed factor is sent without waiting for a message."""
         if not self._sent:
             return []
-        factor = self.speed.factor + self.speed.overdue(self.running(), now_s)
+        factor = self.speed.factor + max(0.0, self.speed.overdue(self.running(), now_s))
         return [
-            entry
-            for entry, sent in self._sent.items()
+            link
+            for link, sent in self._sent.items()
             if abs(factor - sent.factor) > FACTOR_STEP_FRACTION * sent.factor
         ]
--- a/pistachiohill/shared_load/entry.py
+++ b/pistachiohill/shared_load/entry.py
@@ -12,7 +12,7 @@
 
 from ..protocol.models import JobRunTime, RunEstimate, SharedLoad, SharedWork
 from ..scheduling.estimates import MAX_FACTOR, MIN_FACTOR, MIN_RUN_S, RunEstimates
-from ..scheduling.models import TargetLoad
+from ..scheduling.models import OthersWaiting, TargetLoad
 
 # Number of runs after which an agent's factor replaces the entry's own. A factor remembers about as
 # many, and the agent sees all runs of its target, those of this entry too.
@@ -36,14 +36,16 @@
     """Exchange of load between one entry and its agents.
 
     Fields:
-        interval_s: How often waiting work is summed up anew; 0 if nothing is shared.
+        run_times: Whether run times are shared.
+        work_interval_s: How often waiting work is summed up anew; 0 if none is told.
         estimates: The entry's own run time estimates.
         waiting_core_ms: Returns the share of one agent of a service in the waiting work, by
             priority.
         agents_are_shared: Whether there are more entries than serve an agent.
     """
 
-    interval_s: float = 0.0
+    run_times: bool = False
+    work_interval_s: float = 0.0
     estimates: RunEstimates = field(factory=RunEstimates)
     waiting_core_ms: Callable[[str], list[int]] = _no_work
     agents_are_shared: bool = False
@@ -52,26 +54,40 @@
     @property
     def is_active(self) -> bool:
         """Return whether the entry tells agents its load and uses what they report."""
-        return self.interval_s > 0.0 and self.agents_are_shared
+        return self.agents_are_shared and (self.run_times or self.work_interval_s > 0.0)
 
-    def work(self, service: str, now_s: float) -> SharedWork | None:
-        """Return the waiting work to tell an agent of a service, None if nothing is shared."""
+    def work(self, target: TargetLoad, service: str, now_s: float) -> SharedWork | None:
+        """Return the waiting work to tell the agent of a target now.
+
+        None if nothing is shared, or if the agent has been told since the work was summed up: it
+        subtracts itself what is placed there. Without work to tell, the first message on a link
+        says that this entry uses reports.
+        """
         if not self.is_active:
             return None
-        cached = self._work.get(service)
-        if cached is None or now_s - cached.at_s >= self.interval_s:
-            work = SharedWork(self.waiting_core_ms(service))
-            cached = self._work[service] = CachedWork(work, now_s)
+        cached = self._cached_work(service, now_s)
+        if target.work_told_at_s == cached.at_s:
+            return None
+        target.work_told_at_s = cached.at_s
         return cached.work
 
     def has_work(self, service: str, now_s: float) -> bool:
         """Return whether work waits that the agents of a service must be told of repeatedly."""
-        work = self.work(service, now_s)
-        return work is not None and bool(work.waiting_core_ms)
+        return self.is_active and bool(self._cached_work(service, now_s).work.waiting_core_ms)
+
+    def _cached_work(self, service: str, now_s: float) -> CachedWork:
+        cached = self._work.get(service)
+        if cached is None or self._is_due(cached, now_s):
+            work = SharedWork(self.waiting_core_ms(service) if self.work_interval_s else [])
+            cached = self._work[service] = CachedWork(work, now_s)
+        return cached
+
+    def _is_due(self, cached: CachedWork, now_s: float) -> bool:
+        return 0.0 < self.work_interval_s <= now_s - cached.at_s
 
     def estimate(self, path: str, factor: float) -> RunEstimate | None:
         """Return the estimates for tasks of a job at a target with a factor, None if unknown."""
-        job = self.estimates.job(path) if self.is_active else None
+        job = self.estimates.job(path) if self.is_active and self.run_times else None
         if job is None:
             return None
         return RunEstimate(factor, job.actual.value, job.declared.value)
@@ -82,14 +98,23 @@
         """Use an agent's report: waiting work of other entries, run times and the factor."""
         if shared is None or not self.is_active:
             return
-        target.others_waiting_core_s = tuple(
-            max(0, core_ms) / 1000 for core_ms in shared.waiting_core_ms
-        )
-        target.reported_overdue = min(MAX_FACTOR, max(0.0, shared.overdue))
+        if self.work_interval_s:
+            core_s = tuple(max(0, core_ms) / 1000 for core_ms in shared.waiting_core_ms)
+            target.others_waiting = OthersWaiting(core_s, max(0, shared.waiting_entries))
+        if self.run_times:
+            self._record_speed(target, service, shared, now_s)
+
+    def _record_speed(
+        self, target: TargetLoad, service: str, shared: SharedLoad, now_s: float
+    ) -> None:
         if shared.jobs:
             self._adopt_jobs(target, service, shared.jobs)
         scale = self._scale(target)
-        if scale is not None and shared.runs > 0 and math.isfinite(shared.factor):
+        if scale is None:
+            return
+        is_known = 0.0 <= shared.overdue <= MAX_FACTOR
+        target.reported_overdue = shared.overdue / scale if is_known else None
+        if shared.runs > 0 and math.isfinite(shared.factor):
             factor = min(MAX_FACTOR, max(MIN_FACTOR, shared.factor / scale))
             own = target.mean_factor
             own.value += min(1.0, shared.runs / FACTOR_RUNS) * (factor - own.value)
--- a/pistachiohill/shared_load/target_speed.py
+++ b/pistachiohill/shared_load/target_speed.py
@@ -24,6 +24,7 @@
 MAX_LISTED_JOBS = 16
 LIST_STEP_FRACTION = 0.05  # jobs are listed again after a larger change of one's mean
 MAX_RUN_S = 3600.0
+UNKNOWN = -1.0
 
 
 @frozen
@@ -121,13 +122,16 @@
         self.updated_at_s = now_s
 
     def overdue(self, running: Iterable[RunningTask], now_s: float) -> float:
-        """Return by how much the running tasks exceed the factor so far, on average."""
+        """Return by how much the running tasks exceed the factor so far, on average.
+
+        UNKNOWN if nothing is known of any running task.
+        """
         excesses = [
             max(0.0, (now_s - task.started_at_s) / task.base_run_s - self.factor)
             for task in running
             if task.base_run_s >= MIN_RUN_S
         ]
-        return min(MAX_FACTOR, sum(excesses) / len(excesses)) if excesses else 0.0
+        return min(MAX_FACTOR, sum(excesses) / len(excesses)) if excesses else UNKNOWN
 
 
 def _is_valid(estimate: RunEstimate) -> bool:
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -6,7 +6,7 @@
 from attrs import define, evolve
 
 from pistachiohill.entry.admission import Admission
-from pistachiohill.entry.waiting import Forecast
+from pistachiohill.entry.forecast import Forecast
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.http.models import Problem, problem_response
 from pistachiohill.scheduling.urgency import MAX_LATENCY_FACTOR, Urgency
--- a/tests/explain/test_cause.py
+++ b/tests/explain/test_cause.py
@@ -56,6 +56,15 @@
         )
         self.assertIn("nothing ran", diagnosis.detail)
 
+    def test_a_refusal_for_work_of_other_entries(self) -> None:
+        ahead = {"own_core_s": 1.0, "others_core_s": 3.0, "others_age_s": 0.1}
+        diagnosis = diagnose(
+            line(1.0, "entry0", "others_work_ahead", key=KEY, **ahead),
+            line(1.0, "entry0", "job_refused", key=KEY, reason="overload", detail="d"),
+        )
+        self.assertEqual("refused: work of other entries", diagnosis.cause)
+        self.assertIn("3.0 core-s", diagnosis.detail)
+
     def test_a_job_that_waited_until_it_was_useless_is_a_refusal(self) -> None:
         end = answered(2.0, "failed", verdict="not_run", reason="overload", detail="waited")
         diagnosis = diagnose(accepted(), end)
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -11,9 +11,14 @@
     AgentLoad,
     AgentState,
     CancelTasks,
+    Freshness,
     Message,
+    SharedLoad,
+    SharedWork,
+    StartTasks,
     TaskReport,
     TaskReports,
+    ViewStamp,
 )
 
 from ..base import TestCase
@@ -99,6 +104,22 @@
         data = cbor2.dumps([[tag, ["s", "newer field"]], [9999, {"newer": "message"}]])
         self.assertEqual([CancelTasks("s")], decode_frame(data))
 
+    def test_shared_load_is_left_out_while_absent_and_ignored_by_older_readers(self) -> None:
+        load = AgentLoad(2, 1000, 0, [0.5])
+        self.assertEqual([2, 1000, 0, [0.5]], load.to_wire())
+        load.shared = SharedLoad([7], 1, 1.6, 9, 0.1, 0.0, [])
+        tag = MESSAGE_TAGS[TaskReports]
+        data = cbor2.dumps([[tag, ["s", 1.0, [*load.to_wire(), None, "newer"], [], "newer"]]])
+        self.assertEqual([TaskReports("s", 1.0, load, [])], decode_frame(data))
+        view = ViewStamp(1, 0.0, 0.0, False, 4.0)
+        self.assertEqual([view.to_wire()], Freshness(view).to_wire())
+        self.assertEqual([view.to_wire(), [[]]], Freshness(view, SharedWork([])).to_wire())
+        start = StartTasks("s", "m", "j", 1, 1.0, 1.0, False, view, [], work=SharedWork([3]))
+        self.assertEqual([None, [[3]]], start.to_wire()[-2:])
+        self.assertEqual([start], decode_frame(encode_frame([start])))
+        start.work = None
+        self.assertEqual(13, len(start.to_wire()))
+
     def _decode(self, data: bytes) -> None:
         try:
             decode_frame(data)
