Shared run times: a geometric mean, and the median of the running tasks

All entries act on the same factor, so noise in it moves all of them at once, and one long run made all of them avoid a target that was as fast as before.

Ruled out: more weight for recent runs; the entries' own overdue tasks in place of the reported ones (no difference beyond the spread).

Change: the agent's factor is a geometric mean, and of the running tasks the median counts. A test and a mutant for it.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -928,6 +928,19 @@
             ),
         ),
     ),
+    Mutant(
+        "a long task turns all entries away from its target",
+        TARGET_SPEED_TESTS
+        + "TargetSpeedTest::"
+        + "test_a_slow_target_shows_before_its_tasks_end_and_single_long_tasks_do_not",
+        (
+            Edit(
+                "pistachiohill/shared_load/target_speed.py",
+                "median_low([*excesses, 0.0])",
+                "sum(excesses) / len(excesses)",
+            ),
+        ),
+    ),
     Mutant(
         "odd estimates change a target's factor",
         TARGET_SPEED_TESTS + "TargetSpeedTest::test_odd_estimates_and_reports_change_nothing",
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -88,7 +88,7 @@
             jobs that the agent lists.
         runs: Number of ended runs that the factor is based on.
         age_s: Time since the latest of these runs in seconds.
-        overdue: By how much the running tasks exceed the factor so far, on average; negative if
+        overdue: By how much most of the running tasks exceed the factor so far; negative if
             unknown.
         jobs: Run times of the latest jobs; empty if they differ little from those last sent on
             this link.
--- a/pistachiohill/scheduling/models.py
+++ b/pistachiohill/scheduling/models.py
@@ -74,8 +74,8 @@
         ramp_start_s: Boot time at which a returning target started to ramp up.
         quarantined_until_s: Boot time until which the target gets no task.
         factor_updated_at_s: Boot time of the latest update of the factor.
-        reported_overdue: Reported excess of all running tasks over the factor, on average; None
-            if the agent knows none of them.
+        reported_overdue: Reported excess of most running tasks over the factor; None if the
+            agent knows none of them.
         work_told_at_s: When the waiting work that its agent was told last had been summed up.
         listed_run_s: Run times of jobs to which the factor that the agent reports relates.
         probation_limit: Maximum number of tasks until one succeeds, None if not on probation.
--- a/pistachiohill/shared_load/target_speed.py
+++ b/pistachiohill/shared_load/target_speed.py
@@ -4,10 +4,14 @@
 same job has different means at entries with different targets. The agent therefore relates each run
 to the job's mean at the entry that started it, and keeps means of its own that average what its
 entries tell. It lists these means, by which an entry converts the factor to its own scale.
+
+All entries place by the factor, so a few long runs must not turn all of them away from a target
+that is as fast as before: it is a geometric mean, and of the tasks at work their median counts.
 """
 
 import math
 from collections.abc import Iterable
+from statistics import median_low
 
 from attrs import define, field, frozen
 
@@ -61,13 +65,13 @@
     runs: int = 0
     updated_at_s: float = -math.inf
     list_version: int = 0
-    _factor: RunningMean = field(factory=lambda: RunningMean(1.0))
+    _log_factor: RunningMean = field(factory=lambda: RunningMean(0.0))
     _jobs: dict[str, ToldRunTime] = field(factory=dict)
 
     @property
     def factor(self) -> float:
         """Return the factor by all ended runs."""
-        return self._factor.value
+        return math.exp(self._log_factor.value)
 
     def record_estimate(self, path: str, estimate: RunEstimate) -> None:
         """Follow the estimates of an entry; before the first run they also give the factor."""
@@ -87,7 +91,8 @@
         if len(self._jobs) > MAX_LISTED_JOBS:
             del self._jobs[next(iter(self._jobs))]
         if self.runs == 0:
-            self._factor.value = estimate.factor * estimate.job_run_s / job.actual.value
+            factor = estimate.factor * estimate.job_run_s / job.actual.value
+            self._log_factor.value = math.log(factor)
         if math.isnan(job.listed_s) or job.differs():
             self._list_jobs()
 
@@ -117,12 +122,12 @@
         if base_run_s < MIN_RUN_S:
             return
         sample = min(MAX_FACTOR, max(MIN_FACTOR, run_s / base_run_s))
-        self._factor.update(sample, FACTOR_MIN_WEIGHT)
+        self._log_factor.update(math.log(sample), FACTOR_MIN_WEIGHT)
         self.runs += 1
         self.updated_at_s = now_s
 
     def overdue(self, running: Iterable[RunningTask], now_s: float) -> float:
-        """Return by how much the running tasks exceed the factor so far, on average.
+        """Return by how much most of the running tasks exceed the factor so far.
 
         UNKNOWN if nothing is known of any running task.
         """
@@ -131,7 +136,7 @@
             for task in running
             if task.base_run_s >= MIN_RUN_S
         ]
-        return min(MAX_FACTOR, sum(excesses) / len(excesses)) if excesses else UNKNOWN
+        return min(MAX_FACTOR, median_low([*excesses, 0.0])) if excesses else UNKNOWN
 
 
 def _is_valid(estimate: RunEstimate) -> bool:
