Shared run times serve only until an entry has runs of its own

The likely cause, not traced: entries that have the same factors choose the same targets between two load reports.

Change: an agent's factor counts until the entry has seven runs there; the pushes of changed factors go.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -941,6 +941,17 @@
             ),
         ),
     ),
+    Mutant(
+        "entries go by an agent's factor for good",
+        TARGET_SPEED_TESTS + "FleetTest::test_an_entry_goes_by_its_own_runs_once_it_has_some",
+        (
+            Edit(
+                "pistachiohill/shared_load/entry.py",
+                "if scale is None or own.samples >= FACTOR_RUNS:",
+                "if scale is None:",
+            ),
+        ),
+    ),
     Mutant(
         "odd estimates change a target's factor",
         TARGET_SPEED_TESTS + "TargetSpeedTest::test_odd_estimates_and_reports_change_nothing",
--- a/pistachiohill/agent/const.py
+++ b/pistachiohill/agent/const.py
@@ -48,4 +48,3 @@
 LOW_CAPACITY_STEP_FRACTION: Final = 0.05  # of the CPU; about half a task of the users' jobs
 LOAD_STEP_FRACTION: Final = 0.2  # of the CPU; otherwise smaller load changes are not sent
 STATE_REPLY_INTERVAL_S: Final = 0.1  # no state reply if a message was sent within this time
-SHARED_LOAD_INTERVAL_S: Final = 0.1  # of the checks for a changed run time factor
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -26,7 +26,6 @@
 from .const import (
     HEARTBEAT_INTERVAL_S,
     LOAD_PUSH_INTERVAL_S,
-    SHARED_LOAD_INTERVAL_S,
     STATE_REPLY_INTERVAL_S,
 )
 from .models import TargetState
@@ -123,18 +122,6 @@
                 if self._runner.needs_load_update(link, now_s):
                     self._runner.send_state(link, now_s)
 
-    async def async_push_shared_load(self) -> None:
-        """Send a changed run time factor to the entries that share their load."""
-        while True:
-            await trio.sleep(SHARED_LOAD_INTERVAL_S)
-            if not self._runner.occupied or not self._runner.shared.is_used:
-                continue
-            now_s = clock.boot_s()
-            outdated = self._runner.shared.links_to_update(now_s)
-            for link in self._runner.links:
-                if link in outdated:
-                    self._runner.send_state(link, now_s)
-
     async def _async_link(self, connection: WebSocket) -> None:
         now_s = clock.boot_s()
         offset = self._runner.announce_offset
--- a/pistachiohill/daemon/agent.py
+++ b/pistachiohill/daemon/agent.py
@@ -42,7 +42,6 @@
     await nursery.start(service.async_serve_links)
     nursery.start_soon(service.async_heartbeat)
     nursery.start_soon(service.async_push_load)
-    nursery.start_soon(service.async_push_shared_load)
     nursery.start_soon(runner.async_expire)
     nursery.start_soon(runner.async_watch_leases)
     return runner, service, api
--- a/pistachiohill/shared_load/agent.py
+++ b/pistachiohill/shared_load/agent.py
@@ -10,7 +10,6 @@
 from .target_speed import RunningTask, TargetSpeed
 from .waiting_work import WaitingWork
 
-FACTOR_STEP_FRACTION = 0.5  # a change by which jobs miss their goals is sent without delay
 MAX_AGE_S = 1e6
 
 
@@ -22,14 +21,6 @@
         """Return the incarnation of the entry."""
 
 
-@define
-class SentShare:
-    """What was last sent on a link: the list of jobs by version, and the factor with overdue."""
-
-    list_version: int = 0
-    factor: float = 1.0
-
-
 @define(eq=False)
 class AgentSharedLoad:
     """State that all entries of one agent share; entries that tell nothing are sent nothing."""
@@ -37,12 +28,7 @@
     running: Callable[[], Iterable[RunningTask]]
     speed: TargetSpeed = field(factory=TargetSpeed)
     _work: WaitingWork = field(factory=WaitingWork)
-    _sent: dict[EntryLink, SentShare] = field(factory=dict)
-
-    @property
-    def is_used(self) -> bool:
-        """Return whether any linked entry shares its load."""
-        return bool(self._sent)
+    _sent_lists: dict[EntryLink, int] = field(factory=dict)
 
     def record_work(self, link: EntryLink, work: SharedWork | None, now_s: float) -> bool:
         """Store the work that waits at an entry; None if the entry shares nothing.
@@ -52,8 +38,8 @@
         if work is None:
             return False
         self._work.record(link.peer_incarnation, work, now_s)
-        is_first = link not in self._sent
-        self._sent.setdefault(link, SentShare())
+        is_first = link not in self._sent_lists
+        self._sent_lists.setdefault(link, 0)
         return is_first
 
     def record_start(self, link: EntryLink, message: StartTasks, now_s: float) -> None:
@@ -72,17 +58,17 @@
 
     def link_closed(self, link: EntryLink) -> None:
         """Forget what was sent on a link; everything is sent again on the next one."""
-        self._sent.pop(link, None)
+        self._sent_lists.pop(link, None)
 
     def load_for(self, link: EntryLink, now_s: float) -> SharedLoad | None:
         """Return what to send on a link now, None if its entry shares nothing."""
-        sent = self._sent.get(link)
-        if sent is None:
+        sent_list = self._sent_lists.get(link)
+        if sent_list is None:
             return None
         speed = self.speed
         overdue = speed.overdue(self.running(), now_s)
-        jobs = [] if sent.list_version == speed.list_version else speed.listed_jobs()
-        sent.list_version, sent.factor = speed.list_version, speed.factor + max(0.0, overdue)
+        jobs = [] if sent_list == speed.list_version else speed.listed_jobs()
+        self._sent_lists[link] = speed.list_version
         waiting_core_ms, waiting_entries = self._work.others_core_ms(link.peer_incarnation, now_s)
         return SharedLoad(
             waiting_core_ms,
@@ -93,14 +79,3 @@
             overdue,
             jobs,
         )
-
-    def links_to_update(self, now_s: float) -> list[EntryLink]:
-        """Return the links on which a changed factor is sent without waiting for a message."""
-        if not self._sent:
-            return []
-        factor = self.speed.factor + max(0.0, self.speed.overdue(self.running(), now_s))
-        return [
-            link
-            for link, sent in self._sent.items()
-            if abs(factor - sent.factor) > FACTOR_STEP_FRACTION * sent.factor
-        ]
--- a/pistachiohill/shared_load/entry.py
+++ b/pistachiohill/shared_load/entry.py
@@ -14,8 +14,8 @@
 from ..scheduling.estimates import MAX_FACTOR, MIN_FACTOR, MIN_RUN_S, RunEstimates
 from ..scheduling.models import OthersWaiting, TargetLoad
 
-# Number of runs after which an agent's factor replaces the entry's own. A factor remembers about as
-# many, and the agent sees all runs of its target, those of this entry too.
+# Number of runs at a target after which the entry goes by what it has learned there itself. If all
+# entries went by the agent's factor for good, all would choose the same targets at once.
 FACTOR_RUNS = 7
 
 
@@ -109,14 +109,14 @@
     ) -> None:
         if shared.jobs:
             self._adopt_jobs(target, service, shared.jobs)
-        scale = self._scale(target)
-        if scale is None:
+        scale, own = self._scale(target), target.mean_factor
+        if scale is None or own.samples >= FACTOR_RUNS:
+            target.reported_overdue = None
             return
         is_known = 0.0 <= shared.overdue <= MAX_FACTOR
         target.reported_overdue = shared.overdue / scale if is_known else None
         if shared.runs > 0 and math.isfinite(shared.factor):
             factor = min(MAX_FACTOR, max(MIN_FACTOR, shared.factor / scale))
-            own = target.mean_factor
             own.value += min(1.0, shared.runs / FACTOR_RUNS) * (factor - own.value)
             run_at_s = now_s - max(0.0, shared.age_s)
             target.factor_updated_at_s = max(target.factor_updated_at_s, run_at_s)
