--- a/tests/shared_load/test_target_speed.py
+++ b/tests/shared_load/test_target_speed.py
@@ -128,7 +128,7 @@
                 entry.submit("stamp", 3, SETTINGS, fleet.now_s)
         for _ in range(45):
             fleet.step()
-        self.assertGreater(min(self.speeds_used(fleet, reader, 4)), 0.5)
+        self.assertGreater(min(self.speeds_used(fleet, reader, 16)), 0.5)
 
     def test_an_entry_goes_by_its_own_runs_once_it_has_some(self) -> None:
         entry, target, speed = make_entry(RUN_S), TargetLoad("a", "d", 1000), TargetSpeed()
