--- a/pistachiohill/consortium/tail.py
+++ b/pistachiohill/consortium/tail.py
@@ -21,6 +21,7 @@
 from ..settings.errors import SettingsError
 from .const import (
     ANNOUNCE_RETRY_S,
+    KEY_KEPT_TREE,
     POLL_AGE_FRACTION,
     POLL_WAIT_S,
     PURGE_INTERVAL_S,
@@ -30,6 +31,7 @@
 )
 from .follow import async_follow_topic
 from .processes import has_valid_address
+from .tree_keeper import apply_kept_tree
 from .view import ConsortiumView
 
 
@@ -37,12 +39,13 @@
     """Apply the settings that this product's operators publish, until cancelled."""
 
     def apply(page: KeyedPage, complete: bool, requested_at_s: float) -> None:
+        known = view.state.offset
         for record in page.records:
             _apply_change(view, record)
         view.state.advance_offset(page.end - 1)
         if not page.more:
             view.confirm(page.end - 1, requested_at_s)
-        if page.records:
+        if page.records or view.state.offset > known:  # also past records that can't be read
             view.notify()
 
     await async_follow_topic(store, TOPIC_SETTINGS, lambda: poll_wait_s(view), apply)
@@ -55,7 +58,9 @@
         for record in page.records:
             apply_process(view, record)
         view.processes.offset = max(view.processes.offset, page.end - 1)
-        if page.records:
+        advanced = page.end > view.kept_tree.end
+        view.kept_tree.end = page.end
+        if page.records or advanced:
             view.notify()
 
     await async_follow_topic(store, TOPIC_PROCESSES, lambda: POLL_WAIT_S, apply)
@@ -93,7 +98,10 @@
 
 
 def apply_process(view: ConsortiumView, record: KeyedRecord) -> None:
-    """Apply one process record; a deleted record removes its process."""
+    """Apply one record of the processes' topic; a deleted record removes its process."""
+    if record.key == KEY_KEPT_TREE:
+        apply_kept_tree(view, record)
+        return
     if record.value is None:
         view.processes.remove(record.key, record.offset)
         return
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -4,6 +4,9 @@
 from attrs import define, field
 
 from .. import clock, logs
+from ..clients.budget import ClientBudget
+from ..clients.limits import link_limits
+from ..clients.recorder import LimitRecorder
 from ..consortium.const import NO_OFFSET
 from ..consortium.tail import (
     async_announce,
@@ -22,14 +25,18 @@
 from ..entry.caller_api import CallerApi
 from ..entry.dispatcher import Dispatcher
 from ..entry.fairness import FairnessReporter
+from ..entry.job_cancels import JobCancels
 from ..entry.job_holders import JobHolders
 from ..entry.metrics import EntryMetrics
 from ..entry.operator_api import OperatorApi
 from ..entry.peers import PeerDirectory
 from ..entry.recovery import Recovery
 from ..entry.routes import RouteTable
+from ..entry.startup_check import StartupCheck
 from ..entry.submission_service import SubmissionService
 from ..http.app import HttpApp
+from ..overload.budget import StopBudget
+from ..overload.mover import TaskMover
 from ..platform.entry import EntryPlatformAdapter
 from ..platform.store import StoreClient
 from ..protocol.models import AnnounceRecord, ProcessRecord
@@ -65,6 +72,7 @@
             view,
             ENTRIES_DIALED if settings.jobs_address else ALL_ENTRIES,
             self._end_unreachable_entry,
+            ClientBudget(link_limits(settings), LimitRecorder("links", self.metrics.limited)),
         )
         self.accounting = Accounting(self.metrics)
         self.directory = AgentDirectory(
@@ -87,6 +95,7 @@
         )
         self.recovery = Recovery(view, self.directory, self.nursery)
         self.dispatcher.add_listener(self.recovery)
+        self.mover = self._create_mover()
         issuer = IdIssuer(self.incarnation)
         self.submissions = SubmissionService(
             settings,
@@ -116,8 +125,18 @@
             self.submissions.async_answer_forward,
             self.accounting.counters,
             self.submissions.issue_ids_for_peer,
+            self.jobs.cancel,
         )
 
+    def _create_mover(self) -> TaskMover | None:
+        """Create what moves tasks away from slow and leaving targets, if settings allow that."""
+        if not self.settings.overrun_budget:
+            return None
+        budget = StopBudget(self.settings.overrun_budget)
+        mover = TaskMover(self.directory, self.dispatcher.waiting, budget, self.metrics)
+        self.dispatcher.add_listener(mover)
+        return mover
+
     def app(self) -> HttpApp:
         """Return the HTTP application with this product's API for callers and operators."""
         fairness = FairnessReporter(self.view, self.accounting, self.peers)
@@ -175,6 +194,8 @@
         self.nursery.start_soon(self.holders.async_run)
         self.nursery.start_soon(self.directory.async_run, self.dispatcher)
         self.nursery.start_soon(self.dispatcher.async_run)
+        if self.mover is not None:
+            self.nursery.start_soon(self.mover.async_run)
         self.nursery.start_soon(self._async_expire)
         self.nursery.start_soon(async_follow_processes, self.store, self.view)
         self.nursery.start_soon(async_purge_ended_processes, self.store, self.view)
@@ -248,7 +269,15 @@
 async def _async_run_on_platform(entry: Entry) -> None:
     """Run with the jobs API, load balancer and operator settings of the users' platform."""
     platform = EntryPlatformAdapter(
-        entry.settings, entry.store, entry.view, entry.routes, entry.jobs, entry.directory
+        entry.settings,
+        entry.store,
+        entry.view,
+        entry.routes,
+        entry.jobs,
+        entry.directory,
+        StartupCheck(entry.view, entry.peers),
+        JobCancels(entry.peers),
+        entry.metrics.limited,
     )
     entry.nursery.start_soon(platform.async_follow)
     await entry.async_start()
--- a/pistachiohill/scheduling/plan.py
+++ b/pistachiohill/scheduling/plan.py
@@ -185,7 +185,11 @@
         return plan.cost_s(needs) if self._accepts_more(plan, needs.demand) else math.inf
 
     def _accepts_more(self, plan: TargetPlan, demand: Demand) -> bool:
-        return plan.remaining_tasks > 0 and plan.free_cpu_m > -self._max_queued * demand.cpu_m
+        if plan.remaining_tasks <= 0:
+            return False
+        if plan.has_capacity(demand) or math.isinf(self._max_queued):
+            return True
+        return plan.free_cpu_m > -self._max_queued * demand.cpu_m
 
 
 def _can_fit(plan: TargetPlan, demand: Demand) -> bool:
@@ -236,8 +240,14 @@
     Overdue tasks raise the factor before they end, so that a straggler is detected while it is
     still slow; an agent that reports on all running tasks knows more than this entry, which sees
     only its own. A factor above 1 decays unless recent runs confirm it, so that a target that has
-    recovered is used again.
+    recovered is used again. A slow target's factor is at least the slowdown that its agent reports.
     """
+    learned = _learned_factor(target, mean_run_s, now_s)
+    return max(target.slowdown, learned) if target.is_slow else learned
+
+
+def _learned_factor(target: TargetLoad, mean_run_s: float, now_s: float) -> float:
+    """Return the run time factor as far as this entry knows it from its own tasks."""
     factor = target.factor
     if factor > 1.0:
         idle_s = max(0.0, now_s - target.factor_updated_at_s)
--- a/tests/shared_load/test_target_speed.py
+++ b/tests/shared_load/test_target_speed.py
@@ -2,6 +2,7 @@
 
 from pistachiohill.protocol.models import RunEstimate, SharedLoad, SharedWork, StartTasks
 from pistachiohill.scheduling.models import TargetLoad
+from pistachiohill.scheduling.plan import current_factor
 from pistachiohill.shared_load.entry import EntrySharedLoad
 from pistachiohill.shared_load.target_speed import RunningTask, TargetSpeed
 
@@ -139,6 +140,12 @@
         entry.record(target, "clocking", report(speed, overdue=3.0), 0.0)
         self.assertEqual((own, None), (target.factor, target.overdue(0.0)))
 
+    def test_of_a_slowdown_and_the_factor_with_overdue_tasks_the_larger_counts(self) -> None:
+        for slowdown, expected in ((1.0, 3.5), (3.0, 3.5), (5.0, 5.0)):
+            target = TargetLoad("a", "d", 1000, slowdown=slowdown, reported_overdue=1.5)
+            target.mean_factor.value = 2.0
+            self.assertEqual(expected, current_factor(target, RUN_S, 0.0))
+
     def test_a_restarted_agent_starts_with_what_its_entries_know(self) -> None:
         speed = TargetSpeed()
         speed.record_estimate(PATH, RunEstimate(1.6, RUN_S, 0.0))
