--- a/pistachiohill/agent/resources.py
+++ b/pistachiohill/agent/resources.py
@@ -7,6 +7,7 @@
 from ..overload.slowdown import NOT_SLOW, Slowdown, SlowdownDetector
 from ..protocol.models import AgentLoad
 from ..scheduling.models import Demand
+from ..shared_load.target_speed import RunningTask
 
 OVERDUE_FRACTION = 0.2  # expected remaining time of an overdue task, as a fraction of its run time
 MIN_WAIT_CHANGE_S = 0.02  # smaller changes of an expected wait are not sent
@@ -16,7 +17,11 @@
 
 @define(eq=False, slots=True)
 class Reservation:
-    """Resources of one admitted task; `end_s` is its expected end (boot time) once it runs."""
+    """Resources of one admitted task.
+
+    `end_s` is its expected end (boot time) once it runs; `base_run_s` is its expected run time at a
+    target with factor 1, 0 if unknown.
+    """
 
     owner: str
     demand: Demand
@@ -24,6 +29,7 @@
     run_s: float
     job: str = ""
     end_s: float = 0.0
+    base_run_s: float = 0.0
 
 
 @define
@@ -105,6 +111,12 @@
         self._started[id(task)] = task
         self.running.add(task.demand, 1)
 
+    def running_tasks(self) -> list[RunningTask]:
+        """Return what is expected of each running task."""
+        return [
+            RunningTask(task.base_run_s, task.end_s - task.run_s) for task in self._started.values()
+        ]
+
     def record_end(self, task: Reservation, succeeded: bool, now_s: float) -> None:
         """Let the detector learn from the end of a run."""
         if self.detector is not None:
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -146,6 +146,7 @@
             await link.async_run(lambda item, at_s: self._handle(item, link, at_s))
         finally:
             self._runner.remove_link(link)
+            self._runner.shared.link_closed(link)
             logs.event("link_closed", peer=hello.incarnation)
 
     def _reply_state(self, link: Link, now_s: float) -> None:
@@ -159,6 +160,7 @@
 
     @_handle.register
     def _(self, message: StartTasks, link: Link, now_s: float) -> None:
+        self._runner.shared.record_start(link, message, now_s)
         self._runner.start_tasks(link, message, now_s)
 
     @_handle.register
@@ -184,9 +186,13 @@
     @_handle.register
     def _(self, message: Freshness, link: Link, now_s: float) -> None:
         was_out = self._runner.view.domain_out
+        is_first = self._runner.shared.record_work(link, message.work, now_s)
         self._runner.merge_stamp(link, message.view, now_s)
         self._runner.handle_view_update(now_s)
-        self._reply_state(link, now_s)
+        if is_first:
+            self._runner.send_state(link, now_s)
+        else:
+            self._reply_state(link, now_s)
         if self._runner.view.domain_out != was_out:
             logs.event("domain_changed", out=not was_out, offset=self._runner.view.offset)
             self._runner.broadcast_state(now_s)
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -344,6 +344,10 @@
             closed ones leave gaps beside it.
         overrun_budget: Largest fraction of best-effort runs that may be stopped at slow targets
             to run elsewhere; 0 to move no task from a slow or leaving target.
+        shared_run_times: Whether run times are learned from agents that other entries serve
+            too, where agents are not served by all entries.
+        shared_work_interval_s: How often the work that waits here is told to such agents, whose
+            reports on waiting work are used then; 0 for never.
     """
 
     name: str = "entry"
@@ -370,6 +374,8 @@
     max_descriptors: int = 1638
     client_memory_share: float = 0.1
     overrun_budget: float = 0.0
+    shared_run_times: bool = False
+    shared_work_interval_s: float = 0.0
 
 
 ENTRY_FIELDS: tuple[FieldSpec, ...] = (
@@ -502,6 +508,22 @@
         1.0,
         (),
     ),
+    FieldSpec(
+        "shared_run_times",
+        "bool",
+        "Whether run times are learned from agents that other entries serve too, where agents are not served by all entries.",
+        0.0,
+        0.0,
+        (),
+    ),
+    FieldSpec(
+        "shared_work_interval_s",
+        "float",
+        "How often the work that waits here is told to such agents, whose reports on waiting work are used then; 0 for never.",
+        0.0,
+        0.4,
+        (),
+    ),
 )
 
 
