--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -7,8 +7,8 @@
 since the hold might be executed later and prolong runs that should end.
 
 The runner's next process has seen no token and may still execute an unanswered start. So the agent
-sends the start again to this runner, instead of reporting the task as not run. While the runner is
-silent, the run is not settled before the start can't be executed any more.
+sends the start again to this runner, and reports no other end of the run than `done` before the
+start can't be executed any more (`late_starts`).
 
 Runs end when the lease expires; the agent renews it while the runner responds. When a response is
 missing, the agent stops renewing the lease. If the runner stays silent, its runs are only known to
@@ -38,9 +38,9 @@
     MAX_STARTS_SENT,
     RETRY_DELAY_S,
     START_TIMEOUT_S,
-    STOP_TIMEOUT_S,
 )
 from .fencing import initial_token
+from .late_starts import LateStarts
 from .models import (
     UNRESTRICTED,
     EndedRun,
@@ -62,7 +62,9 @@
     TargetCall,
     TargetResult,
 )
-from .run import RUN_END_REASONS, START_REFUSAL_REASONS, Run
+from .run import RUN_END_REASONS, START_REFUSAL_REASONS, Run, log_end
+from .run_stops import RunnerAccess, async_stop, async_stop_foreign_runs
+from .run_table import RunTable
 from .runner_discovery import ConfirmedRunner, RunnerDiscovery
 from .runner_lease import RunnerLease
 
@@ -82,13 +84,17 @@
         self._discovery = RunnerDiscovery(
             runner_client, lambda: self._token, self._handle_confirmation
         )
-        self._runs: dict[RunName, Run] = {}
+        self._late_starts = LateStarts(
+            lambda: self._synchronized and not self._response_missing,
+            lambda: self.ready,
+            self._async_start,
+        )
+        self._runs = RunTable()
         self._foreign_runs: frozenset[RunName] = frozenset()
         self._synchronized = False
         self._ack_cursor = 0
         self._ack_pending = False
         self._lease = RunnerLease()
-        self._renewal_paused = False
         self._response_missing = False
         self._responded_at_s = -math.inf
         self._newest_list_clock_s = -math.inf
@@ -221,7 +227,7 @@
         has the same job, and would place the task elsewhere if it were refused here.
         """
         run = Run(call, permission)
-        if await self._async_wait_for_earlier_runs(run.name):
+        if await self._runs.async_wait_for_earlier_runs(run.name):
             return TargetResult(Verdict.NOT_RUN, RefusalReason.BUSY)
         if not self.ready or self._response_missing:
             return TargetResult(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
@@ -230,7 +236,7 @@
         try:
             await self._async_start(run)
             await run.done.wait()
-            self._log_end(run)
+            log_end(run, self._runner_id)
         finally:
             del self._runs[run.name]
             run.removed.set()
@@ -238,35 +244,30 @@
         assert run.result is not None
         return run.result
 
-    async def _async_wait_for_earlier_runs(self, name: RunName) -> bool:
-        """Wait until no other run of a task is in progress.
-
-        Return whether one had the same name, which the runner does not start again.
-        """
-        name_used = False
-        earlier = self._find_run_of(name.task_id)
-        while earlier is not None:
-            logs.event("run_in_progress", name=earlier.call.name, run=earlier.call.run)
-            name_used |= earlier.name == name
-            await earlier.removed.wait()
-            earlier = self._find_run_of(name.task_id)
-        return name_used
-
-    def _find_run_of(self, task_id: str) -> Run | None:
-        return next((run for run in self._runs.values() if run.call.task_id == task_id), None)
-
-    def stop(self, call: TargetCall) -> None:
+    def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Ask the runner to stop a run; its call returns once the run is known to have ended.
 
-        A request that waits for another run of its task stops nothing.
+        A request that waits for another run of its task stops nothing. If the run must end, the
+        lease is not renewed while the stop is not carried out.
         """
         run = self._runs.get(RunName(call.task_id, call.run))
-        if run is None or run.call is not call or run.stop_requested_at_s < math.inf:
+        if run is None or run.call is not call:
+            return
+        if must_end:
+            run.stop_requested_at_s = min(run.stop_requested_at_s, clock.boot_s())
+        if run.is_stop_requested:
             return
-        run.stop_requested_at_s = clock.boot_s()
+        run.is_stop_requested = True
         logs.event("run_stopped", name=call.name, run=call.run, runner=self._runner_id)
+        self._stop_soon(run)
+
+    def _stop_soon(self, run: Run) -> None:
         assert self._nursery is not None
-        self._nursery.start_soon(self._async_stop, run)
+        self._nursery.start_soon(async_stop, self._runner_client, run, self._access)
+
+    def _access(self) -> RunnerAccess | None:
+        """Return under what a request is sent now, None if no runner is known."""
+        return None if self._identity is None else RunnerAccess(self._identity, self._token)
 
     async def async_run(self) -> None:
         """Renew the lease and monitor the runs until cancelled."""
@@ -300,7 +301,7 @@
         """Return whether a response may be delayed until a run ends."""
         if not self._synchronized or self._response_missing or self._foreign_runs:
             return False
-        return bool(self._runs) and not self._has_unresolved_start()
+        return bool(self._runs) and not self._runs.has_unresolved_start()
 
     def _needs_hold(self) -> bool:
         if self._shut_down and not self._runs:
@@ -321,24 +322,24 @@
         if isinstance(outcome, RunList):
             self._apply_run_list(outcome, lease.token, sent_at_s, now_s)
             if self._foreign_runs:
-                await self._async_stop_foreign_runs(identity)
+                lease = Lease(self._token, None)
+                await async_stop_foreign_runs(
+                    self._runner_client, identity, lease, self._foreign_runs
+                )
             return
         await self._async_handle_failed_hold(outcome, lease, sent_at_s, now_s)
 
-    def _has_unresolved_start(self) -> bool:
-        return any(
-            run.fencing_token is not None and run.result is None for run in self._runs.values()
-        )
-
     def _next_lease(self, now_s: float) -> Lease:
         """Return the lease for the next request.
 
         The lease is not renewed while a response is missing, so that it expires soon if the runner
         stays silent, nor while a run is overdue.
         """
-        if self._response_missing or not self._synchronized or self._foreign_runs or not self._runs:
+        if self._response_missing or not self._synchronized or self._foreign_runs:
+            return Lease(self._token, None)
+        if not self._runs.needs_lease():
             return Lease(self._token, None)
-        if self._is_renewal_paused(now_s):
+        if self._runs.is_renewal_paused(now_s):
             return Lease(self._token, None)
         return Lease(self._token, self._lease.grant(now_s))
 
@@ -352,14 +353,6 @@
             return lease
         return Lease(self._token, self._lease.granted_until_clock_s)
 
-    def _is_renewal_paused(self, now_s: float) -> bool:
-        """Return whether a run is overdue, so that it has to end with the lease."""
-        overdue = sum(run.is_overdue(now_s) for run in self._runs.values())
-        if overdue and not self._renewal_paused:
-            logs.warning("lease_renewal_paused", runs=len(self._runs), overdue=overdue)
-        self._renewal_paused = overdue > 0
-        return self._renewal_paused
-
     def _record_response(self, clock_s: float, now_s: float) -> None:
         self._lease.record_clock(clock_s, now_s)
         self._response_missing = False
@@ -407,6 +400,7 @@
         if run_list.clock_s < self._newest_list_clock_s:
             self._response_missing = False
             return
+        same_time = run_list.clock_s == self._newest_list_clock_s
         self._newest_list_clock_s = run_list.clock_s
         self._record_response(run_list.clock_s, now_s)
         self._ack_pending = bool(run_list.ended)
@@ -416,7 +410,10 @@
             self._reconcile_run(run, run_list, token, sent_at_s, now_s)
         was_ready = self.ready
         self._synchronized = True
-        self._foreign_runs = run_list.running - self._runs.keys()
+        foreign_runs = run_list.running - self._runs.keys()
+        # Of two lists of one millisecond, either may be the newer one: a run that only one of them
+        # has may have ended. It can't have begun, as the token refuses starts of earlier agents.
+        self._foreign_runs = foreign_runs & self._foreign_runs if same_time else foreign_runs
         if self.ready != was_ready:
             self._signal_ready_changed()
 
@@ -426,9 +423,12 @@
         if run is None:
             return
         reason = RUN_END_REASONS[ended.outcome]
-        if ended.outcome == RunEnd.LAPSED and self._renewal_paused:
+        if ended.outcome == RunEnd.LAPSED and self._runs.renewal_paused:
             reason = RefusalReason.LEASE_ENDED  # by this agent, not by a fault of the runner
-        run.end(Verdict.RAN, reason)
+        if run.withheld is None or run.withheld.verdict == Verdict.NOT_RUN or reason is None:
+            run.withheld = None
+            run.record_execution()
+            self._settle(run, Verdict.RAN, reason)
 
     def _reconcile_run(
         self, run: Run, run_list: RunList, token: int, sent_at_s: float, now_s: float
@@ -441,17 +441,23 @@
         if run.result is not None:
             return
         if run.name in run_list.running:
-            if run.runner_restarted:
+            if run.runner_restarted or run.withheld is not None:
                 self._adopt_late_start(run, now_s)
             run.fencing_token = None
+            run.record_execution()
             self._confirm_start(run, now_s)
         elif run.fencing_token is not None:
             if token < run.fencing_token:
                 return
             self._settle_unlisted(run)
-        elif run.acknowledged_at_s is not None and run.acknowledged_at_s < sent_at_s:
+        elif run.is_missing(sent_at_s):
             logs.warning("run_missing", name=run.call.name, run=run.call.run)
-            run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
+            self._settle(run, Verdict.RAN, RefusalReason.TARGET_LOST)
+
+    def _settle(self, run: Run, verdict: Verdict, reason: RefusalReason | None) -> None:
+        """Set the result of a run on what the runner's present process says of it."""
+        assert self._nursery is not None
+        self._late_starts.settle(run, verdict, reason, self._nursery)
 
     def _settle_unlisted(self, run: Run) -> None:
         """Send an unresolved start again, as this process of the runner will not execute it.
@@ -462,7 +468,8 @@
             logs.warning("run_missing", name=run.call.name, run=run.call.run)
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
         elif run.starts_sent >= MAX_STARTS_SENT:
-            run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
+            run.fencing_token = None
+            self._settle(run, Verdict.NOT_RUN, RefusalReason.FENCED)
         else:
             run.fencing_token = None
             assert self._nursery is not None
@@ -475,20 +482,25 @@
         """
         logs.event("late_start_found", name=run.call.name, run=run.call.run)
         run.runner_restarted = False
+        run.acknowledged_at_s = None
         self._lease.record_unknown_lease(now_s)
+        if run.withheld is not None:
+            run.withheld = None
+            if run.is_stop_requested:
+                self._stop_soon(run)
 
     async def _async_start(self, run: Run) -> None:
         identity = self._identity
         assert identity is not None
         token = self._token
         sent_at_s = clock.boot_s()
-        refusal = run.permission.start_refusal(sent_at_s)
+        refusal = run.start_refusal(sent_at_s)
         if refusal is not None:
-            run.end(Verdict.NOT_RUN, refusal)
+            self._settle(run, Verdict.NOT_RUN, refusal)
             return
         lease = self._start_lease(sent_at_s)
         if lease.until_clock_s is None:
-            run.end(Verdict.NOT_RUN, RefusalReason.FENCED)
+            self._settle(run, Verdict.NOT_RUN, RefusalReason.FENCED)
             return
         run.starts_sent += 1
         run.is_start_pending = True
@@ -497,7 +509,9 @@
         now_s = clock.boot_s()
         if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
             self._handle_reset_clock(now_s)
-        if run.result is None:
+        if isinstance(outcome, NoAnswer):
+            run.unsettled_until_s = now_s + LATE_START_S
+        if not run.is_settled:
             self._apply_start_outcome(run, outcome, token, now_s)
 
     def _handle_reset_clock(self, now_s: float) -> None:
@@ -522,7 +536,7 @@
             self._confirm_start(run, now_s)
             return
         if isinstance(outcome, NotStarted) and not run.is_unreachable(outcome, now_s):
-            run.end(Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])
+            self._settle(run, Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])
             logs.event(
                 "start_refused",
                 name=run.call.name,
@@ -542,7 +556,6 @@
             token=token,
             detail=outcome,
         )
-        run.unsettled_until_s = now_s + LATE_START_S
         self._fence_start(run, token)
 
     def _fence_start(self, run: Run, token: int) -> None:
@@ -575,34 +588,6 @@
                     self._raise_token_above(lease.token)
                 await trio.sleep(RETRY_DELAY_S)
 
-    async def _async_stop(self, run: Run) -> None:
-        requested_at_s = clock.boot_s()
-        while run.result is None:
-            identity = self._identity
-            if identity is None:
-                return
-            lease = Lease(self._token, None)
-            outcome = await self._runner_client.async_stop(
-                identity, run.name, lease, STOP_TIMEOUT_S
-            )
-            if isinstance(outcome, NoAnswer):
-                logs.event(
-                    "stop_unanswered",
-                    name=run.call.name,
-                    run=run.call.run,
-                    stopping_s=clock.boot_s() - requested_at_s,
-                )
-            with trio.move_on_after(RETRY_DELAY_S):
-                await run.done.wait()
-
-    async def _async_stop_foreign_runs(self, identity: RunnerIdentity) -> None:
-        """Stop runs that were started by an earlier agent process or by abandoned requests."""
-        logs.event("foreign_runs", runs=len(self._foreign_runs), token=self._token)
-        lease = Lease(self._token, None)
-        for name in self._foreign_runs:
-            await self._runner_client.async_stop(identity, name, lease, HOLD_TIMEOUT_S)
-        await trio.sleep(RETRY_DELAY_S)
-
     def _raise_token_above(self, token: int) -> None:
         """Use a higher token from now on, so that late requests under an older one are rejected."""
         self._token = max(self._token, token + 1)
@@ -629,7 +614,7 @@
         self._reset_runner_state(now_s)
         self._lease.record_unknown_lease(now_s)
         for run in self._runs.values():
-            if run.acknowledged_at_s is None:
+            if run.acknowledged_at_s is None and not run.is_settled:
                 run.unsettled_until_s = now_s + LATE_START_S
             run.fencing_token = self._token
             run.acknowledged_at_s = None
@@ -677,18 +662,6 @@
         run.acknowledged_at_s = now_s
         logs.event("run_started", name=run.call.name, run=run.call.run, runner=self._runner_id)
 
-    def _log_end(self, run: Run) -> None:
-        assert run.result is not None
-        logs.event(
-            "run_ended",
-            name=run.call.name,
-            run=run.call.run,
-            runner=self._runner_id,
-            verdict=run.result.verdict,
-            reason=run.result.reason or "none",
-            starts_sent=run.starts_sent,
-        )
-
     def _end_runs(self, runs: list[Run], why: str) -> None:
         for run in runs:
             run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -6,11 +6,11 @@
 from functools import partial
 
 import trio
-from attrs import define
 
 from .. import clock, logs
 from ..const import TaskState
 from ..errors import RefusalReason, Verdict
+from ..overload.slowdown import SlowdownDetector
 from ..protocol.link import Link
 from ..protocol.models import (
     AgentLoad,
@@ -21,6 +21,7 @@
     SealReply,
     SealSubmissions,
     StartTasks,
+    StopTask,
     TaskRef,
     TaskReport,
     TaskReports,
@@ -29,8 +30,16 @@
 )
 from ..scheduling.models import Demand
 from ..settings.models import AgentSettings
-from ..submissions.identifiers import task_name
+from ..shared_load.agent import AgentSharedLoad
 from .admission import start_refusal, submission_refusal
+from .admitted_task import (
+    AdmittedTask,
+    log_arrival,
+    log_outcome,
+    log_stop,
+    start_task_name,
+    target_call,
+)
 from .const import (
     ENTRY_LEASE_S,
     EXPIRY_INTERVAL_S,
@@ -41,37 +50,13 @@
 )
 from .leases import EntryLeases
 from .metrics import AgentMetrics
-from .models import RunPermission, TargetCall, TargetResult, TargetState, TaskTarget
+from .models import RunPermission, TargetResult, TargetState, TaskTarget
 from .reports import ReportSender
 from .resources import Reservation, ResourceTracker, SentLoad
 from .start_table import StartTable, SubmissionRecord
 from .view import AgentView
 
 
-@define(eq=False, slots=True)
-class AdmittedTask:
-    """A task that is queued or running; `deadline_s` is a boot time.
-
-    `link` is the one on which its entry has last named it.
-    """
-
-    link: Link
-    record: SubmissionRecord
-    ref: TaskRef
-    deadline_s: float
-    call: TargetCall
-    reservation: Reservation
-    best_effort: bool
-    sequence: int
-    admitted_at_s: float
-    stop_reason: RefusalReason | None = None
-
-    @property
-    def sort_key(self) -> tuple[int, int]:
-        """Return the key by which the queue is sorted: priority, then order of admission."""
-        return self.reservation.priority, self.sequence
-
-
 class TaskRunner:
     """Manages the start table, the queue and the running tasks of one agent."""
 
@@ -96,7 +81,10 @@
         self._nursery = nursery
         self._target_client = target
         self._metrics = metrics
-        self._resources = ResourceTracker()
+        detector = SlowdownDetector() if settings.detect_slowdown else None
+        self._resources = ResourceTracker(detector=detector)
+        self.shared = AgentSharedLoad(self._resources.running_tasks)
+        self._is_slow = False
         self._queue: list[AdmittedTask] = []
         self._running: set[AdmittedTask] = set()
         self._reports = ReportSender(
@@ -136,6 +124,7 @@
     def record_sent_load(self, link: Link, now_s: float) -> AgentLoad:
         """Return the load for a message to an entry, and record it as the last one sent."""
         load = self.load_for(link, now_s)
+        load.shared = self.shared.load_for(link, now_s)
         self._sent_loads[link] = SentLoad(load, now_s)
         return load
 
@@ -160,6 +149,7 @@
             load=self.record_sent_load(link, now_s),
             applied_offset=self.view.offset,
             view_age_s=min(self.view.age_s(now_s), 1e9),
+            leaves_in_s=self.target.leaves_in_s(now_s),
         )
 
     def broadcast_state(self, now_s: float) -> None:
@@ -194,7 +184,7 @@
         record.best_effort = message.best_effort
         self._reports.subscribe(message.submission_id, link)
         refusal = self._batch_refusal(message, now_s)
-        _log_arrival(link, message, refusal, self.leases.age_s(link.peer_incarnation, now_s))
+        log_arrival(link, message, refusal, self.leases.age_s(link.peer_incarnation, now_s))
         for task in message.tasks:
             self._admit(record, link, refusal, message, task, now_s)
         due = self.leases.needs_renewal(link.peer_incarnation, now_s)
@@ -209,9 +199,9 @@
         """Reply with the state of placements, and fence those that are unknown."""
         record = self.table.get_or_create(message.submission_id, now_s)
         self._reports.subscribe(message.submission_id, link, immediately=True)
-        for task in self._queue:
+        for task in (*self._queue, *self._running):
             if task.record is record and task.ref in message.tasks:
-                task.link = link
+                task.link = link  # a start that has no answer yet also needs the entry's lease
         reports = self.table.query(record, message.tasks)
         settled = [report for report in reports if report.state != TaskState.QUEUED]
         settled = [report for report in settled if report.state != TaskState.RUNNING]
@@ -230,6 +220,22 @@
         self._stop_running(lambda task: task.record is record, RefusalReason.CANCELLED)
         self._start_queued(now_s)
 
+    def stop_task(self, message: StopTask, now_s: float) -> None:
+        """Withdraw or stop one placement of a best-effort task, which its entry places elsewhere.
+
+        If the run ends by itself first, its outcome is reported as usual. A stop that the runner
+        leaves unanswered doesn't end the other runs there.
+        """
+        record = self.table.find(message.submission_id)
+        ref = TaskRef(message.index, message.attempt)
+
+        def is_meant(task: AdmittedTask) -> bool:
+            return task.best_effort and task.record is record and task.ref == ref
+
+        self._withdraw_queued(is_meant, RefusalReason.MOVED)
+        self._stop_running(is_meant, RefusalReason.MOVED, must_end=False)
+        self._start_queued(now_s)
+
     def seal(self, link: Link, message: SealSubmissions, now_s: float) -> None:
         """Prevent further starts of submissions and reply with their recorded state."""
         sealed = []
@@ -275,8 +281,20 @@
         """Check the leases of entries periodically until cancelled."""
         while True:
             await trio.sleep(LEASE_CHECK_INTERVAL_S)
+            now_s = clock.boot_s()
             if self.occupied:
-                self.end_orphaned_tasks(clock.boot_s())
+                self.end_orphaned_tasks(now_s)
+            if self.occupied or self._is_slow:
+                self._watch_slowdown(now_s)
+
+    def _watch_slowdown(self, now_s: float) -> None:
+        """Let entries know that the target turns slow, and log it and its end."""
+        slowdown = self._resources.slowdown(now_s)
+        if slowdown.is_slow or self._is_slow:
+            self._signal_load_changed()
+        if slowdown.is_slow != self._is_slow:
+            self._is_slow = slowdown.is_slow
+            logs.event("target_slowdown", factor=slowdown.factor, for_s=slowdown.for_s)
 
     def end_orphaned_tasks(self, now_s: float) -> None:
         """Withdraw or stop the best-effort tasks of entries whose lease has ended.
@@ -323,14 +341,14 @@
     ) -> None:
         ref = TaskRef(task.index, task.attempt)
         demand = Demand(task.cpu_m, task.mem_mb)
-        if refusal is None and len(self._queue) >= self._settings.queue_tasks:
+        if refusal is None and self._is_queue_full(message, now_s):
             fits = self._resources.fits(demand, self.target.cpu_m, self.target.mem_mb)
             refusal = None if fits else RefusalReason.BUSY
         if refusal is not None:
             logs.event(
                 "task_refused",
                 submission=record.submission_id,
-                name=_task_name(message, ref.index),
+                name=start_task_name(message, ref.index),
                 task=ref.index,
                 attempt=ref.attempt,
                 reason=refusal,
@@ -344,13 +362,16 @@
             self._reports.report(record.submission_id, known)
             return
         self._sequence += 1
-        reservation = Reservation(link.peer_incarnation, demand, message.priority, task.run_s)
+        reservation = Reservation(
+            link.peer_incarnation, demand, message.priority, task.run_s, record.submission_id
+        )
+        reservation.base_run_s = self.shared.base_run_s(message, task)
         queued = AdmittedTask(
             link,
             record,
             ref,
             now_s + message.deadline_in_s,
-            _target_call(message, task, demand),
+            target_call(message, task, demand),
             reservation,
             message.best_effort,
             self._sequence,
@@ -361,6 +382,21 @@
         insort(self._queue, queued, key=lambda item: item.sort_key)
         self._signal_load_changed()
 
+    def _is_queue_full(self, message: StartTasks, now_s: float) -> bool:
+        """Return whether a task that can't start at once must be placed elsewhere.
+
+        Several entries may place tasks for the same free capacity. A task that would wait long here
+        is better off at its entry, which may place it at another target.
+        """
+        if len(self._queue) >= self._settings.queue_tasks:
+            return True
+        limit_s = self._settings.max_queue_wait_s
+        if not limit_s or not message.best_effort:
+            return False
+        queue = (task.reservation for task in self._queue)
+        cpu_m = self.target.cpu_m
+        return self._resources.expected_wait_s(message.priority, queue, cpu_m, now_s) > limit_s
+
     def _start_queued(self, now_s: float) -> None:
         """Start queued tasks while they fit and the view is fresh."""
         while (task := self._next_startable(now_s)) is not None:
@@ -464,6 +500,7 @@
         now_s = clock.boot_s()
         self._running.discard(task)
         self._resources.release(task.reservation)
+        self._resources.record_end(task.reservation, result.reason is None, now_s)
         reason = result.reason
         if reason == RefusalReason.CANCELLED and task.stop_reason is not None:
             reason = task.stop_reason
@@ -478,6 +515,8 @@
             run_s=now_s - started_s,
         )
         self.table.settle(task.record, report)
+        if result.verdict == Verdict.RAN and not reason:
+            self.shared.speed.record_run(task.reservation.base_run_s, report.run_s, now_s)
         self._record_outcome(task, report, started_s - task.admitted_at_s)
         self._reports.task_settled(task.record.submission_id)
         self._start_queued(now_s)
@@ -492,40 +531,22 @@
         self._metrics.run_s.labels(member, job).observe(report.run_s)
         self._metrics.wait_s.observe(waited_s)
         self._metrics.occupied.set(self.occupied)
-        if report.reason:
-            logs.event(
-                "task_failed",
-                submission=task.record.submission_id,
-                name=task.call.name,
-                task=report.index,
-                attempt=report.attempt,
-                verdict=report.verdict,
-                reason=report.reason,
-                status=report.status_code,
-                waited_s=waited_s,
-                run_s=report.run_s,
-            )
-        else:
-            logs.event(
-                "task_ran",
-                submission=task.record.submission_id,
-                name=task.call.name,
-                task=report.index,
-                attempt=report.attempt,
-                waited_s=waited_s,
-                run_s=report.run_s,
-            )
+        log_outcome(task, report, waited_s)
 
     def _stop_running(
-        self, predicate: Callable[[AdmittedTask], bool], reason: RefusalReason
+        self,
+        predicate: Callable[[AdmittedTask], bool],
+        reason: RefusalReason,
+        *,
+        must_end: bool = True,
     ) -> int:
         """Stop the running best-effort tasks that match, and return their number."""
         found = [task for task in self._running if task.best_effort and predicate(task)]
         for task in found:
             if task.stop_reason is None:
                 task.stop_reason = reason
-                _log_stop(task)
-            self._target_client.stop(task.call)
+                log_stop(task)
+            self._target_client.stop(task.call, must_end=must_end)
         return len(found)
 
     def _withdraw_submission(self, record: SubmissionRecord, reason: RefusalReason) -> None:
@@ -578,46 +599,3 @@
     def reset_load_changed(self) -> None:
         """Create a new event for the next load change."""
         self._load_changed = trio.Event()
-
-
-def _log_arrival(
-    link: Link, message: StartTasks, refusal: RefusalReason | None, lease_age_s: float
-) -> None:
-    logs.event(
-        "tasks_received",
-        submission=message.submission_id,
-        entry=link.peer_incarnation,
-        names=",".join(_task_name(message, task.index) for task in message.tasks),
-        attempts=",".join(str(task.attempt) for task in message.tasks),
-        refusal=refusal or "none",
-        lease_age_s=lease_age_s,
-    )
-
-
-def _log_stop(task: AdmittedTask) -> None:
-    logs.event(
-        "task_stopped",
-        submission=task.record.submission_id,
-        name=task.call.name,
-        attempt=task.ref.attempt,
-        entry=task.reservation.owner,
-        reason=task.stop_reason,
-    )
-
-
-def _task_name(message: StartTasks, index: int) -> str:
-    return task_name(message.job_key or message.submission_id, index)
-
-
-def _target_call(message: StartTasks, task: TaskStart, demand: Demand) -> TargetCall:
-    name = message.job_key or message.submission_id
-    return TargetCall(
-        task_id=f"{name}/{task.index}",
-        run=task.attempt,
-        member=message.member,
-        job=message.job,
-        payload=task.payload or message.shared_payload,
-        timeout_s=message.task_timeout_s,
-        refusal_is_not_run=message.refusal_is_not_run,
-        demand=demand,
-    )
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -6,6 +6,7 @@
 import trio
 
 from .. import clock, logs
+from ..clients.budget import ClientBudget
 from ..const import PROTOCOL_VERSION, Role
 from ..errors import RefusalReason
 from ..protocol.link import Link, async_accept
@@ -19,6 +20,7 @@
     QueryTasks,
     SealSubmissions,
     StartTasks,
+    StopTask,
 )
 from ..protocol.websocket import WebSocket, async_serve
 from ..settings.models import AgentSettings
@@ -35,8 +37,14 @@
 class AgentService:
     """Connects an agent's links to its task runner."""
 
-    def __init__(self, settings: AgentSettings, runner: TaskRunner) -> None:
-        """Create the service with a new incarnation id; no socket is opened yet."""
+    def __init__(
+        self, settings: AgentSettings, runner: TaskRunner, budget: ClientBudget | None = None
+    ) -> None:
+        """Create the service with a new incarnation id; no socket is opened yet.
+
+        `budget` is for the connections that entries open.
+        """
+        self._budget = budget
         self.incarnation = new_incarnation()
         self._settings = settings
         self._runner = runner
@@ -49,6 +57,7 @@
             self._async_link,
             self._settings.peer_host,
             self._settings.peer_port,
+            self._budget,
             task_status=task_status,
         )
 
@@ -137,6 +146,7 @@
             await link.async_run(lambda item, at_s: self._handle(item, link, at_s))
         finally:
             self._runner.remove_link(link)
+            self._runner.shared.link_closed(link)
             logs.event("link_closed", peer=hello.incarnation)
 
     def _reply_state(self, link: Link, now_s: float) -> None:
@@ -150,6 +160,7 @@
 
     @_handle.register
     def _(self, message: StartTasks, link: Link, now_s: float) -> None:
+        self._runner.shared.record_start(link, message, now_s)
         self._runner.start_tasks(link, message, now_s)
 
     @_handle.register
@@ -160,6 +171,10 @@
     def _(self, message: CancelTasks, link: Link, now_s: float) -> None:
         self._runner.cancel(message, now_s)
 
+    @_handle.register
+    def _(self, message: StopTask, link: Link, now_s: float) -> None:
+        self._runner.stop_task(message, now_s)
+
     @_handle.register
     def _(self, message: SealSubmissions, link: Link, now_s: float) -> None:
         self._runner.seal(link, message, now_s)
@@ -171,9 +186,13 @@
     @_handle.register
     def _(self, message: Freshness, link: Link, now_s: float) -> None:
         was_out = self._runner.view.domain_out
+        is_first = self._runner.shared.record_work(link, message.work, now_s)
         self._runner.merge_stamp(link, message.view, now_s)
         self._runner.handle_view_update(now_s)
-        self._reply_state(link, now_s)
+        if is_first:
+            self._runner.send_state(link, now_s)
+        else:
+            self._reply_state(link, now_s)
         if self._runner.view.domain_out != was_out:
             logs.event("domain_changed", out=not was_out, offset=self._runner.view.offset)
             self._runner.broadcast_state(now_s)
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -4,6 +4,9 @@
 from attrs import define, field
 
 from .. import clock, logs
+from ..clients.budget import ClientBudget
+from ..clients.limits import link_limits
+from ..clients.recorder import LimitRecorder
 from ..consortium.const import NO_OFFSET
 from ..consortium.tail import (
     async_announce,
@@ -22,19 +25,24 @@
 from ..entry.caller_api import CallerApi
 from ..entry.dispatcher import Dispatcher
 from ..entry.fairness import FairnessReporter
+from ..entry.job_cancels import JobCancels
 from ..entry.job_holders import JobHolders
 from ..entry.metrics import EntryMetrics
 from ..entry.operator_api import OperatorApi
 from ..entry.peers import PeerDirectory
 from ..entry.recovery import Recovery
 from ..entry.routes import RouteTable
+from ..entry.startup_check import StartupCheck
 from ..entry.submission_service import SubmissionService
 from ..http.app import HttpApp
+from ..overload.budget import StopBudget
+from ..overload.mover import TaskMover
 from ..platform.entry import EntryPlatformAdapter
 from ..platform.store import StoreClient
 from ..protocol.models import AnnounceRecord, ProcessRecord
 from ..settings.const import ROOT_PATH
 from ..settings.models import EntrySettings
+from ..shared_load.entry import EntrySharedLoad
 from ..submissions.identifiers import IdIssuer, new_incarnation
 from .stopping import RESPONSE_FLUSH_S, async_drain_on_signal
 
@@ -64,6 +72,7 @@
             view,
             ENTRIES_DIALED if settings.jobs_address else ALL_ENTRIES,
             self._end_unreachable_entry,
+            ClientBudget(link_limits(settings), LimitRecorder("links", self.metrics.limited)),
         )
         self.accounting = Accounting(self.metrics)
         self.directory = AgentDirectory(
@@ -77,8 +86,16 @@
             self._view_confirmed_at,
         )
         self.dispatcher = Dispatcher(view, self._view_confirmed_at, self.directory, self.accounting)
+        waiting = self.dispatcher.waiting
+        self.directory.shared_load = EntrySharedLoad(
+            settings.shared_run_times,
+            settings.shared_work_interval_s,
+            waiting.estimates,
+            waiting.share_core_ms,
+        )
         self.recovery = Recovery(view, self.directory, self.nursery)
         self.dispatcher.add_listener(self.recovery)
+        self.mover = self._create_mover()
         issuer = IdIssuer(self.incarnation)
         self.submissions = SubmissionService(
             settings,
@@ -90,7 +107,7 @@
             self.recovery,
             self.accounting,
         )
-        admission = Admission(self.dispatcher.waiting)
+        admission = Admission(waiting)
         self.holders = JobHolders(self.peers)
         self.jobs = BestEffortJobs(
             issuer,
@@ -108,8 +125,18 @@
             self.submissions.async_answer_forward,
             self.accounting.counters,
             self.submissions.issue_ids_for_peer,
+            self.jobs.cancel,
         )
 
+    def _create_mover(self) -> TaskMover | None:
+        """Create what moves tasks away from slow and leaving targets, if settings allow that."""
+        if not self.settings.overrun_budget:
+            return None
+        budget = StopBudget(self.settings.overrun_budget)
+        mover = TaskMover(self.directory, self.dispatcher.waiting, budget, self.metrics)
+        self.dispatcher.add_listener(mover)
+        return mover
+
     def app(self) -> HttpApp:
         """Return the HTTP application with this product's API for callers and operators."""
         fairness = FairnessReporter(self.view, self.accounting, self.peers)
@@ -167,6 +194,8 @@
         self.nursery.start_soon(self.holders.async_run)
         self.nursery.start_soon(self.directory.async_run, self.dispatcher)
         self.nursery.start_soon(self.dispatcher.async_run)
+        if self.mover is not None:
+            self.nursery.start_soon(self.mover.async_run)
         self.nursery.start_soon(self._async_expire)
         self.nursery.start_soon(async_follow_processes, self.store, self.view)
         self.nursery.start_soon(async_purge_ended_processes, self.store, self.view)
@@ -240,7 +269,15 @@
 async def _async_run_on_platform(entry: Entry) -> None:
     """Run with the jobs API, load balancer and operator settings of the users' platform."""
     platform = EntryPlatformAdapter(
-        entry.settings, entry.store, entry.view, entry.routes, entry.jobs, entry.directory
+        entry.settings,
+        entry.store,
+        entry.view,
+        entry.routes,
+        entry.jobs,
+        entry.directory,
+        StartupCheck(entry.view, entry.peers),
+        JobCancels(entry.peers),
+        entry.metrics.limited,
     )
     entry.nursery.start_soon(platform.async_follow)
     await entry.async_start()
--- a/pistachiohill/entry/metrics.py
+++ b/pistachiohill/entry/metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from ..clients.recorder import limit_metric
 from ..metrics import DURATION_BUCKETS_S, JobLabels
 from ..protocol.link import LinkCounters
 
@@ -13,6 +14,7 @@
         """Create and register the metrics."""
         self.registry = CollectorRegistry()
         self.labels = JobLabels()
+        self.limited = limit_metric(self.registry)
         self.response_s = Histogram(
             "pistachiohill_job_response_seconds",
             "Time from acceptance to answer of a job.",
@@ -32,6 +34,16 @@
             ["reason"],
             registry=self.registry,
         )
+        self.others_ahead = Counter(
+            "pistachiohill_others_work_ahead",
+            "Refused jobs for which work that waits at other entries was counted.",
+            registry=self.registry,
+        )
+        self.others_waiting_core_s = Gauge(
+            "pistachiohill_others_waiting_core_seconds",
+            "Work that waits for this entry's targets at other entries, by the latest reports.",
+            registry=self.registry,
+        )
         self.placement_s = Histogram(
             "pistachiohill_task_placement_seconds",
             "Time from a job's acceptance to each placement of one of its tasks.",
@@ -60,6 +72,17 @@
             ["kind"],
             registry=self.registry,
         )
+        self.task_moves = Counter(
+            "pistachiohill_task_moves",
+            "Placed tasks that were to run elsewhere, by cause and what came of it.",
+            ["cause", "outcome"],
+            registry=self.registry,
+        )
+        self.moved_run_s = Counter(
+            "pistachiohill_moved_run_seconds",
+            "Run time that was thrown away when tasks were moved.",
+            registry=self.registry,
+        )
         self.link_frames = Gauge(
             "pistachiohill_link_frames",
             "Frames sent to and received from agents and other entries.",
--- a/pistachiohill/explain/cause.py
+++ b/pistachiohill/explain/cause.py
@@ -12,7 +12,7 @@
     left = timeline.last_line("caller_left")
     accepted = timeline.last_line("job_accepted")
     if refused is not None and (accepted is None or refused.at_s > accepted.at_s):
-        return _diagnose_refused(refused)
+        return _diagnose_refused(refused, timeline.last_line("others_work_ahead"))
     if left is not None:
         waited_s = left.at_s - timeline.lines[0].at_s
         progress = _describe_progress(timeline)
@@ -27,9 +27,15 @@
     return _diagnose_complete(timeline, answered)
 
 
-def _diagnose_refused(line: LogLine) -> Diagnosis:
+def _diagnose_refused(line: LogLine, others: LogLine | None = None) -> Diagnosis:
     reason = line.text("reason")
     detail = f"refused by {line.process}, nothing ran: {line.text('detail') or reason}"
+    if others is not None and others.number("others_core_s") > others.number("own_core_s"):
+        detail += (
+            f"; {others.number('others_core_s'):.1f} core-s waited at other entries, as reported"
+            f" {others.number('others_age_s'):.2f} s before"
+        )
+        return Diagnosis(Outcome.REFUSED, "refused: work of other entries", detail)
     return Diagnosis(Outcome.REFUSED, f"refused: {reason}", detail)
 
 
@@ -72,6 +78,9 @@
         detail = (
             f"{len(retries)} tasks were placed again, the first because of {first.text('reason')}"
         )
+        moves = timeline.lines_of("task_move_requested")
+        if moves:
+            detail += f"; {_describe_moves(moves)}"
         return Diagnosis(
             Outcome.COMPLETE, f"placed again: {first.text('reason')}", detail, elapsed_s
         )
@@ -93,6 +102,17 @@
     return Diagnosis(Outcome.COMPLETE, "run time", detail, elapsed_s)
 
 
+def _describe_moves(moves: list[LogLine]) -> str:
+    """Return how many tasks were moved, and what was expected of the first move."""
+    first = moves[0]
+    stay_s, move_s = first.number("stay_s"), first.number("move_s")
+    return (
+        f"{len(moves)} were moved, the first from {first.text('agent')}, which was "
+        f"{first.text('cause')}: it would have ended there in {stay_s:.3f} s, elsewhere in "
+        f"{move_s:.3f} s"
+    )
+
+
 def _describe_progress(timeline: JobTimeline) -> str:
     """Return how many tasks of an unfinished job were placed and had ended, and a likely cause."""
     accepted = timeline.last_line("job_accepted")
--- a/pistachiohill/platform/const.py
+++ b/pistachiohill/platform/const.py
@@ -30,12 +30,17 @@
 SUSPECT_IDLE_S: Final = 1.0  # nor those that were idle for so long when a request timed out
 
 HEARTBEAT_S: Final = 1.5  # a runner announces itself about this often
+CONFIRMATION_S: Final = 2 * HEARTBEAT_S  # another writer's announcement is contradicted in between
 MAX_CLOCK_SKEW_S: Final = 60.0  # clocks of the day of an agent and its runner are steps apart
 MAX_SERVICE_CHARS: Final = 64
 MAX_CPU_M: Final = 10**9
 MAX_MEM_MB: Final = 10**9
 MAX_RUNNER_CLOCK_MS: Final = 100 * 365 * 86_400_000  # a century, also for a clock of the day
 MAX_ANNOUNCEMENT_BYTES: Final = 4 * 1024 * 1024
+MAX_RUN_LIST_ITEMS: Final = 262_144  # values in a runner's list of thousands of runs
+MAX_ANNOUNCEMENT_ITEMS: Final = 262_144  # values, in lists of labels for example
 MAX_JOB_BODY_BYTES: Final = 262144  # limit given in the manifest
 MAX_SPEC_BYTES: Final = 4000
 MAX_STEP_TASKS: Final = 1400
+MAX_STEP_FIELDS: Final = 24  # a step has 16 fields, some of them lists
+MAX_JOB_ITEMS: Final = MAX_STEP_TASKS * MAX_STEP_FIELDS  # of steps with one task each
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -47,6 +47,88 @@
         )
 
 
+@define(slots=True)
+class JobRunTime:
+    """Run time of a job's tasks at a target with factor 1.
+
+    Fields:
+        path: Path of the job in the settings tree.
+        run_s: Mean run time in seconds.
+        declared_s: Mean declared run time in seconds, 0 if none is declared.
+    """
+
+    path: str
+    run_s: float
+    declared_s: float
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.path, self.run_s, self.declared_s]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "JobRunTime":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 3, "JobRunTime")
+        return cls(
+            path=wire.read_str(items[0]),
+            run_s=wire.read_float(items[1]),
+            declared_s=wire.read_float(items[2]),
+        )
+
+
+@define(slots=True)
+class SharedLoad:
+    """What an agent has learned from all of its entries.
+
+    Fields:
+        waiting_core_ms: Work that waits for this agent at its other entries, by priority from
+            0; empty if none.
+        waiting_entries: Number of these entries.
+        factor: Run time factor of the target by all ended runs, relative to the run times of
+            jobs that the agent lists.
+        runs: Number of ended runs that the factor is based on.
+        age_s: Time since the latest of these runs in seconds.
+        overdue: By how much most of the running tasks exceed the factor so far; negative if
+            unknown.
+        jobs: Run times of the latest jobs; empty if they differ little from those last sent on
+            this link.
+    """
+
+    waiting_core_ms: list[int]
+    waiting_entries: int
+    factor: float
+    runs: int
+    age_s: float
+    overdue: float
+    jobs: list[JobRunTime]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [
+            self.waiting_core_ms,
+            self.waiting_entries,
+            self.factor,
+            self.runs,
+            self.age_s,
+            self.overdue,
+            [item.to_wire() for item in self.jobs],
+        ]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "SharedLoad":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 7, "SharedLoad")
+        return cls(
+            waiting_core_ms=[wire.read_int(item) for item in wire.read_list(items[0])],
+            waiting_entries=wire.read_int(items[1]),
+            factor=wire.read_float(items[2]),
+            runs=wire.read_int(items[3]),
+            age_s=wire.read_float(items[4]),
+            overdue=wire.read_float(items[5]),
+            jobs=[JobRunTime.from_wire(item) for item in wire.read_list(items[6])],
+        )
+
+
 @define(slots=True)
 class AgentLoad:
     """Load that other entries have placed on an agent, and the expected wait of one more task.
@@ -57,16 +139,34 @@
         others_mem_mb: Memory demand of those tasks in MB.
         waits_s: Expected wait of one more task in seconds, by priority from 0; empty while
             capacity is free.
+        slowdown: How many times longer than expected the target's latest runs take, 1 if most
+            are in time.
+        slow_for_s: Seconds for which the target has been so slow.
+        shared: What the agent has learned from all of its entries; absent for an entry that
+            shares nothing.
     """
 
     others: int
     others_cpu_m: int
     others_mem_mb: int
     waits_s: list[float]
+    slowdown: float = 1.0
+    slow_for_s: float = 0.0
+    shared: SharedLoad | None = None
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.others, self.others_cpu_m, self.others_mem_mb, self.waits_s]
+        return wire.without_absent(
+            [
+                self.others,
+                self.others_cpu_m,
+                self.others_mem_mb,
+                self.waits_s,
+                self.slowdown,
+                self.slow_for_s,
+                None if self.shared is None else self.shared.to_wire(),
+            ]
+        )
 
     @classmethod
     def from_wire(cls, source: object) -> "AgentLoad":
@@ -77,6 +177,66 @@
             others_cpu_m=wire.read_int(items[1]),
             others_mem_mb=wire.read_int(items[2]),
             waits_s=[wire.read_float(item) for item in wire.read_list(items[3])],
+            slowdown=wire.read_float(items[4]) if len(items) > 4 else 1.0,
+            slow_for_s=wire.read_float(items[5]) if len(items) > 5 else 0.0,
+            shared=(
+                (None if items[6] is None else SharedLoad.from_wire(items[6]))
+                if len(items) > 6
+                else None
+            ),
+        )
+
+
+@define(slots=True)
+class RunEstimate:
+    """Estimates from which an entry expects the run times of the tasks that it starts.
+
+    Fields:
+        factor: Run time factor of the target.
+        job_run_s: Mean run time of the job in seconds, at a target with factor 1.
+        job_declared_s: Mean declared run time of the job in seconds, 0 if none is declared.
+    """
+
+    factor: float
+    job_run_s: float
+    job_declared_s: float
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.factor, self.job_run_s, self.job_declared_s]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "RunEstimate":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 3, "RunEstimate")
+        return cls(
+            factor=wire.read_float(items[0]),
+            job_run_s=wire.read_float(items[1]),
+            job_declared_s=wire.read_float(items[2]),
+        )
+
+
+@define(slots=True)
+class SharedWork:
+    """Work that waits at an entry, as the share of one agent. It expires unless it is repeated.
+
+    Fields:
+        waiting_core_ms: Core-milliseconds by priority from 0, the last for all lower
+            priorities; empty if none.
+    """
+
+    waiting_core_ms: list[int]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.waiting_core_ms]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "SharedWork":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 1, "SharedWork")
+        return cls(
+            waiting_core_ms=[wire.read_int(item) for item in wire.read_list(items[0])],
         )
 
 
@@ -483,6 +643,32 @@
         )
 
 
+@define(slots=True)
+class TreeRecord:
+    """Settings tree of the highest version that the entries know, which they keep in their own topic.
+
+    Fields:
+        version: Version that operators gave the tree.
+        nodes: Nodes of the tree.
+    """
+
+    version: int
+    nodes: list[SettingsNodeRecord]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.version, [item.to_wire() for item in self.nodes]]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "TreeRecord":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "TreeRecord")
+        return cls(
+            version=wire.read_int(items[0]),
+            nodes=[SettingsNodeRecord.from_wire(item) for item in wire.read_list(items[1])],
+        )
+
+
 @define(slots=True)
 class SnapshotRecord:
     """Everything that an entry knows about the consortium.
@@ -677,6 +863,87 @@
         )
 
 
+@define(slots=True)
+class StopTask:
+    """Requests that one placement of a best-effort task be withdrawn or stopped, so that the task can be placed elsewhere.
+
+    Fields:
+        submission_id: Identifier of the submission.
+        index: Position of the task in its submission.
+        attempt: Number of the placement attempt; other attempts go on.
+    """
+
+    submission_id: str
+    index: int
+    attempt: int
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.submission_id, self.index, self.attempt]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "StopTask":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 3, "StopTask")
+        return cls(
+            submission_id=wire.read_str(items[0]),
+            index=wire.read_int(items[1]),
+            attempt=wire.read_int(items[2]),
+        )
+
+
+@define(slots=True)
+class JobCancelled:
+    """Answers CancelJob.
+
+    Fields:
+        request_id: Number of the request.
+        cancelled: Whether the job was in progress at the sender.
+    """
+
+    request_id: int
+    cancelled: bool
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.request_id, self.cancelled]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "JobCancelled":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "JobCancelled")
+        return cls(
+            request_id=wire.read_int(items[0]),
+            cancelled=wire.read_bool(items[1]),
+        )
+
+
+@define(slots=True)
+class CancelJob:
+    """Asks an entry to cancel a best-effort job of its own, since a caller cancels it at the sender, which does not have it.
+
+    Fields:
+        request_id: Request number, repeated in the reply.
+        key: Key of the job.
+    """
+
+    request_id: int
+    key: str
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.request_id, self.key]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "CancelJob":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "CancelJob")
+        return cls(
+            request_id=wire.read_int(items[0]),
+            key=wire.read_str(items[1]),
+        )
+
+
 @define(slots=True)
 class JobReleased:
     """Answers ReleaseJob.
@@ -919,16 +1186,19 @@
             there is none.
         offset: Log offset up to which the sender's view has been applied.
         age_s: Age of the view in seconds when that reading was received.
+        tree_version: Version that operators gave the whole settings tree of the sender's view,
+            0 if there is none.
     """
 
     stamp_s: float
     echo_s: float
     offset: int
     age_s: float
+    tree_version: int = 0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.stamp_s, self.echo_s, self.offset, self.age_s]
+        return [self.stamp_s, self.echo_s, self.offset, self.age_s, self.tree_version]
 
     @classmethod
     def from_wire(cls, source: object) -> "PeerView":
@@ -939,6 +1209,7 @@
             echo_s=wire.read_float(items[1]),
             offset=wire.read_int(items[2]),
             age_s=wire.read_float(items[3]),
+            tree_version=wire.read_int(items[4]) if len(items) > 4 else 0,
         )
 
 
@@ -1081,13 +1352,17 @@
 
     Fields:
         view: Freshness of the sender's view of the log.
+        work: Work that waits at the sender; absent if it shares none.
     """
 
     view: ViewStamp
+    work: SharedWork | None = None
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.view.to_wire()]
+        return wire.without_absent(
+            [self.view.to_wire(), None if self.work is None else self.work.to_wire()]
+        )
 
     @classmethod
     def from_wire(cls, source: object) -> "Freshness":
@@ -1095,6 +1370,11 @@
         items = wire.read_fields(source, 1, "Freshness")
         return cls(
             view=ViewStamp.from_wire(items[0]),
+            work=(
+                (None if items[1] is None else SharedWork.from_wire(items[1]))
+                if len(items) > 1
+                else None
+            ),
         )
 
 
@@ -1262,6 +1542,9 @@
             apart.
         best_effort: Whether a task may run again once an earlier run is known to have ended.
         priority: Priority in the agent's queue; 0 is served first.
+        estimate: Estimates that the expected run times are based on; absent if the sender
+            shares none.
+        work: Work that waits at the sender; absent if it shares none.
     """
 
     submission_id: str
@@ -1277,24 +1560,30 @@
     job_key: str = ""
     best_effort: bool = False
     priority: int = 0
+    estimate: RunEstimate | None = None
+    work: SharedWork | None = None
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [
-            self.submission_id,
-            self.member,
-            self.job,
-            self.task_count,
-            self.deadline_in_s,
-            self.task_timeout_s,
-            self.refusal_is_not_run,
-            self.view.to_wire(),
-            [item.to_wire() for item in self.tasks],
-            self.shared_payload,
-            self.job_key,
-            self.best_effort,
-            self.priority,
-        ]
+        return wire.without_absent(
+            [
+                self.submission_id,
+                self.member,
+                self.job,
+                self.task_count,
+                self.deadline_in_s,
+                self.task_timeout_s,
+                self.refusal_is_not_run,
+                self.view.to_wire(),
+                [item.to_wire() for item in self.tasks],
+                self.shared_payload,
+                self.job_key,
+                self.best_effort,
+                self.priority,
+                None if self.estimate is None else self.estimate.to_wire(),
+                None if self.work is None else self.work.to_wire(),
+            ]
+        )
 
     @classmethod
     def from_wire(cls, source: object) -> "StartTasks":
@@ -1314,6 +1603,16 @@
             job_key=wire.read_str(items[10]) if len(items) > 10 else "",
             best_effort=wire.read_bool(items[11]) if len(items) > 11 else False,
             priority=wire.read_int(items[12]) if len(items) > 12 else 0,
+            estimate=(
+                (None if items[13] is None else RunEstimate.from_wire(items[13]))
+                if len(items) > 13
+                else None
+            ),
+            work=(
+                (None if items[14] is None else SharedWork.from_wire(items[14]))
+                if len(items) > 14
+                else None
+            ),
         )
 
 
@@ -1331,6 +1630,7 @@
         load: Load that other entries have placed on the agent.
         applied_offset: Log offset of the view that the agent uses.
         view_age_s: Age of that view in seconds.
+        leaves_in_s: Minimum time in seconds until the target ends, -1 if it isn't known to end.
     """
 
     stamp_s: float
@@ -1342,6 +1642,7 @@
     load: AgentLoad
     applied_offset: int
     view_age_s: float
+    leaves_in_s: float = -1.0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
@@ -1355,6 +1656,7 @@
             self.load.to_wire(),
             self.applied_offset,
             self.view_age_s,
+            self.leaves_in_s,
         ]
 
     @classmethod
@@ -1371,6 +1673,7 @@
             load=AgentLoad.from_wire(items[6]),
             applied_offset=wire.read_int(items[7]),
             view_age_s=wire.read_float(items[8]),
+            leaves_in_s=wire.read_float(items[9]) if len(items) > 9 else -1.0,
         )
 
 
@@ -1474,11 +1777,15 @@
     | JobsHeld
     | ReleaseJob
     | JobReleased
+    | CancelJob
+    | JobCancelled
+    | StopTask
     | EndRecord
     | AnnounceRecord
     | PublishRecord
     | DomainChangeRecord
     | SnapshotRecord
+    | TreeRecord
 )
 
 
@@ -1506,11 +1813,15 @@
     21: JobsHeld,
     22: ReleaseJob,
     23: JobReleased,
+    24: CancelJob,
+    25: JobCancelled,
+    28: StopTask,
     39: EndRecord,
     40: AnnounceRecord,
     42: PublishRecord,
     43: DomainChangeRecord,
     44: SnapshotRecord,
+    45: TreeRecord,
 }
 
 
@@ -1538,9 +1849,13 @@
     JobsHeld: 21,
     ReleaseJob: 22,
     JobReleased: 23,
+    CancelJob: 24,
+    JobCancelled: 25,
+    StopTask: 28,
     EndRecord: 39,
     AnnounceRecord: 40,
     PublishRecord: 42,
     DomainChangeRecord: 43,
     SnapshotRecord: 44,
+    TreeRecord: 45,
 }
--- a/pistachiohill/settings/models.py
+++ b/pistachiohill/settings/models.py
@@ -15,7 +15,8 @@
     Fields:
         service: Service whose targets run the job's tasks.
         domains_allowed: Failure domains whose targets the job may use; empty for all.
-        deadline_s: Longest time until a job is answered.
+        deadline_s: Longest time until a job is answered; callers of best-effort jobs may allow
+            more.
         task_timeout_s: Longest run time of one task at its target.
         host: Host name at which callers address the job directly; empty for none.
         path_prefix: Path prefix at which callers address the job directly.
@@ -46,6 +47,8 @@
             round_robin or random.
         quarantine: How failing targets are quarantined: windows, consecutive, ratio or off.
         horizon_s: How long before its slot becomes free a task is assigned to a target.
+        late_horizon_s: The same for tasks of jobs that miss their latency goals, if it is
+            shorter than horizon_s; with 0, they get only capacity that is free.
         ramp_s: Time over which the load of a returning target is increased to its full share.
     """
 
@@ -75,6 +78,7 @@
     policy: str = "expected_completion"
     quarantine: str = "consecutive"
     horizon_s: float = 0.2
+    late_horizon_s: float = 10.0
     ramp_s: float = 0.5
 
 
@@ -98,7 +102,7 @@
     FieldSpec(
         "deadline_s",
         "float",
-        "Longest time until a job is answered.",
+        "Longest time until a job is answered; callers of best-effort jobs may allow more.",
         0.05,
         3600.0,
         ("consortium", "member", "job"),
@@ -287,6 +291,14 @@
         10.0,
         ("consortium",),
     ),
+    FieldSpec(
+        "late_horizon_s",
+        "float",
+        "The same for tasks of jobs that miss their latency goals, if it is shorter than horizon_s; with 0, they get only capacity that is free.",
+        0.0,
+        10.0,
+        ("consortium",),
+    ),
     FieldSpec(
         "ramp_s",
         "float",
@@ -326,6 +338,16 @@
         ready_address: host:port for the platform's load balancer, which asks there whether the
             entry accepts callers.
         seeds: host:port of processes of this deployment that may be running at startup.
+        memory_mb: Memory that this process may take up on its machine, in MB.
+        max_descriptors: Number of file descriptors that this process may open.
+        client_memory_share: Share of memory_mb that the requests of clients may hold at a time;
+            closed ones leave gaps beside it.
+        overrun_budget: Largest fraction of best-effort runs that may be stopped at slow targets
+            to run elsewhere; 0 to move no task from a slow or leaving target.
+        shared_run_times: Whether run times are learned from agents that other entries serve
+            too, where agents are not served by all entries.
+        shared_work_interval_s: How often the work that waits here is told to such agents, whose
+            reports on waiting work are used then; 0 for never.
     """
 
     name: str = "entry"
@@ -348,6 +370,12 @@
     jobs_address: str = ""
     ready_address: str = ""
     seeds: tuple[str, ...] = ()
+    memory_mb: float = 160.0
+    max_descriptors: int = 1638
+    client_memory_share: float = 0.1
+    overrun_budget: float = 0.0
+    shared_run_times: bool = False
+    shared_work_interval_s: float = 0.0
 
 
 ENTRY_FIELDS: tuple[FieldSpec, ...] = (
@@ -448,6 +476,54 @@
         256.0,
         (),
     ),
+    FieldSpec(
+        "memory_mb",
+        "float",
+        "Memory that this process may take up on its machine, in MB.",
+        64.0,
+        1048576.0,
+        (),
+    ),
+    FieldSpec(
+        "max_descriptors",
+        "int",
+        "Number of file descriptors that this process may open.",
+        300.0,
+        1048576.0,
+        (),
+    ),
+    FieldSpec(
+        "client_memory_share",
+        "float",
+        "Share of memory_mb that the requests of clients may hold at a time; closed ones leave gaps beside it.",
+        0.1,
+        0.5,
+        (),
+    ),
+    FieldSpec(
+        "overrun_budget",
+        "float",
+        "Largest fraction of best-effort runs that may be stopped at slow targets to run elsewhere; 0 to move no task from a slow or leaving target.",
+        0.0,
+        1.0,
+        (),
+    ),
+    FieldSpec(
+        "shared_run_times",
+        "bool",
+        "Whether run times are learned from agents that other entries serve too, where agents are not served by all entries.",
+        0.0,
+        0.0,
+        (),
+    ),
+    FieldSpec(
+        "shared_work_interval_s",
+        "float",
+        "How often the work that waits here is told to such agents, whose reports on waiting work are used then; 0 for never.",
+        0.0,
+        0.4,
+        (),
+    ),
 )
 
 
@@ -466,6 +542,9 @@
         secret: Secret shared by the deployment's processes.
         retention_s: How long the start of a task is remembered.
         queue_tasks: Maximum number of tasks queued beyond the target's capacity.
+        max_queue_wait_s: Longest time that a best-effort task may be expected to wait in the
+            agent's queue; one that would wait longer is refused, so that its entry places it
+            again; 0 for no limit.
         announce_first: Whether tasks are accepted only after the agent's announcement is in the
             log.
         report_interval_s: Longest time that the report of a settled task is delayed so that
@@ -476,6 +555,12 @@
         control_address: host:port at which the platform's runner announces itself; empty for a
             target that is called over HTTP.
         seeds: host:port of processes of this deployment that may be running at startup.
+        memory_mb: Memory that this process may take up on its machine, in MB.
+        max_descriptors: Number of file descriptors that this process may open.
+        client_memory_share: Share of memory_mb that the requests of clients may hold at a time;
+            closed ones leave gaps beside it.
+        detect_slowdown: Whether entries are told that most of the target's runs take far longer
+            than expected.
     """
 
     name: str = "agent"
@@ -488,6 +573,7 @@
     secret: str = ""
     retention_s: float = 180.0
     queue_tasks: int = 8
+    max_queue_wait_s: float = 0.0
     announce_first: bool = True
     report_interval_s: float = 0.12
     grace_s: float = 30.0
@@ -495,6 +581,10 @@
     target_ttl_s: float = 6.0
     control_address: str = ""
     seeds: tuple[str, ...] = ()
+    memory_mb: float = 160.0
+    max_descriptors: int = 1638
+    client_memory_share: float = 0.1
+    detect_slowdown: bool = False
 
 
 AGENT_FIELDS: tuple[FieldSpec, ...] = (
@@ -531,6 +621,14 @@
         1400.0,
         (),
     ),
+    FieldSpec(
+        "max_queue_wait_s",
+        "float",
+        "Longest time that a best-effort task may be expected to wait in the agent's queue; one that would wait longer is refused, so that its entry places it again; 0 for no limit.",
+        0.0,
+        10.0,
+        (),
+    ),
     FieldSpec(
         "announce_first",
         "bool",
@@ -572,4 +670,36 @@
         256.0,
         (),
     ),
+    FieldSpec(
+        "memory_mb",
+        "float",
+        "Memory that this process may take up on its machine, in MB.",
+        64.0,
+        1048576.0,
+        (),
+    ),
+    FieldSpec(
+        "max_descriptors",
+        "int",
+        "Number of file descriptors that this process may open.",
+        300.0,
+        1048576.0,
+        (),
+    ),
+    FieldSpec(
+        "client_memory_share",
+        "float",
+        "Share of memory_mb that the requests of clients may hold at a time; closed ones leave gaps beside it.",
+        0.1,
+        0.5,
+        (),
+    ),
+    FieldSpec(
+        "detect_slowdown",
+        "bool",
+        "Whether entries are told that most of the target's runs take far longer than expected.",
+        0.0,
+        0.0,
+        (),
+    ),
 )
--- a/tests/http/test_direct_server.py
+++ b/tests/http/test_direct_server.py
@@ -4,7 +4,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 from unittest.mock import patch
 
@@ -12,9 +12,10 @@
 
 from pistachiohill import clock
 from pistachiohill.http.app import async_send_response
-from pistachiohill.http.direct_server import MAX_RECEIVE_BYTES, RequestReader, async_serve_directly
+from pistachiohill.http.direct_server import MAX_RECEIVE_BYTES, async_serve_directly
 from pistachiohill.http.models import json_response
 from pistachiohill.http.origin import RequestOrigin
+from pistachiohill.http.request_reader import RequestReader
 
 from ..base import TestCase
 
@@ -211,11 +212,12 @@
 
     async def test_request_with_an_odd_target_and_more_bytes_does_not_stop_the_server(self) -> None:
         """Reader and responder both have an error to send, in the same round of the event loop."""
+        max_body_bytes = 8 * MAX_RECEIVE_BYTES
         head = b"PUT http:///a HTTP/1.1\r\nHost: h\r\nContent-Length: "
-        for size in (MAX_RECEIVE_BYTES, 20000):  # the bytes that follow are read separately, or not
+        for size in (max_body_bytes, 20000):  # the bytes that follow are read separately, or not
             length = size - len(head) - len(b"00000\r\n\r\n")
             data = head + b"%d\r\n\r\n" % length + b"\xff" * length + b"\x00\xff\xfe\x01\r\n\r\n"
-            async with running_server(max_body_bytes=MAX_RECEIVE_BYTES) as server:
+            async with running_server(max_body_bytes=max_body_bytes) as server:
                 for _ in range(20):
                     async with await server.async_open() as stream:
                         await stream.send_all(data)
@@ -274,6 +276,25 @@
             self.assertIn(b"200 OK", response)
             self.assertTrue(response.endswith(b"<end>"))
 
+    async def test_stop_ends_although_a_client_never_stops_sending(self) -> None:
+        async with running_server(grace_s=0.2) as server:
+            stream = await server.async_open()
+            async with stream, trio.open_nursery() as nursery:
+
+                async def async_flood() -> None:
+                    with suppress(trio.BrokenResourceError):
+                        await stream.send_all(b"POST /a HTTP/1.1\r\nContent-Length: 1900\r\n\r\n")
+                        while True:
+                            await stream.send_all(b"x" * 65536)
+
+                nursery.start_soon(async_flood)
+                await trio.sleep(TICK_S)
+                server.stopping.set()
+                # Closing the listener's connections ends the flood.
+                with trio.fail_after(5.0):
+                    while nursery.child_tasks:
+                        await trio.sleep(0.01)
+
     async def test_stop_ends_after_grace_time(self) -> None:
         async with running_server(grace_s=0.2) as server, await server.async_open() as stream:
             await stream.send_all(GET)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -1,17 +1,18 @@
 """Connection of an entry to the platform: what it says before it knows a manifest."""
 
-import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
-from unittest.mock import patch
 
 import trio
 
 from pistachiohill.consortium.view import ConsortiumView
+from pistachiohill.entry.const import PEERS_ASKED_S
+from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.entry.routes import RouteTable
-from pistachiohill.http.app import HttpApp
-from pistachiohill.platform import entry as platform_entry
+from pistachiohill.entry.startup_check import StartupCheck
 from pistachiohill.platform.entry import EntryPlatformAdapter
+from pistachiohill.platform.models import KeyedRecord
 from pistachiohill.platform.store import StoreClient
 from pistachiohill.settings.models import EntrySettings
 
@@ -19,76 +20,89 @@
 from .test_jobs_api import COMPLETE, StubJobs, async_call
 from .test_manifest import ROUTE, apply, manifest, record
 
-REQUEST = b"GET /unknown/ HTTP/1.1\r\nHost: h\r\n\r\n"
-MANIFEST_DELAY_S = 0.1
 
-
-def make_adapter(
-    view: ConsortiumView, settings: EntrySettings | None = None
-) -> EntryPlatformAdapter:
-    unused: Any = None
-    jobs: Any = StubJobs(COMPLETE)
-    store = StoreClient("http://127.0.0.1:1")
-    settings = settings or EntrySettings()
-    return EntryPlatformAdapter(settings, store, view, RouteTable(view), jobs, unused)
-
-
-def free_address() -> str:
-    with socket.socket() as unused:
-        unused.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{unused.getsockname()[1]}"
+class StartingEntry:
+    """The connection of an entry that starts, whose view and peers the test sets."""
+
+    peers_have_answered = True
+
+    def __init__(self) -> None:
+        unused: Any = None
+        jobs: Any = StubJobs(COMPLETE)
+        self.view = ConsortiumView()
+        self.startup = StartupCheck(self.view, self)
+        store, routes = StoreClient("http://127.0.0.1:1"), RouteTable(self.view)
+        self.api = EntryPlatformAdapter(
+            EntrySettings(),
+            store,
+            self.view,
+            routes,
+            jobs,
+            unused,
+            self.startup,
+            unused,
+            EntryMetrics().limited,
+        ).jobs_api
+
+    def have_answered(self) -> bool:
+        return self.peers_have_answered
+
+    def read(self, *records: KeyedRecord) -> None:
+        """Apply records of the operators' topic; the entries' own topic is read as well."""
+        apply(self.view, *records)
+        self.view.kept_tree.end = 0
+        self.view.notify()
+
+    async def async_get_status(self, path: str) -> int:
+        """Return the status of a GET request, which may take one and a half of the time allowed."""
+        with trio.fail_after(1.5 * PEERS_ASKED_S):
+            return (await async_call(self.api, "GET", path)).status
+
+
+@asynccontextmanager
+async def starting_entry() -> AsyncIterator[StartingEntry]:
+    entry = StartingEntry()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(entry.startup.async_run)
+        yield entry
+        nursery.cancel_scope.cancel()
 
 
 class EntryPlatformAdapterTest(TestCase):
     async def test_unknown_route_is_not_denied_before_a_manifest_is_known(self) -> None:
-        view = ConsortiumView()
-        api = make_adapter(view).jobs_api
-        apply(view, record(0, "evacuate/bern-a", b"{}"))
-        self.assertEqual(503, (await async_call(api, "GET", "/unknown/")).status)
-        apply(view, record(1, "config", manifest(1, ROUTE)))
-        self.assertEqual(404, (await async_call(api, "GET", "/unknown/")).status)
-
-    async def test_callers_of_a_new_entry_wait_for_its_manifest(self) -> None:
-        view = ConsortiumView()
-        async with trio.open_nursery() as nursery:
-            send_request = await self._async_serve(nursery, view)
-
-            async def async_load_manifest() -> None:
-                await trio.sleep(MANIFEST_DELAY_S)
-                apply(view, record(0, "config", manifest(1, ROUTE)))
-                view.notify()
-
-            nursery.start_soon(async_load_manifest)
-            self.assertIn(b" 404 ", await send_request())
-            nursery.cancel_scope.cancel()
-
-    async def test_callers_of_a_new_entry_are_refused_if_no_manifest_comes(self) -> None:
-        with patch.object(platform_entry, "MANIFEST_WAIT_S", MANIFEST_DELAY_S):
-            async with trio.open_nursery() as nursery:
-                send_request = await self._async_serve(nursery, ConsortiumView())
-                self.assertIn(b" 503 ", await send_request())
-                nursery.cancel_scope.cancel()
-
-    async def _async_serve(
-        self, nursery: trio.Nursery, view: ConsortiumView
-    ) -> Callable[[], Awaitable[bytes]]:
-        """Serve callers without a manifest; return a function that sends them one request."""
-        addresses = [free_address() for _ in range(3)]
-        host, _, port = addresses[2].rpartition(":")
-        settings = EntrySettings(
-            jobs_address=addresses[0],
-            ready_address=addresses[1],
-            http_host=host,
-            http_port=int(port),
-        )
-        app = HttpApp([], settings.max_body_bytes)
-        await make_adapter(view, settings).async_serve(nursery, app, trio.Event())
-
-        async def async_send_request() -> bytes:
-            host, _, port = addresses[0].rpartition(":")
-            stream = await trio.open_tcp_stream(host, int(port))
-            async with stream:
-                await stream.send_all(REQUEST)
-                return bytes((await stream.receive_some(1000)).splitlines()[0])
-
-        return async_send_request
+        async with starting_entry() as entry:
+            entry.read(record(0, "evacuate/bern-a", b"{}"))
+            self.assertEqual(503, await entry.async_get_status("/unknown/"))
+            entry.read(record(1, "config", manifest(1, ROUTE)))
+            self.assertEqual(404, await entry.async_get_status("/unknown/"))
+
+    async def test_unknown_route_is_not_denied_before_the_peers_have_answered(self) -> None:
+        newer = ConsortiumView()
+        apply(newer, record(1, "config", manifest(7, ROUTE)))
+        async with starting_entry() as entry, trio.open_nursery() as nursery:
+            entry.peers_have_answered = False
+            entry.read(record(2, "config", manifest(4)))
+
+            async def async_answer() -> None:
+                await trio.sleep(0.1)
+                entry.view.adopt(newer.snapshot())
+                entry.peers_have_answered = True
+                entry.view.notify()
+
+            nursery.start_soon(async_answer)
+            self.assertEqual(200, await entry.async_get_status(ROUTE["pathPrefix"]))
+
+    async def test_silent_peers_are_not_waited_for_long(self) -> None:
+        async with starting_entry() as entry:
+            entry.peers_have_answered = False
+            entry.read(record(1, "config", manifest(1, ROUTE)))
+            self.assertEqual(404, await entry.async_get_status("/unknown/"))
+
+    async def test_routes_of_the_kept_tree_are_not_served_before_the_evacuations_are_known(
+        self,
+    ) -> None:
+        other = ConsortiumView()
+        apply(other, record(1, "config", manifest(7, ROUTE)))
+        async with starting_entry() as entry:
+            entry.view.state.adopt_tree(other.state.node_records(), 7)
+            self.assertEqual(503, await entry.async_get_status(ROUTE["pathPrefix"]))
--- a/tests/platform/test_jobs_api.py
+++ b/tests/platform/test_jobs_api.py
@@ -2,12 +2,14 @@
 
 import json
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import trio
 
 from pistachiohill.consortium.view import ConsortiumView
 from pistachiohill.const import JobState
+from pistachiohill.entry.job_cancels import JobCancels
 from pistachiohill.entry.routes import RouteTable
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.platform.jobs_api import JobsApi, UnsupportedJobError, decode_job
@@ -17,6 +19,7 @@
 from pistachiohill.submissions.models import JobAnswer, JobRequest, failed_answer, refused_answer
 
 from ..base import TestCase
+from ..entry.test_job_cancels import FakePeers
 from .test_manifest import ROUTE, manifest
 
 PATH = "/lohu930/5c0e7a21d94b36f8"
@@ -100,7 +103,9 @@
     if manifest_loaded:
         record = KeyedRecord(0, "config", manifest(1, ROUTE))
         apply_page(view, KeyedPage((record,), 1), is_snapshot=True, now_s=0.0)
-    return JobsApi(RouteTable(view), jobs, lambda: manifest_loaded)  # type: ignore[arg-type]
+    startup: Any = SimpleNamespace(manifest_known=manifest_loaded, done=True)
+    cancels = JobCancels(FakePeers({}))  # type: ignore[arg-type]
+    return JobsApi(RouteTable(view), jobs, startup, cancels)  # type: ignore[arg-type]
 
 
 async def async_call(
@@ -139,6 +144,11 @@
             error = self.assertRaises(UnsupportedJobError, decode_job, body)
             self.assertIn(name, str(error))
 
+    def test_job_without_a_spec_has_an_empty_one(self) -> None:
+        """Fields that are empty are left out."""
+        body = json.dumps({name: JOB[name] for name in ("bestEffort", "steps")}).encode()
+        self.assertEqual(b"", decode_job(body).tasks[0].payload)
+
     def test_false_and_empty_fields_count_as_missing(self) -> None:
         step = {**JOB["steps"][0], "gang": False, "dependsOn": [], "antiAffinity": 0, "new": 1}
         body = json.dumps({**JOB, "steps": [step], "longRunning": False}).encode()
--- a/tests/scheduling/test_plan.py
+++ b/tests/scheduling/test_plan.py
@@ -46,7 +46,7 @@
     )
     target.reported_at_s = NOW_S
     for index, end_s in enumerate(ends[:cores]):
-        target.place(("s", index), Demand(), NOW_S + end_s)
+        target.place(("s", index), Demand(), NOW_S, NOW_S + end_s)
     return target
 
 
@@ -154,10 +154,18 @@
         self.assertEqual(3.0, current_factor(idle, 0.2, NOW_S))
         self.assertLess(current_factor(idle, 0.2, NOW_S + 60.0), 1.5)
 
+    def test_task_without_cpu_is_placed_and_forecast(self) -> None:
+        """Callers may leave out the CPU that a task needs."""
+        for cores, max_queued in ((1, math.inf), (1, 8.0), (2, math.inf), (2, 8.0)):
+            target = load(0, cores, 1.0, [0.5])
+            plan = PlacementPlan([target], NOW_S, HORIZON_S, 0.0, MEAN_RUN_S, max_queued)
+            slot = plan.assign_slot(TaskNeeds(Demand(0, 0), 0.1))
+            self.assertTrue(slot and math.isfinite(slot.end_s), (cores, max_queued))
+
     def test_baseline_policies(self) -> None:
         targets = [load(number, 2, 1.0, []) for number in range(3)]
         for index in range(2):
-            targets[0].place(("s", index), Demand(), NOW_S)
+            targets[0].place(("s", index), Demand(), NOW_S, NOW_S)
         targets[2].others = 1
         self.assertIs(targets[1], choose_target(make_policy(Policy.LEAST_OUTSTANDING), targets))
         round_robin = make_policy(Policy.ROUND_ROBIN)
