--- a/pistachiohill/settings/daemon.py
+++ b/pistachiohill/settings/daemon.py
@@ -1,8 +1,14 @@
-"""Settings of a daemon, loaded from one TOML file and command-line overrides."""
+"""Settings of a daemon, loaded from one TOML file and command-line overrides.
 
+The size of the machine may also come from environment variables, which a platform can set for each
+machine; the file and the command line go before them.
+"""
+
+import contextlib
+import os
 from collections.abc import Mapping
 from pathlib import Path
-from typing import TypeVar
+from typing import Final, TypeVar
 
 from .checks import check_values, parse_toml
 from .errors import SettingsError, SettingsProblem
@@ -10,6 +16,11 @@
 
 T = TypeVar("T")
 
+SETTINGS_BY_VARIABLE: Final = {
+    "PISTACHIOHILL_MEMORY_MB": "memory_mb",
+    "PISTACHIOHILL_MAX_DESCRIPTORS": "max_descriptors",
+}
+
 
 def load_daemon_settings(
     settings_type: type[T],
@@ -22,7 +33,7 @@
     Example: `load_daemon_settings(EntrySettings, ENTRY_FIELDS, "entry.toml", {"http_port": 80})`.
     """
     values, problems = _read_file(file_path)
-    values = {**values, **overrides}
+    values = {**_read_environment(os.environ), **values, **overrides}
     problems += check_values(file_path or "(command line)", specs, values)
     problems += _check_required(file_path or "(command line)", specs, values)
     if problems:
@@ -31,6 +42,23 @@
     return settings_type(**(values | lists))
 
 
+def _read_environment(environment: Mapping[str, str]) -> dict[str, object]:
+    """Return the settings that environment variables hold."""
+    return {
+        name: _parse_number(environment[variable])
+        for variable, name in SETTINGS_BY_VARIABLE.items()
+        if environment.get(variable)
+    }
+
+
+def _parse_number(text: str) -> int | float | str:
+    """Return the number that a text holds, or the text, which fails the checks of its setting."""
+    for number_type in (int, float):
+        with contextlib.suppress(ValueError):
+            return number_type(text)
+    return text
+
+
 def _read_file(file_path: str | None) -> tuple[dict[str, object], list[SettingsProblem]]:
     if file_path is None:
         return {}, []
