--- a/review/harness3/lab.py
+++ b/review/harness3/lab.py
@@ -293,7 +293,7 @@
         for port in range(base, base + 20):
             with socket.socket() as probe:
                 try:
-                    probe.bind(("0.0.0.0", port))
+                    probe.bind(("127.0.0.1", port))
                 except OSError:
                     break
         else:
