--- a/review/harness4/world.py
+++ b/review/harness4/world.py
@@ -73,6 +73,7 @@
         self._temporary = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
         self._route = route or {}
+        self._version = 0
         network = _free_network(entries + agents + 2)
         self.store_ip = f"{network}.1"
         self.entries = [self._machine("entry", index, network) for index in range(entries)]
@@ -116,7 +117,7 @@
         """Start everything and wait until jobs can be served."""
         try:
             await self.store.async_serve(self.store_ip, STORE_PORT)
-            self._publish()
+            self.publish([self._default_route()])
             for runner in self.runners():
                 await runner.async_serve()
             for machine in (*self.entries, *self.agents):
@@ -141,8 +142,8 @@
         else:
             shutil.rmtree(self._temporary, ignore_errors=True)
 
-    def _publish(self) -> None:
-        route = {
+    def _default_route(self) -> dict[str, Any]:
+        return {
             "name": "stamp",
             "host": HOST,
             "pathPrefix": PREFIX,
@@ -155,13 +156,20 @@
             "slackFactor": 1.6,
             **self._route,
         }
+
+    def publish(self, routes: list[dict[str, Any]]) -> None:
+        """Write a manifest with these routes beside one that no client uses."""
+        self._version += 7
+        unused = {**self._default_route(), "name": "unused", "pathPrefix": "/unused/"}
         manifest = {
-            "version": 7,
-            "routes": [route],
+            "version": self._version,
+            "routes": [unused, *routes],
             "services": [{"name": SERVICE, "admissionControl": False}],
             "limits": {},
         }
         self.store.put("keyed.op", "config", json.dumps(manifest).encode())
+        names = ", ".join(route["name"] for route in manifest["routes"])
+        self.log(f"manifest {self._version}: {names}")
 
     def start(self, machine: Machine) -> None:
         """Start the process of a machine as the deploy file says."""
