--- a/review/build-4.sh
+++ b/review/build-4.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 16 to 18. They are plain Python without packages, so they are
+# Builds the stand-ins of the cases 16 to 19. They are plain Python without packages, so they are
 # only compiled; the programs under test come from the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-python3 - review/harness4 review/16 review/17 review/18 <<'CHECK'
+python3 - review/harness4 review/16 review/17 review/18 review/19 <<'CHECK'
 import sys
 from pathlib import Path
 
