--- a/review/harness4/world.py
+++ b/review/harness4/world.py
@@ -307,6 +307,6 @@
     """Run a case's coroutine; return the exit code of its script."""
     try:
         return EXIT_BROKEN if asyncio.run(case) else EXIT_HELD
-    except (UnusableError, OSError) as err:
+    except Exception as err:  # a script that fails shows nothing of the rule
         print(f"the case couldn't run: {err!r}")
         return EXIT_UNUSABLE
