--- a/pistachiohill/agent/admitted_task.py
+++ b/pistachiohill/agent/admitted_task.py
@@ -7,7 +7,7 @@
 from ..protocol.link import Link
 from ..protocol.models import StartTasks, TaskRef, TaskReport, TaskStart
 from ..scheduling.models import Demand
-from ..submissions.identifiers import task_name
+from ..submissions.identifiers import make_task_id, task_name
 from .models import TargetCall
 from .resources import Reservation
 from .start_table import SubmissionRecord
@@ -71,9 +71,8 @@
 
 def target_call(message: StartTasks, task: TaskStart, demand: Demand) -> TargetCall:
     """Return the request by which a task of a message is run."""
-    name = message.job_key or message.submission_id
     return TargetCall(
-        task_id=f"{name}/{task.index}",
+        task_id=make_task_id(message.job_key or message.submission_id, task.index),
         run=task.attempt,
         member=message.member,
         job=message.job,
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -40,6 +40,7 @@
     START_TIMEOUT_S,
 )
 from .fencing import initial_token
+from .late_start_notices import LateStartNotices
 from .late_starts import LateStarts
 from .models import (
     UNRESTRICTED,
@@ -72,8 +73,17 @@
 class LeasedTarget:
     """Starts, stops and monitors runs at the runner beside this agent."""
 
-    def __init__(self, runner_client: RunnerInterface, now_wall_s: float) -> None:
-        """Create the target; the runner is not known until it is announced."""
+    def __init__(
+        self,
+        runner_client: RunnerInterface,
+        now_wall_s: float,
+        notices: LateStartNotices | None = None,
+    ) -> None:
+        """Create the target; the runner is not known until it is announced.
+
+        `notices` tells entries of starts without an answer.
+        """
+        self._notices = notices or LateStartNotices()
         self._runner_client = runner_client
         self._token = initial_token(now_wall_s)
         self._token_step = INITIAL_TOKEN_STEP
@@ -427,7 +437,7 @@
             reason = RefusalReason.LEASE_ENDED  # by this agent, not by a fault of the runner
         if run.withheld is None or run.withheld.verdict == Verdict.NOT_RUN or reason is None:
             run.withheld = None
-            run.record_execution()
+            self._record_execution(run, clock.boot_s())
             self._settle(run, Verdict.RAN, reason)
 
     def _reconcile_run(
@@ -444,7 +454,7 @@
             if run.runner_restarted or run.withheld is not None:
                 self._adopt_late_start(run, now_s)
             run.fencing_token = None
-            run.record_execution()
+            self._record_execution(run, now_s)
             self._confirm_start(run, now_s)
         elif run.fencing_token is not None:
             if token < run.fencing_token:
@@ -510,10 +520,20 @@
         if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
             self._handle_reset_clock(now_s)
         if isinstance(outcome, NoAnswer):
-            run.unsettled_until_s = now_s + LATE_START_S
+            self._expect_late_start(run, now_s + LATE_START_S, now_s)
         if not run.is_settled:
             self._apply_start_outcome(run, outcome, token, now_s)
 
+    def _expect_late_start(self, run: Run, until_s: float, now_s: float) -> None:
+        """Record until when the next process of the runner may execute a start of a run."""
+        run.unsettled_until_s = until_s
+        self._notices.record(run.call, until_s, now_s)
+
+    def _record_execution(self, run: Run, now_s: float) -> None:
+        """Record that a list shows a run: a start that was sent only once can't come again."""
+        if run.starts_sent == 1 and run.unsettled_until_s > now_s:
+            self._expect_late_start(run, -math.inf, now_s)
+
     def _handle_reset_clock(self, now_s: float) -> None:
         """Look at a runner whose clock has begun anew, so that it has restarted.
 
@@ -615,7 +635,7 @@
         self._lease.record_unknown_lease(now_s)
         for run in self._runs.values():
             if run.acknowledged_at_s is None and not run.is_settled:
-                run.unsettled_until_s = now_s + LATE_START_S
+                self._expect_late_start(run, now_s + LATE_START_S, now_s)
             run.fencing_token = self._token
             run.acknowledged_at_s = None
             run.runner_restarted = True
--- a/pistachiohill/agent/models.py
+++ b/pistachiohill/agent/models.py
@@ -10,7 +10,7 @@
 
 from ..errors import RefusalReason, Verdict
 from ..scheduling.models import Demand
-from ..submissions.identifiers import task_name
+from ..submissions.identifiers import job_of_task, task_name
 
 
 @frozen
@@ -39,8 +39,8 @@
     @property
     def name(self) -> str:
         """Return the name of the task in logs."""
-        job, _, index = self.task_id.rpartition("/")
-        return task_name(job, index)
+        _, _, index = self.task_id.rpartition("/")
+        return task_name(job_of_task(self.task_id), index)
 
 
 @frozen(eq=False)
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -106,11 +106,6 @@
             return False
         return self.acknowledged_at_s < requested_at_s
 
-    def record_execution(self) -> None:
-        """Record that a list shows the run: a start that was sent only once can't come again."""
-        if self.starts_sent == 1:
-            self.unsettled_until_s = -math.inf
-
     def ends_with_lease(self, now_s: float) -> bool:
         """Return whether the end of every lease that the runner may have shows the run's end.
 
--- a/pistachiohill/agent/service.py
+++ b/pistachiohill/agent/service.py
@@ -30,6 +30,7 @@
     LOAD_PUSH_INTERVAL_S,
     STATE_REPLY_INTERVAL_S,
 )
+from .late_start_notices import LateStartNotices
 from .models import TargetState
 from .runner import TaskRunner
 
@@ -38,13 +39,18 @@
     """Connects an agent's links to its task runner."""
 
     def __init__(
-        self, settings: AgentSettings, runner: TaskRunner, budget: ClientBudget | None = None
+        self,
+        settings: AgentSettings,
+        runner: TaskRunner,
+        budget: ClientBudget | None = None,
+        notices: LateStartNotices | None = None,
     ) -> None:
         """Create the service with a new incarnation id; no socket is opened yet.
 
-        `budget` is for the connections that entries open.
+        `budget` is for the connections that entries open; `notices` are sent to these entries.
         """
         self._budget = budget
+        self._notices = notices or LateStartNotices()
         self.incarnation = new_incarnation()
         self._settings = settings
         self._runner = runner
@@ -140,12 +146,14 @@
             return
         link = Link(connection, hello.incarnation, now_s)
         self._runner.links.add(link)
+        self._notices.link_opened(link, now_s)
         self._runner.send_state(link, now_s)
         logs.event("link_open", peer=hello.incarnation)
         try:
             await link.async_run(lambda item, at_s: self._handle(item, link, at_s))
         finally:
             self._runner.remove_link(link)
+            self._notices.link_closed(link)
             self._runner.shared.link_closed(link)
             logs.event("link_closed", peer=hello.incarnation)
 
--- a/pistachiohill/daemon/agent.py
+++ b/pistachiohill/daemon/agent.py
@@ -7,6 +7,7 @@
 
 from .. import clock, logs
 from ..agent.http_api import MAX_HTTP_BODY_BYTES, AgentApi
+from ..agent.late_start_notices import LateStartNotices
 from ..agent.leased_target import LeasedTarget
 from ..agent.metrics import AgentMetrics
 from ..agent.models import TaskTarget
@@ -35,12 +36,16 @@
 
 
 async def _async_start_services(
-    settings: AgentSettings, nursery: trio.Nursery, target: TaskTarget, metrics: AgentMetrics
+    settings: AgentSettings,
+    nursery: trio.Nursery,
+    target: TaskTarget,
+    metrics: AgentMetrics,
+    notices: LateStartNotices,
 ) -> tuple[TaskRunner, AgentService, AgentApi]:
     """Create and start the components that every agent needs."""
     runner = TaskRunner(settings, nursery, target, metrics)
     links = ClientBudget(link_limits(settings), LimitRecorder("links", metrics.limited))
-    service = AgentService(settings, runner, links)
+    service = AgentService(settings, runner, links, notices)
     api = AgentApi(settings, service, runner, metrics)
     await nursery.start(service.async_serve_links)
     nursery.start_soon(service.async_heartbeat)
@@ -81,7 +86,7 @@
 
     async with trio.open_nursery() as nursery:
         runner, service, api = await _async_start_services(
-            settings, nursery, TargetClient(), AgentMetrics()
+            settings, nursery, TargetClient(), AgentMetrics(), LateStartNotices()
         )
 
         app = HttpApp(api.routes(), MAX_HTTP_BODY_BYTES)
@@ -94,10 +99,13 @@
 
 async def _async_run_on_platform(settings: AgentSettings) -> None:
     """Run an agent for a runner of the users' platform."""
-    target = LeasedTarget(RunnerClient(), clock.wall_s())
+    notices = LateStartNotices()
+    target = LeasedTarget(RunnerClient(), clock.wall_s(), notices)
     async with trio.open_nursery() as nursery:
         metrics = AgentMetrics()
-        runner, service, api = await _async_start_services(settings, nursery, target, metrics)
+        runner, service, api = await _async_start_services(
+            settings, nursery, target, metrics, notices
+        )
         platform = AgentPlatformAdapter(settings, service, target, metrics.limited)
         nursery.start_soon(target.async_run)
         await platform.async_start(nursery, api.routes())
--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -117,6 +117,7 @@
             self.accounting,
             clock.boot_s(),
             self.holders,
+            self.directory.late_starts,
         )
         self.holders.set_jobs(self.jobs)
         self.peers.set_listener(self.holders)
--- a/pistachiohill/entry/agent.py
+++ b/pistachiohill/entry/agent.py
@@ -31,6 +31,8 @@
         last_sent_at_s: When the last message was sent on the most recently closed link.
         lost: Whether the incarnation is known to have ended.
         awaited_since_s: When the oldest unanswered view stamp or request was sent, None if none is.
+        runs_presumed_ended: Whether its runs have been taken for ended since its link was closed.
+        awaited_starts: Outstanding tasks that are known to wait until their starts can't come.
         outstanding: Tasks that are placed there and not settled.
     """
 
@@ -48,6 +50,8 @@
     last_sent_at_s: float = 0.0
     lost: bool = False
     awaited_since_s: float | None = None
+    runs_presumed_ended: bool = False
+    awaited_starts: set[tuple[str, int]] = field(factory=set)
     outstanding: dict[tuple[str, int], tuple[Submission, Task]] = field(factory=dict)
 
     def record_load(self, load: AgentLoad, now_s: float) -> None:
@@ -65,10 +69,11 @@
         self.load.leaves_at_s = now_s + leaves_in_s if leaves_in_s >= 0.0 else math.inf
 
     def runs_end_s(self) -> float:
-        """Return when best-effort runs have certainly ended, if nothing more is sent to the agent.
+        """Return when best-effort runs have ended, if nothing more is sent to the agent.
 
         The agent stops them when this entry's lease expires. If it can't, they end with its own
-        lease at the runner, which it does not renew then.
+        lease at the runner, which it does not renew then. The next process of the runner may still
+        execute a start that got no answer (`late_starts`).
         """
         sent_at_s = self.link.sent_at_s if self.link is not None else self.last_sent_at_s
         return sent_at_s + RUNS_END_S
@@ -94,7 +99,10 @@
         raise NotImplementedError
 
     def runs_ended(self, agent: Agent, now_s: float) -> None:
-        """Handle the expiry of an agent's leases: its best-effort runs have certainly ended."""
+        """Handle the expiry of an agent's leases: its best-effort runs have ended.
+
+        Called repeatedly while tasks are outstanding at the agent.
+        """
         raise NotImplementedError
 
     def tasks_reported(self, agent: Agent, message: TaskReports, now_s: float) -> None:
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -28,6 +28,7 @@
     FreshnessRequest,
     Hello,
     HelloReply,
+    LateStarts,
     Message,
     SealReply,
     StartTasks,
@@ -51,6 +52,7 @@
     RECONNECT_MIN_S,
     REFUSED_CONNECTS_UNTIL_LOST,
 )
+from .late_starts import LateStartTable
 
 
 class AgentDirectory:
@@ -91,6 +93,7 @@
         self._stalls = StallDetector(clock.boot_s())
         self._check_renewal: Callable[[float], None] = lambda _now_s: None
         self.shared_load = EntrySharedLoad()
+        self.late_starts = LateStartTable()
 
     def set_renewal_check(self, check: Callable[[float], None]) -> None:
         """Set what is called with the boot time before this entry's lease at an agent is renewed.
@@ -282,6 +285,7 @@
         agent.announce_offset = max(agent.announce_offset, reply.announce_offset)
         self._record_clock(agent, reply.stamp_s, now_s)
         agent.link = link
+        agent.runs_presumed_ended = False
         agent.load.work_told_at_s = -math.inf
         agent.awaited_since_s = None
         self._send_view(agent, now_s)
@@ -324,11 +328,19 @@
 
     def _report_expired_leases(self, listener: AgentListener, now_s: float) -> None:
         for agent in [item for item in self._lost_agents if now_s > item.runs_end_s()]:
-            self._lost_agents.remove(agent)
             self._report_runs_ended(agent, listener, now_s)
+            if not agent.outstanding:
+                self._lost_agents.remove(agent)
 
     def _report_runs_ended(self, agent: Agent, listener: AgentListener, now_s: float) -> None:
-        """Tell the listener that an agent's best-effort runs have ended without a report."""
+        """Tell the listener that an agent's best-effort runs have ended without a report.
+
+        It is told again while tasks are left, whose starts may still be executed.
+        """
+        if agent.runs_presumed_ended:
+            listener.runs_ended(agent, now_s)
+            return
+        agent.runs_presumed_ended = True
         logs.warning(
             "runs_presumed_ended",
             agent=agent.incarnation,
@@ -439,6 +451,10 @@
         self._record_clock(agent, message.stamp_s, now_s)
         self._send_view(agent, now_s)
 
+    @_handle.register
+    def _(self, message: LateStarts, agent: Agent, listener: AgentListener, now_s: float) -> None:
+        self.late_starts.record(agent.incarnation, message, now_s)
+
     @_handle.register
     def _(self, message: SealReply, agent: Agent, listener: AgentListener, now_s: float) -> None:
         listener.seal_replied(agent, message, now_s)
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -12,7 +12,7 @@
 
 from .. import clock, logs
 from ..consortium.view import ConsortiumView
-from ..errors import RefusalReason
+from ..errors import RefusalReason, Verdict
 from ..http.origin import RequestOrigin
 from ..settings.models import JobSettings
 from ..submissions.identifiers import IdIssuer
@@ -20,6 +20,7 @@
     JobAnswer,
     JobRequest,
     Submission,
+    failed_answer,
     new_submission,
     refused_answer,
 )
@@ -36,6 +37,7 @@
 )
 from .dispatcher import Dispatcher
 from .job_holders import Holding, JobHolders, Release
+from .late_starts import LateStartTable
 
 
 @define(eq=False)
@@ -97,12 +99,15 @@
         accounting: Accounting,
         started_at_s: float,
         holders: JobHolders,
+        late_starts: LateStartTable,
     ) -> None:
         """Initialize without jobs; `started_at_s` is the boot time at which this entry started.
 
-        `holders` knows which jobs other entries hold.
+        `holders` knows which jobs other entries hold, `late_starts` of which a start may still be
+        executed although nobody waits for it.
         """
         self._holders = holders
+        self._late_starts = late_starts
         self._startup_ends_at_s = started_at_s + STARTUP_GRACE_S
         self._stop_at_s = math.inf
         self._closed = False
@@ -268,7 +273,12 @@
                 job.refusal = _sent_elsewhere(len(request.tasks))
                 self._record_refusal(request, job.refusal, now_s)
                 return
-            if _time_left_s(request, settings, now_s) <= 0.0:
+            time_left_s = _time_left_s(request, settings, now_s)
+            if now_s + time_left_s <= self._late_starts.job_until_s(request.key):
+                job.refusal = _may_still_start(len(request.tasks))
+                self._record_refusal(request, job.refusal, now_s)
+                return
+            if time_left_s <= 0.0:
                 detail = "its earlier runs did not end in time"
                 job.refusal = refused_answer(RefusalReason.DEADLINE, detail, RETRY_AFTER_S)
                 self._record_refusal(request, job.refusal, now_s)
@@ -282,6 +292,8 @@
         submission = self._ending.get(request.key)
         if submission is not None and submission.outstanding > 0:
             return Holding.HELD
+        if now_s < self._late_starts.job_until_s(request.key):
+            return Holding.HELD
         return self._holders.check(request.key, request.origin.age_s(now_s), now_s)
 
     async def _async_wait_for_target(
@@ -404,6 +416,12 @@
     return evolve(request, deadline_s=_time_left_s(request, settings, now_s))
 
 
+def _may_still_start(task_count: int) -> JobAnswer:
+    """Return the answer for a job of which an earlier run may begin until after its deadline."""
+    detail = "a run of it may still start, for longer than its caller waits"
+    return failed_answer(RefusalReason.DEADLINE, Verdict.MAY_HAVE_RUN, detail, task_count, 0)
+
+
 def _sent_elsewhere(task_count: int) -> JobAnswer:
     detail = "its caller has sent it to another entry since"
     return refused_answer(RefusalReason.SENT_ELSEWHERE, detail, RETRY_AFTER_S, task_count)
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -181,13 +181,18 @@
         self._accounting.record_link_loss()
 
     def runs_ended(self, agent: Agent, now_s: float) -> None:
-        """Settle the best-effort tasks at an agent whose leases have expired."""
+        """Settle the best-effort tasks at an agent whose leases have expired.
+
+        Those of which a start may still be executed are left until it can't be any more.
+        """
         self._settle_lost(agent, best_effort=True, now_s=now_s)
 
     def _settle_lost(self, agent: Agent, *, best_effort: bool, now_s: float) -> None:
         for submission, task in list(agent.outstanding.values()):
             if submission.settings.best_effort != best_effort:
                 continue
+            if best_effort and self._awaits_late_start(agent, submission, task, now_s):
+                continue
             logs.event(
                 "task_presumed_ended",
                 submission=submission.submission_id,
@@ -205,6 +210,32 @@
             self._settle(agent, submission, task, report, now_s)
         self._wakeup.set()
 
+    def _awaits_late_start(
+        self, agent: Agent, submission: Submission, task: Task, now_s: float
+    ) -> bool:
+        """Return whether a start of a task at a lost agent may still be executed.
+
+        A job that can't wait for so long is answered at once.
+        """
+        task_id = submission.task_id(task.index)
+        until_s = self._directory.late_starts.task_until_s(task_id, agent.incarnation)
+        if now_s >= until_s:
+            return False
+        key = (submission.submission_id, task.index)
+        if key not in agent.awaited_starts:
+            agent.awaited_starts.add(key)
+            logs.event(
+                "late_start_awaited",
+                name=submission.task_name(task.index),
+                agent=agent.incarnation,
+                for_s=until_s - now_s,
+                left_s=submission.deadline_s - now_s,
+            )
+        if until_s >= submission.deadline_s and submission.failure is None:
+            detail = f"task {task.index}: its agent is lost, and its run may still start"
+            self._fail(submission, RefusalReason.LOST_AGENT, detail, now_s)
+        return True
+
     def tasks_reported(self, agent: Agent, message: TaskReports, now_s: float) -> None:
         """Settle reported tasks and forward the reports to the listeners."""
         settled: list[tuple[Submission, TaskReport]] = []
@@ -395,7 +426,8 @@
         for agent in self._directory.agents.values():
             if any(key[0] == submission.submission_id for key in agent.outstanding):
                 self._send_cancellation(agent, submission.submission_id)
-        self._answer_failed(submission, now_s, force=reason == RefusalReason.DEADLINE)
+        final_reasons = (RefusalReason.DEADLINE, RefusalReason.LOST_AGENT)
+        self._answer_failed(submission, now_s, force=reason in final_reasons)
 
     def _send_cancellation(self, agent: Agent, submission_id: str) -> None:
         """Cancel a submission at an agent; without a link, it is cancelled when one is opened."""
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -187,6 +187,33 @@
         )
 
 
+@define(slots=True)
+class LateStart:
+    """Start of a run that got no answer, so that the next process of the runner may still execute it.
+
+    Fields:
+        task_id: Key of the task's job or, without one, identifier of its submission; a slash;
+            the task's index.
+        for_s: Seconds for which the start may still be executed, 0 if it can't be any more.
+    """
+
+    task_id: str
+    for_s: float
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.task_id, self.for_s]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "LateStart":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 2, "LateStart")
+        return cls(
+            task_id=wire.read_str(items[0]),
+            for_s=wire.read_float(items[1]),
+        )
+
+
 @define(slots=True)
 class RunEstimate:
     """Estimates from which an entry expects the run times of the tasks that it starts.
@@ -863,6 +890,29 @@
         )
 
 
+@define(slots=True)
+class LateStarts:
+    """Tells all entries linked to an agent which tasks must not run elsewhere yet, even after the agent has ended.
+
+    Fields:
+        starts: Starts that may still be executed, and those that no longer can be.
+    """
+
+    starts: list[LateStart]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [[item.to_wire() for item in self.starts]]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "LateStarts":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 1, "LateStarts")
+        return cls(
+            starts=[LateStart.from_wire(item) for item in wire.read_list(items[0])],
+        )
+
+
 @define(slots=True)
 class StopTask:
     """Requests that one placement of a best-effort task be withdrawn or stopped, so that the task can be placed elsewhere.
@@ -1780,6 +1830,7 @@
     | CancelJob
     | JobCancelled
     | StopTask
+    | LateStarts
     | EndRecord
     | AnnounceRecord
     | PublishRecord
@@ -1816,6 +1867,7 @@
     24: CancelJob,
     25: JobCancelled,
     28: StopTask,
+    29: LateStarts,
     39: EndRecord,
     40: AnnounceRecord,
     42: PublishRecord,
@@ -1852,6 +1904,7 @@
     CancelJob: 24,
     JobCancelled: 25,
     StopTask: 28,
+    LateStarts: 29,
     EndRecord: 39,
     AnnounceRecord: 40,
     PublishRecord: 42,
--- a/pistachiohill/submissions/identifiers.py
+++ b/pistachiohill/submissions/identifiers.py
@@ -95,3 +95,13 @@
     def _tag(self, prefix: str, member: str) -> str:
         data = f"{prefix}/{member}".encode()
         return hashlib.blake2s(data, key=self._key, digest_size=_TAG_BYTES).hexdigest()
+
+
+def make_task_id(job: str, index: int) -> str:
+    """Return the id under which a runner knows a task, by its job's key or submission id."""
+    return f"{job}/{index}"
+
+
+def job_of_task(task_id: str) -> str:
+    """Return the job's key or submission id of a task id."""
+    return task_id.rpartition("/")[0]
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -13,7 +13,7 @@
 from ..scheduling.models import Demand
 from ..scheduling.urgency import Urgency
 from ..settings.models import JobSettings
-from .identifiers import job_path, parse_submission_id, task_name
+from .identifiers import job_path, make_task_id, parse_submission_id, task_name
 
 
 @frozen
@@ -167,6 +167,10 @@
         """Return the name of one of its tasks in logs."""
         return task_name(self.request.key or self.submission_id, index)
 
+    def task_id(self, index: int) -> str:
+        """Return the id of one of its tasks, which is the same when its caller sends it again."""
+        return make_task_id(self.request.key or self.submission_id, index)
+
     @property
     def has_certainly_not_run(self) -> bool:
         """Return whether all tasks wait, and no start of any of them is unaccounted for."""
--- a/tests/agent/test_leased_target.py
+++ b/tests/agent/test_leased_target.py
@@ -13,6 +13,7 @@
     MAX_STARTS_SENT,
 )
 from pistachiohill.agent.fencing import initial_token
+from pistachiohill.agent.late_start_notices import LateStartNotices
 from pistachiohill.agent.leased_target import LeasedTarget
 from pistachiohill.agent.models import (
     UNRESTRICTED,
@@ -39,10 +40,15 @@
 class TargetHarness:
     """A target with its fake runner, and the results of background calls."""
 
-    def __init__(self, nursery: trio.Nursery, runner_class: type[FakeRunner] = FakeRunner) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        runner_class: type[FakeRunner] = FakeRunner,
+        notices: LateStartNotices | None = None,
+    ) -> None:
         self.nursery = nursery
         self.runner = runner_class(nursery)
-        self.target = LeasedTarget(self.runner, clock.wall_s())
+        self.target = LeasedTarget(self.runner, clock.wall_s(), notices)
         self.results: dict[str, TargetResult] = {}
 
     async def async_wait_ready(self) -> None:
--- a/tests/entry/test_best_effort.py
+++ b/tests/entry/test_best_effort.py
@@ -17,6 +17,7 @@
 from pistachiohill.entry.best_effort import BestEffortJobs
 from pistachiohill.entry.const import STARTUP_GRACE_S
 from pistachiohill.entry.job_holders import JobHolders, Release
+from pistachiohill.entry.late_starts import LateStartTable
 from pistachiohill.entry.metrics import EntryMetrics
 from pistachiohill.errors import RefusalReason, Verdict
 from pistachiohill.http.origin import RequestOrigin
@@ -111,7 +112,10 @@
 
 
 def make_jobs(
-    admission: StubAdmission, age_s: float, dispatcher: StubDispatcher | None = None
+    admission: StubAdmission,
+    age_s: float,
+    dispatcher: StubDispatcher | None = None,
+    late_starts: LateStartTable | None = None,
 ) -> tuple[BestEffortJobs, StubDispatcher]:
     """Return the jobs of an entry that started `age_s` ago, and its dispatcher."""
     dispatcher = dispatcher or StubDispatcher()
@@ -123,6 +127,7 @@
         Accounting(EntryMetrics()),
         clock.boot_s() - age_s,
         JobHolders(NoLinks()),
+        late_starts or LateStartTable(),
     )
     return jobs, dispatcher
 
