--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -472,12 +472,20 @@
     def _settle_unlisted(self, run: Run) -> None:
         """Send an unresolved start again, as this process of the runner will not execute it.
 
-        If the runner has restarted, its earlier process may have executed the start.
+        If the runner has restarted, its earlier process may have executed the start. That run has
+        ended, but the next process but one may execute an earlier start that got no answer. A later
+        list decides if a start is under way.
         """
+        if run.is_start_pending:
+            return
         if run.runner_restarted:
             logs.warning("run_missing", name=run.call.name, run=run.call.run)
-            run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
-        elif run.starts_sent >= MAX_STARTS_SENT:
+            run.runner_restarted = False
+            run.may_have_run = True
+            if clock.boot_s() >= run.unsettled_until_s:
+                run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
+                return
+        if run.starts_sent >= MAX_STARTS_SENT:
             run.fencing_token = None
             self._settle(run, Verdict.NOT_RUN, RefusalReason.FENCED)
         else:
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -50,6 +50,7 @@
         result: How the run ended, None before.
         runner_restarted: Whether the runner has restarted since it was asked to start the run; only
             a list of the new incarnation shows whether that one has executed the start.
+        may_have_run: Whether an earlier process of the runner may have executed a start.
         is_start_pending: Whether a start was sent whose outcome is not known yet.
         starts_sent: How many times the start was sent.
         unsettled_until_s: Boot time until which the next process of the runner may execute an
@@ -68,6 +69,7 @@
     fencing_token: int | None = None
     result: TargetResult | None = None
     runner_restarted: bool = False
+    may_have_run: bool = False
     is_start_pending: bool = False
     starts_sent: int = 0
     unsettled_until_s: float = -math.inf
@@ -125,7 +127,10 @@
     def end(self, verdict: Verdict, reason: RefusalReason | None) -> None:
         """Set the result, or the one that was withheld, unless one is already set."""
         if self.result is None:
-            self.result = self.withheld or TargetResult(verdict, reason)
+            result = self.withheld or TargetResult(verdict, reason)
+            if self.may_have_run and result.verdict == Verdict.NOT_RUN:
+                result = TargetResult(Verdict.RAN, RefusalReason.TARGET_LOST)
+            self.result = result
             self.done.set()
 
 
--- a/tests/agent/test_late_starts.py
+++ b/tests/agent/test_late_starts.py
@@ -201,3 +201,50 @@
             self.assertEqual(RAN, await harness.async_result("b#1", 2.0))
             self.assertLess(harness.runner.requests.count("stop") - stops, 10)
             nursery.cancel_scope.cancel()
+
+    async def test_run_of_a_restarted_runner_is_not_lost_while_its_next_process_may_start_it(
+        self,
+    ) -> None:
+        """Guards against a list of one process being taken for word of the one after it."""
+        async with trio.open_nursery() as nursery:
+            harness = TargetHarness(nursery)
+            model = harness.runner.model
+            model.born_s -= LONG_S  # a lease on its clock is far ahead on that of the next process
+            nursery.start_soon(harness.target.async_run)
+            await harness.async_wait_ready()
+            harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, 0.6
+            harness.start(call("a", LONG_S))
+            with trio.fail_after(0.3):
+                while not model.running:
+                    await trio.sleep(0.005)
+            model.restart(clock.boot_s())
+            harness.announce()
+            await trio.sleep(0.1)
+            model.restart(clock.boot_s())
+            harness.runner.silent = True
+            with trio.fail_after(1.0):
+                while not model.running:
+                    await trio.sleep(0.005)
+            self.assertEqual({}, harness.results)
+            harness.runner.silent = False
+            await trio.sleep(0.3)
+            self.assertEqual({}, harness.results)
+            nursery.cancel_scope.cancel()
+
+    async def test_run_of_a_restarted_runner_is_started_again_there_while_a_start_may_come(
+        self,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            harness = TargetHarness(nursery)
+            model = harness.runner.model
+            nursery.start_soon(harness.target.async_run)
+            await harness.async_wait_ready()
+            harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, NEVER_S
+            harness.start(call("a", 0.3))
+            with trio.fail_after(0.3):
+                while not model.running:
+                    await trio.sleep(0.005)
+            model.restart(clock.boot_s())
+            harness.announce()
+            self.assertEqual(RAN, await harness.async_result("a#1", LATE_S / 2 + 0.1))
+            nursery.cancel_scope.cancel()
