A start that was not answered when its agent was lost counts as a late one

What callers could see: two runs of a task. An agent is killed or freezes within START_TIMEOUT_S (0.08 s) of sending a start, before it knows that it gets no answer; the entry takes the run for ended after RUNS_END_S, and the start is carried out later by the runner's next process.

Change: agents tell an entry which of its starts were answered, once on a link, in the frame of a message that is sent anyway (StartsAnswered). A placement at a lost agent of which that isn't known is waited for until RUNS_END_S + LATE_START_S after the entry's last message. A repeated start is told as a late one before it is sent, since the first may count as answered. A job that is sent again asks its holder before it waits.

test_an_agent_lost_halfway_lets_the_task_run_again_once: its agent reports the answered start now, as a live one does; what it checks is unchanged.

--- a/pistachiohill/agent/admitted_task.py
+++ b/pistachiohill/agent/admitted_task.py
@@ -17,7 +17,8 @@
 class AdmittedTask:
     """A task that is queued or running; `deadline_s` is a boot time.
 
-    `link` is the one on which its entry has last named it.
+    `link` is the one on which its entry has last named it, `answer_told_on` the one on which the
+    entry was told that the target has answered the start.
     """
 
     link: Link
@@ -30,6 +31,7 @@
     sequence: int
     admitted_at_s: float
     stop_reason: RefusalReason | None = None
+    answer_told_on: Link | None = None
 
     @property
     def sort_key(self) -> tuple[int, int]:
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -254,6 +254,11 @@
         assert run.result is not None
         return run.result
 
+    def is_start_answered(self, call: TargetCall) -> bool:
+        """Return whether the runner has confirmed that it has executed the start of a call."""
+        run = self._runs.get(RunName(call.task_id, call.run))
+        return run is not None and run.call is call and run.acknowledged_at_s is not None
+
     def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Ask the runner to stop a run; its call returns once the run is known to have ended.
 
@@ -520,6 +525,11 @@
         if lease.until_clock_s is None:
             self._settle(run, Verdict.NOT_RUN, RefusalReason.FENCED)
             return
+        is_repeated = run.unsettled_until_s > sent_at_s
+        if is_repeated:
+            # Entries may have been told that an earlier start was answered.
+            until_s = sent_at_s + START_TIMEOUT_S + LATE_START_S
+            self._notices.record(run.call, until_s, sent_at_s)
         run.starts_sent += 1
         run.is_start_pending = True
         outcome = await self._runner_client.async_start(identity, run.call, lease, START_TIMEOUT_S)
@@ -529,6 +539,8 @@
             self._handle_reset_clock(now_s)
         if isinstance(outcome, NoAnswer):
             self._expect_late_start(run, now_s + LATE_START_S, now_s)
+        elif is_repeated:
+            self._notices.record(run.call, run.unsettled_until_s, now_s)
         if not run.is_settled:
             self._apply_start_outcome(run, outcome, token, now_s)
 
--- a/pistachiohill/agent/models.py
+++ b/pistachiohill/agent/models.py
@@ -84,6 +84,9 @@
         The permission is checked when the task is sent to the target.
         """
 
+    def is_start_answered(self, call: TargetCall) -> bool:
+        """Return whether the target has answered the start of a task that was called."""
+
     def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Request that a task be stopped, if the target supports it; its call returns as usual.
 
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -15,11 +15,13 @@
 from ..protocol.models import (
     AgentLoad,
     AgentState,
+    AnsweredStart,
     CancelTasks,
     FreshnessRequest,
     QueryTasks,
     SealReply,
     SealSubmissions,
+    StartsAnswered,
     StartTasks,
     StopTask,
     TaskRef,
@@ -122,12 +124,39 @@
         return self._resources.load_for(link.peer_incarnation, queue, self.target.cpu_m, now_s)
 
     def record_sent_load(self, link: Link, now_s: float) -> AgentLoad:
-        """Return the load for a message to an entry, and record it as the last one sent."""
+        """Return the load for a message to an entry, and record it as the last one sent.
+
+        The entry is told in the same frame which starts have been answered.
+        """
+        self._tell_answered(link)
         load = self.load_for(link, now_s)
         load.shared = self.shared.load_for(link, now_s)
         self._sent_loads[link] = SentLoad(load, now_s)
         return load
 
+    def _tell_answered(self, link: Link) -> None:
+        """Tell an entry which of its starts the target has answered since it was last told."""
+        answered = [
+            task
+            for task in self._running
+            if task.best_effort
+            and task.reservation.owner == link.peer_incarnation
+            and task.answer_told_on is not link
+            and self._target_client.is_start_answered(task.call)
+        ]
+        if not answered:
+            return
+        for task in answered:
+            task.answer_told_on = link
+        link.send(
+            StartsAnswered(
+                [
+                    AnsweredStart(task.record.submission_id, task.ref.index, task.ref.attempt)
+                    for task in answered
+                ]
+            )
+        )
+
     def needs_load_update(self, link: Link, now_s: float) -> bool:
         """Return whether the load differs enough from the last one sent to an entry."""
         sent = self._sent_loads.get(link)
--- a/pistachiohill/agent/target_client.py
+++ b/pistachiohill/agent/target_client.py
@@ -32,6 +32,10 @@
         """Return True: a target called over HTTP is tried for every task."""
         return True
 
+    def is_start_answered(self, call: TargetCall) -> bool:
+        """Return True: what a target called over HTTP has been sent does not come later."""
+        return True
+
     def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Do nothing: a target called over HTTP has no way to stop a running task."""
 
--- a/pistachiohill/entry/agent.py
+++ b/pistachiohill/entry/agent.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from ..agent.const import RUNS_END_S
+from ..agent.const import LATE_START_S, RUNS_END_S
 from ..consortium.const import NO_OFFSET
 from ..peer_clock import PeerClock
 from ..protocol.link import Link
@@ -78,6 +78,13 @@
         sent_at_s = self.link.sent_at_s if self.link is not None else self.last_sent_at_s
         return sent_at_s + RUNS_END_S
 
+    def late_starts_end_s(self) -> float:
+        """Return when no start of a lost agent can be executed any more, whether answered or not.
+
+        The agent has sent none after this entry's lease.
+        """
+        return self.runs_end_s() + LATE_START_S
+
 
 class AgentListener:
     """Interface for receivers of agent events, such as the dispatcher."""
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -31,6 +31,7 @@
     LateStarts,
     Message,
     SealReply,
+    StartsAnswered,
     StartTasks,
     TaskReports,
     ViewStamp,
@@ -455,6 +456,15 @@
     def _(self, message: LateStarts, agent: Agent, listener: AgentListener, now_s: float) -> None:
         self.late_starts.record(agent.incarnation, message, now_s)
 
+    @_handle.register
+    def _(
+        self, message: StartsAnswered, agent: Agent, listener: AgentListener, now_s: float
+    ) -> None:
+        for start in message.starts:
+            placed = agent.outstanding.get((start.submission_id, start.index))
+            if placed is not None and placed[1].attempt == start.attempt:
+                placed[1].is_start_answered = True
+
     @_handle.register
     def _(self, message: SealReply, agent: Agent, listener: AgentListener, now_s: float) -> None:
         listener.seal_replied(agent, message, now_s)
--- a/pistachiohill/entry/best_effort.py
+++ b/pistachiohill/entry/best_effort.py
@@ -292,9 +292,10 @@
         submission = self._ending.get(request.key)
         if submission is not None and submission.outstanding > 0:
             return Holding.HELD
-        if now_s < self._late_starts.job_until_s(request.key):
+        holding = self._holders.check(request.key, request.origin.age_s(now_s), now_s)
+        if holding == Holding.FREE and now_s < self._late_starts.job_until_s(request.key):
             return Holding.HELD
-        return self._holders.check(request.key, request.origin.age_s(now_s), now_s)
+        return holding
 
     async def _async_wait_for_target(
         self, job: KeyedJob, request: JobRequest, settings: JobSettings
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -219,6 +219,8 @@
         """
         task_id = submission.task_id(task.index)
         until_s = self._directory.late_starts.task_until_s(task_id, agent.incarnation)
+        if not task.is_start_answered:
+            until_s = max(until_s, agent.late_starts_end_s())
         if now_s >= until_s:
             return False
         key = (submission.submission_id, task.index)
@@ -228,6 +230,7 @@
                 "late_start_awaited",
                 name=submission.task_name(task.index),
                 agent=agent.incarnation,
+                answered=task.is_start_answered,
                 for_s=until_s - now_s,
                 left_s=submission.deadline_s - now_s,
             )
@@ -260,6 +263,7 @@
     def _assign(self, placement: Placement) -> None:
         agent, submission, task = placement.agent, placement.submission, placement.task
         task.attempt += 1
+        task.is_start_answered = False
         task.agent = agent.incarnation
         key = (submission.submission_id, task.index)
         submission.outstanding += 1
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -187,6 +187,35 @@
         )
 
 
+@define(slots=True)
+class AnsweredStart:
+    """Start of a placement that the agent's target has answered, so that it is not under way any more.
+
+    Fields:
+        submission_id: Identifier of the submission.
+        index: Position of the task in its submission.
+        attempt: Number of the placement attempt.
+    """
+
+    submission_id: str
+    index: int
+    attempt: int
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [self.submission_id, self.index, self.attempt]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "AnsweredStart":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 3, "AnsweredStart")
+        return cls(
+            submission_id=wire.read_str(items[0]),
+            index=wire.read_int(items[1]),
+            attempt=wire.read_int(items[2]),
+        )
+
+
 @define(slots=True)
 class LateStart:
     """Start of a run that got no answer, so that the next process of the runner may still execute it.
@@ -890,6 +919,29 @@
         )
 
 
+@define(slots=True)
+class StartsAnswered:
+    """Tells an entry which of its placements the target has answered; sent with another message, once on a link.
+
+    Fields:
+        starts: Placements whose starts are not under way any more.
+    """
+
+    starts: list[AnsweredStart]
+
+    def to_wire(self) -> list[object]:
+        """Return the fields by position."""
+        return [[item.to_wire() for item in self.starts]]
+
+    @classmethod
+    def from_wire(cls, source: object) -> "StartsAnswered":
+        """Read the fields by position; raise DecodeError on bad input."""
+        items = wire.read_fields(source, 1, "StartsAnswered")
+        return cls(
+            starts=[AnsweredStart.from_wire(item) for item in wire.read_list(items[0])],
+        )
+
+
 @define(slots=True)
 class LateStarts:
     """Tells all entries linked to an agent which tasks must not run elsewhere yet, even after the agent has ended.
@@ -1831,6 +1883,7 @@
     | JobCancelled
     | StopTask
     | LateStarts
+    | StartsAnswered
     | EndRecord
     | AnnounceRecord
     | PublishRecord
@@ -1868,6 +1921,7 @@
     25: JobCancelled,
     28: StopTask,
     29: LateStarts,
+    30: StartsAnswered,
     39: EndRecord,
     40: AnnounceRecord,
     42: PublishRecord,
@@ -1905,6 +1959,7 @@
     JobCancelled: 25,
     StopTask: 28,
     LateStarts: 29,
+    StartsAnswered: 30,
     EndRecord: 39,
     AnnounceRecord: 40,
     PublishRecord: 42,
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -117,6 +117,7 @@
         restarts: Number of placements that followed a refusal by a target.
         failed_runs: Number of failed runs.
         agent: Incarnation of the agent at which the task is placed.
+        is_start_answered: Whether the agent has reported that its target answered the start.
         refused_by: Incarnations of agents at which the task was refused or failed; they are
             avoided until this includes all agents of the service.
     """
@@ -127,6 +128,7 @@
     restarts: int = 0
     failed_runs: int = 0
     agent: str = ""
+    is_start_answered: bool = False
     refused_by: set[str] = field(factory=set)
     report: TaskReport | None = None
 
--- a/tests/overload/test_moves.py
+++ b/tests/overload/test_moves.py
@@ -103,6 +103,7 @@
         fixture.turn_slow()
         lost = fixture.agents[0]
         del fixture.directory.agents[lost.incarnation]
+        fixture.submission.tasks[0].is_start_answered = True
         fixture.dispatcher.agent_lost(lost, 0.4)
         fixture.dispatcher.place(0.4)
         self.assertEqual([1, 0], fixture.starts(), "its run may go on")
