Model starts that come late, without leaving a fault out

agent/spec.py passed only because _is_open_fault kept a restarted runner from carrying out a start that nobody waited for. New in the model: several late starts, several restarts of the runner, withheld results and repeated starts, notices to all entries, answered starts told to the entry, and who waits on what it knows. The time of a late start is not counted: who waits for it waits until none is late.

--- a/pistachiohill/agent/spec.py
+++ b/pistachiohill/agent/spec.py
@@ -9,15 +9,18 @@
 Time is counted in ticks; a process that runs reacts within the same tick. A process that is frozen
 or out of reach does nothing while time passes. Messages of the entry may be delivered late, also
 after their link was closed, or never. While requests to the runner are late, each may be executed
-at once without an answer, or never, and starts also at any later time. Other tasks at the same
-runner are always there, so its lease is renewed whenever the agent may do so.
+at once without an answer, or never, and starts also at any later time, by whichever process of the
+runner is up then. Other tasks at the same runner are always there, so its lease is renewed whenever
+the agent may do so.
+
+The time after which a late start can't come any more is longer than all other times, and than the
+lease of what it begins. So who waits for it waits until no start is late and what one has begun has
+ended; that a start never comes is a step of its own. Another entry is
+told what an agent tells all entries, and asks the first entry while that one is up.
 
 `RUNS_END_TICKS` and `RESEND_TICKS` have no room: with one tick less, the runs overlap. The sums in
 the implementation add margins for timers, drifting clocks and the duration of a stop.
 
-A start that a restarted runner executes when nobody waits for it any more is left out: nothing
-prevents that yet.
-
 | action of the specification | implementation |
 | --- | --- |
 | send stamp | `entry.agents.AgentDirectory._check_link`, `view_stamp` |
@@ -30,6 +33,9 @@
 | stop | `LeasedTarget.stop`, `run_stops.async_stop` |
 | runner is silent | `LeasedTarget._handle_lease_end`, `runner_lease.RunnerLease` |
 | runner restarted | `LeasedTarget._handle_restart` |
+| withhold, release, start again | `late_starts.LateStarts`, `LeasedTarget._settle_unlisted` |
+| notice | `late_start_notices.LateStartNotices`, `entry.late_starts.LateStartTable` |
+| answer told | `TaskRunner._tell_answered`, `Dispatcher._awaits_late_start` |
 | report | `agent.reports.ReportSender`, `entry.dispatcher.Dispatcher.tasks_reported` |
 | hear | `AgentDirectory._record_clock`, `view_stamp` |
 | relink | `Dispatcher.link_opened`, `StartTable.query`, `TaskRunner.cancel` |
@@ -70,6 +76,10 @@
     QUERY = "a query on a new link fences placements that the agent does not know"
     CANCEL_AGAIN = "a cancellation is repeated on a new link"
     RUNS_END = "an entry takes runs for ended after the sum of the leases only"
+    WITHHOLD = "an agent reports no end of a run while a start without an answer may come"
+    NEXT_LIST = "not even on a list of the runner's next process"
+    NOTICE = "an agent tells all entries of a start without an answer as soon as it knows"
+    ANSWERED = "until told of its answer, an entry takes a start at a lost agent for a late one"
 
 
 class Process(IntEnum):
@@ -89,6 +99,7 @@
     PREPARED = "prepared"
     UNANSWERED = "unanswered"
     RUNNING = "running"
+    WITHHELD = "withheld"
     ENDED = "ended"
 
 
@@ -97,9 +108,18 @@
 
 @frozen
 class Bounds:
-    """Bounds of the model: the number of faults."""
+    """Bounds of the model.
+
+    Fields:
+        faults: Number of faults.
+        kinds: Kinds of faults; none stand for all.
+        entries_linked: Whether an entry to which the job is sent again waits for the first one's
+            release while that one is up. Otherwise it asks only for starts that may come late.
+    """
 
     faults: int
+    kinds: frozenset[str] = frozenset()
+    entries_linked: bool = False
 
 
 @frozen
@@ -111,6 +131,8 @@
         stalled_ticks: By how much its stamps are older than the time at which they are sent.
         settled: Whether it knows, or takes it for known, that the first run has ended.
         cancelled: Whether it has noticed that the caller left.
+        told: Whether the agent has told it of a start without an answer.
+        answered: Whether the agent has told it that a start was answered.
     """
 
     process: Process = Process.UP
@@ -119,6 +141,8 @@
     stalled_ticks: int = 0
     settled: bool = False
     cancelled: bool = False
+    told: bool = False
+    answered: bool = False
 
 
 @frozen
@@ -131,7 +155,10 @@
         must_end: Whether the run is being stopped.
         sealed: Whether the job was cancelled here.
         granted_ticks: Ticks for which a lease that it has granted may still last.
-        restart_known: Whether it has noticed the restart of the runner.
+        restart_known: Whether it has noticed the latest restart of the runner.
+        sent: Whether a start was sent.
+        repeated: Whether it was sent again.
+        unsettled: Whether a start without an answer may still be executed.
     """
 
     process: Process = Process.UP
@@ -143,14 +170,23 @@
     token: int = 0
     granted_ticks: int = 0
     restart_known: bool = False
+    sent: bool = False
+    repeated: bool = False
+    unsettled: bool = False
 
 
 @frozen
 class RunnerState:
-    """The runner of the first run; `refused` means that the run's number is refused from now on."""
+    """The runner of the first run.
+
+    Fields:
+        began_late: Whether the run was begun by a late start.
+        refused: Whether the run's number is refused from now on.
+    """
 
     restarted: bool = False
     running: bool = False
+    began_late: bool = False
     refused: bool = False
     lease_ticks: int = 0
     token: int = 0
@@ -170,7 +206,10 @@
     """State of the whole system.
 
     Fields:
-        late_start: Start that was sent to the runner and is not executed yet.
+        fault_kinds: Kinds of faults that may occur, all if it is empty.
+        entries_linked: As in the bounds.
+        late_starts: Starts that were sent to the runner and may be executed later.
+        others_told: Whether other entries were told of a start without an answer.
         start_ticks, stamp_ticks: Age of the start and of the stamp in flight, None if there is
             none.
         cancel_sent: Whether a cancellation is in flight.
@@ -184,7 +223,10 @@
     entry: EntryState = EntryState()
     agent: AgentState = AgentState()
     runner: RunnerState = RunnerState()
-    late_start: Request | None = None
+    fault_kinds: frozenset[str] = frozenset()
+    entries_linked: bool = False
+    late_starts: tuple[Request, ...] = ()
+    others_told: bool = False
     start_ticks: int | None = 0
     stamp_ticks: int | None = None
     old_link: bool = False
@@ -201,7 +243,9 @@
 
 def initial(bounds: Bounds) -> SystemState:
     """Return the initial state, in which the start has just been sent to the agent."""
-    return SystemState(bounds.faults)
+    return SystemState(
+        bounds.faults, fault_kinds=bounds.kinds, entries_linked=bounds.entries_linked
+    )
 
 
 def steps(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
@@ -214,9 +258,11 @@
     if _may_tick(system, guards):
         yield "tick", _tick(system)
     if system.faults_left:
-        yield from _faults(evolve(system, faults_left=system.faults_left - 1))
+        for label, after in _faults(evolve(system, faults_left=system.faults_left - 1)):
+            if not system.fault_kinds or label in system.fault_kinds:
+                yield label, after
     yield from _recoveries(system)
-    yield from _caller_steps(system)
+    yield from _caller_steps(system, guards)
     if system.entry.process == Process.UP:
         yield from _entry_steps(system, guards)
     if system.agent.process == Process.UP:
@@ -224,32 +270,25 @@
         yield from _agent_steps(system, guards)
     if system.agent.process == Process.DEAD:
         yield from _successor_steps(system, guards)
-    if system.late_start is not None and not _is_open_fault(system):
-        yield "late start", _execute(evolve(system, late_start=None), system.late_start)
-
-
-def _is_open_fault(system: SystemState) -> bool:
-    """Return whether a restarted runner would execute a start that nobody waits for any more.
-
-    Nothing prevents this: the runner's new process has seen no fencing token.
-    """
-    settled = system.agent.placement == Placement.ENDED or system.second_run
-    return system.runner.restarted and (settled or system.left_ticks is not None)
+    for position, request in enumerate(system.late_starts):
+        rest = system.late_starts[:position] + system.late_starts[position + 1 :]
+        yield "late start", _execute_late(evolve(system, late_starts=rest), request)
+        yield "start never comes", evolve(system, late_starts=rest)
 
 
 def _may_be_in_progress(system: SystemState) -> bool:
     """Return whether the first run is in progress or may start later."""
-    if system.runner.running or system.late_start is not None:
+    if system.runner.running or system.late_starts:
         return True
     if system.agent.process == Process.DEAD:
         return False
-    before_start = (Placement.QUEUED, Placement.PREPARED)
+    before_start = (Placement.QUEUED, Placement.PREPARED, Placement.WITHHELD)
     undelivered = system.start_ticks is not None and system.agent.placement == Placement.UNKNOWN
     return undelivered or system.agent.placement in before_start
 
 
 def _faults(system: SystemState) -> Iterator[Step]:
-    entry, agent, runner = system.entry, system.agent, system.runner
+    entry, agent = system.entry, system.agent
     if entry.process == Process.UP:
         killed = _entry(system, process=Process.DEAD, linked=False)
         left_ticks = 0 if system.left_ticks is None else system.left_ticks
@@ -264,16 +303,16 @@
         yield "reset", _close_link(system)
     if not system.requests_late:
         yield "requests late", evolve(system, requests_late=True)
-    if not runner.restarted:
-        yield "runner restarted", _restart(system)
+    yield "runner restarted", _restart(system)
 
 
 def _restart(system: SystemState) -> SystemState:
     """Restart the runner; a late start's deadline is far ahead by the new process's clock."""
-    late_start = system.late_start
-    if late_start is not None:
-        late_start = evolve(late_start, lease_ticks=RUNNER_LEASE_TICKS)
-    return evolve(system, runner=RunnerState(restarted=True), late_start=late_start)
+    late_starts = tuple(
+        evolve(request, lease_ticks=RUNNER_LEASE_TICKS) for request in system.late_starts
+    )
+    system = _agent(system, restart_known=False)
+    return evolve(system, runner=RunnerState(restarted=True), late_starts=late_starts)
 
 
 def _recoveries(system: SystemState) -> Iterator[Step]:
@@ -287,11 +326,16 @@
         yield "agent wakes", _agent(system, process=Process.UP)
 
 
-def _caller_steps(system: SystemState) -> Iterator[Step]:
+def _caller_steps(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
     if system.left_ticks is None:
         yield "caller leaves", evolve(system, left_ticks=0)
     elif system.left_ticks >= RESEND_TICKS and not system.second_run:
-        yield "second run by another entry", evolve(system, second_run=True)
+        entry = system.entry
+        told = system.others_told and _is_late_start_due(system)
+        holds = system.entries_linked or _awaits_late_start(system, guards)
+        held = entry.process == Process.UP and not entry.settled and holds
+        if not told and not held:
+            yield "second run by another entry", evolve(system, second_run=True)
 
 
 def _entry_steps(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
@@ -308,12 +352,25 @@
     if not entry.linked and reachable and noticed:
         yield "relink", _relink(system, guards)
     waited = entry.silent_ticks >= RUNS_END_TICKS or Guard.RUNS_END not in guards
+    waited = waited and not _awaits_late_start(system, guards)
     if not entry.linked and not entry.settled and waited:
         yield "leases end", _settle(system)
     if entry.linked and reachable and system.agent.placement == Placement.ENDED:
         yield "report", _settle(system)
 
 
+def _awaits_late_start(system: SystemState, guards: frozenset[Guard]) -> bool:
+    """Return whether the entry waits, as far as it knows, for a start that may come."""
+    entry = system.entry
+    unknown = not entry.answered and Guard.ANSWERED in guards
+    return (entry.told or unknown) and _is_late_start_due(system)
+
+
+def _is_late_start_due(system: SystemState) -> bool:
+    """Return whether a start is late, or one has begun a run that goes on."""
+    return bool(system.late_starts) or (system.runner.running and system.runner.began_late)
+
+
 def _deliveries(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
     if system.cut:
         return
@@ -339,11 +396,45 @@
     if _lease_end_is_due(agent, guards):
         yield "lease of the entry ends", _agent(system, must_end=True)
     if agent.must_end and agent.placement in IN_PROGRESS:
-        yield from _requests(system, Request("stop", agent.token), "stop")
+        yield from _requests(system, Request("stop", agent.token), "stop", guards)
     if agent.placement in (Placement.RUNNING, Placement.UNANSWERED):
         yield from _hold(system, guards)
     if agent.placement in IN_PROGRESS:
         yield from _presumptions(system, guards)
+    if agent.placement == Placement.WITHHELD:
+        yield from _withheld_steps(system, guards)
+    yield from _notices(system, guards)
+
+
+def _withheld_steps(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
+    """Yield what an agent does about a run that has not begun, but may."""
+    agent = system.agent
+    yield from _requests(system, Request("hold", agent.token), "look", guards)
+    if not system.late_starts:
+        return
+    may_repeat = not agent.repeated and not agent.must_end
+    if may_repeat and _may_start(agent, guards):
+        yield from _start(system, guards)
+
+
+def _notices(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
+    """Yield what an agent tells entries of the start; messages on a link keep their order."""
+    reachable = system.entry.linked and not system.cut
+    if _notice_is_due(system, guards):
+        told = _entry(system, told=system.entry.told or reachable)
+        yield "notice", evolve(told, others_told=True)
+        return
+    answered = system.agent.placement == Placement.RUNNING
+    if answered and reachable and not system.entry.answered:
+        yield "answer told", _entry(system, answered=True)
+
+
+def _notice_is_due(system: SystemState, guards: frozenset[Guard]) -> bool:
+    """Return whether entries have not been told of a start without an answer."""
+    if not system.agent.unsettled or Guard.NOTICE not in guards:
+        return False
+    reachable = system.entry.linked and not system.cut
+    return not system.others_told or (reachable and not system.entry.told)
 
 
 def _presumptions(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
@@ -351,6 +442,8 @@
     agent, runner = system.agent, system.runner
     ended = _agent(system, placement=Placement.ENDED)
     expired = agent.granted_ticks == 0 or Guard.RUNNER_LEASE not in guards
+    if agent.unsettled and _is_late_start_due(system) and Guard.WITHHOLD in guards:
+        expired = False
     if system.requests_late and expired and not runner.restarted:
         yield "runner is silent", ended
     if Guard.ANNOUNCEMENT not in guards:
@@ -363,6 +456,8 @@
     """Yield the steps of the process that replaces a killed agent; it lists the runs first."""
     if system.entry.process != Process.UP or system.entry.settled or system.cut:
         return
+    if _awaits_late_start(system, guards):
+        return
     if Guard.SUCCESSOR not in guards:
         yield "successor accepts", _settle(system)
         return
@@ -380,6 +475,8 @@
         return True
     if system.cancel_sent and entry.linked and not system.cut:
         return False
+    if _notice_is_due(system, guards):
+        return False
     stopping = agent.must_end and agent.placement in IN_PROGRESS and not system.requests_late
     return not stopping and not _lease_end_is_due(agent, guards)
 
@@ -406,12 +503,13 @@
     system = _runner(system, lease_ticks=max(0, runner.lease_ticks - 1))
     if runner.running and system.runner.lease_ticks == 0:
         system = _runner(system, running=False, refused=True)
-    late_start = system.late_start
-    if late_start is not None:
-        late_start = evolve(late_start, lease_ticks=max(0, late_start.lease_ticks - 1))
+    late_starts = tuple(
+        evolve(request, lease_ticks=max(0, request.lease_ticks - 1))
+        for request in system.late_starts
+    )
     return evolve(
         system,
-        late_start=late_start,
+        late_starts=late_starts,
         start_ticks=_older(system.start_ticks),
         stamp_ticks=_older(system.stamp_ticks),
         left_ticks=None if system.left_ticks is None else min(system.left_ticks + 1, RESEND_TICKS),
@@ -439,7 +537,8 @@
 def _relink(system: SystemState, guards: frozenset[Guard]) -> SystemState:
     """Open a link, and process the entry's first messages on it."""
     agent = system.agent
-    system = _entry(system, linked=True, stalled_ticks=0)
+    told = system.entry.told or (agent.unsettled and Guard.NOTICE in guards)
+    system = _entry(system, linked=True, stalled_ticks=0, told=told)
     if system.entry.cancelled and Guard.CANCEL_AGAIN in guards:
         system = _cancel(system)
     if not system.entry.settled:
@@ -508,16 +607,27 @@
 def _start(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
     agent = system.agent
     request = Request("start", agent.token, RUNNER_LEASE_TICKS)
-    system = _agent(system, granted_ticks=RUNNER_LEASE_TICKS)
+    sent = evolve(agent, granted_ticks=RUNNER_LEASE_TICKS, sent=True, repeated=agent.sent)
+    system = evolve(system, agent=sent)
     executed = _execute(system, request)
-    answer = Placement.RUNNING if executed.runner.running else Placement.ENDED
-    yield "start", _agent(executed, placement=answer)
+    if executed.runner.running:
+        yield "start", _agent(executed, placement=Placement.RUNNING)
+    else:
+        yield "start refused", _end(executed, guards)
     if not system.requests_late:
         return
     token = agent.token + (Guard.FENCE in guards)
-    unanswered = _agent(system, placement=Placement.UNANSWERED, token=token)
+    unanswered = _agent(system, placement=Placement.UNANSWERED, token=token, unsettled=True)
     yield "start, answer lost", _execute(unanswered, request)
-    yield "start, late", evolve(unanswered, late_start=request)
+    yield "start, late", evolve(unanswered, late_starts=(*system.late_starts, request))
+
+
+def _end(system: SystemState, guards: frozenset[Guard]) -> SystemState:
+    """End a run that the runner has not, or withhold that while a start of it may come."""
+    withhold = system.agent.unsettled and bool(system.late_starts) and Guard.WITHHOLD in guards
+    if system.runner.restarted and Guard.NEXT_LIST not in guards:
+        withhold = False
+    return _agent(system, placement=Placement.WITHHELD if withhold else Placement.ENDED)
 
 
 def _hold(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
@@ -527,21 +637,25 @@
     renews = leased and not agent.must_end
     lease_ticks = RUNNER_LEASE_TICKS if renews or Guard.RENEWAL not in guards else 0
     system = _agent(system, granted_ticks=max(agent.granted_ticks, lease_ticks))
-    yield from _requests(system, Request("hold", agent.token, lease_ticks), "hold")
+    yield from _requests(system, Request("hold", agent.token, lease_ticks), "hold", guards)
 
 
-def _requests(system: SystemState, request: Request, label: str) -> Iterator[Step]:
+def _requests(
+    system: SystemState, request: Request, label: str, guards: frozenset[Guard]
+) -> Iterator[Step]:
     """Yield the outcomes of a stop or a hold."""
-    yield label, _apply_list(_execute(system, request))
+    yield label, _apply_list(_execute(system, request), guards)
     if system.requests_late:
         yield f"{label}, answer lost", _execute(system, request)
 
 
-def _apply_list(system: SystemState) -> SystemState:
-    """Apply the runner's list of runs at the agent."""
-    known = evolve(system.agent, restart_known=system.runner.restarted)
-    placement = Placement.RUNNING if system.runner.running else Placement.ENDED
-    return evolve(system, agent=evolve(known, placement=placement))
+def _apply_list(system: SystemState, guards: frozenset[Guard]) -> SystemState:
+    """Apply the runner's list of runs; a start that was sent once can't come after it is listed."""
+    system = _agent(system, restart_known=system.runner.restarted)
+    if not system.runner.running:
+        return _end(system, guards)
+    unsettled = system.agent.unsettled and system.agent.repeated
+    return _agent(system, placement=Placement.RUNNING, unsettled=unsettled)
 
 
 def _execute(system: SystemState, request: Request) -> SystemState:
@@ -558,6 +672,14 @@
     return system
 
 
+def _execute_late(system: SystemState, request: Request) -> SystemState:
+    """Execute a late start at the runner."""
+    was_running = system.runner.running
+    system = _execute(system, request)
+    began = system.runner.running and not was_running
+    return _runner(system, began_late=True) if began else system
+
+
 def _entry(system: SystemState, **changes: Any) -> SystemState:
     return evolve(system, entry=evolve(system.entry, **changes))
 
