Mutants of the safeguards against late starts

Five mutants are new: a list of the next process settles, a start is kept to the agent, an entry forgets it with the agent, an unanswered one counts as answered, a job sent again doesn't wait.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -36,6 +36,7 @@
 ORIGIN_TESTS = "tests/http/test_direct_server.py::RequestOriginTest::"
 RUN_PROOFS_TESTS = "tests/agent/test_run_proofs.py::RunProofsTest::"
 LATE_START_TESTS = "tests/agent/test_late_starts.py::LateStartTest::"
+LOST_AGENT_TESTS = "tests/entry/test_late_starts.py::LostAgentTest::"
 RESENT_TESTS = "tests/failures/test_resent_jobs.py::ResentJobsTest::"
 RELEASE_TESTS = "tests/entry/test_best_effort.py::ReleaseTest::"
 OPERATORS_TESTS = "tests/platform/test_operators.py::OperatorsTest::"
@@ -800,10 +801,10 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "        elif run.starts_sent >= MAX_STARTS_SENT:\n"
+                "        if run.starts_sent >= MAX_STARTS_SENT:\n"
                 "            run.fencing_token = None\n"
                 "            self._settle(run,",
-                "        elif True:\n            run.end(",
+                "        if True:\n            run.end(",
             ),
         ),
     ),
@@ -923,9 +924,8 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "            run.unsettled_until_s = now_s + LATE_START_S\n"
-                "        if not run.is_settled",
-                "            run.unsettled_until_s = -math.inf\n        if not run.is_settled",
+                "        run.unsettled_until_s = until_s\n",
+                "        run.unsettled_until_s = -math.inf\n",
             ),
         ),
     ),
@@ -941,6 +941,70 @@
             ),
         ),
     ),
+    Mutant(
+        "a list of the next process settles a run whose start may come",
+        LATE_START_TESTS
+        + "test_run_of_a_restarted_runner_is_not_lost_while_its_next_process_may_start_it",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "            if clock.boot_s() >= run.unsettled_until_s:\n",
+                "            if True:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "an agent keeps an unanswered start to itself",
+        "tests/agent/test_late_start_notices.py::LateStartNoticesTest::"
+        "test_all_entries_are_told_as_soon_as_a_start_is_unanswered",
+        (
+            Edit(
+                "pistachiohill/agent/leased_target.py",
+                "            self._expect_late_start(run, now_s + LATE_START_S, now_s)\n"
+                "        elif is_repeated",
+                "            run.unsettled_until_s = now_s + LATE_START_S\n"
+                "        elif is_repeated",
+            ),
+        ),
+    ),
+    Mutant(
+        "an entry forgets a late start with its agent",
+        LOST_AGENT_TESTS
+        + "test_task_of_a_lost_agent_is_placed_again_only_when_its_start_cannot_come",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "        until_s = self._directory.late_starts.task_until_s("
+                "task_id, agent.incarnation)\n",
+                "        until_s = 0.0\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a start at a lost agent counts as answered",
+        LOST_AGENT_TESTS + "test_task_is_not_placed_again_while_its_agent_has_not_said_that_"
+        "its_start_was_answered",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "        if not task.is_start_answered:\n",
+                "        if False:\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a job that is sent again doesn't wait for a late start",
+        "tests/entry/test_late_starts.py::JobSentAgainTest::"
+        "test_job_waits_at_each_entry_until_its_earlier_start_cannot_come",
+        (
+            Edit(
+                "pistachiohill/entry/best_effort.py",
+                "        if holding == Holding.FREE and now_s < self._late_starts"
+                ".job_until_s(request.key):\n",
+                "        if False:\n",
+            ),
+        ),
+    ),
     Mutant(
         "a job that another entry holds runs here as well",
         RESENT_TESTS
@@ -948,8 +1012,8 @@
         (
             Edit(
                 "pistachiohill/entry/best_effort.py",
-                "return self._holders.check(request.key, request.origin.age_s(now_s), now_s)",
-                "return Holding.FREE",
+                "holding = self._holders.check(request.key, request.origin.age_s(now_s), now_s)",
+                "holding = Holding.FREE",
             ),
         ),
     ),
