--- a/tests/agent/test_late_starts.py
+++ b/tests/agent/test_late_starts.py
@@ -202,29 +202,36 @@
             self.assertLess(harness.runner.requests.count("stop") - stops, 10)
             nursery.cancel_scope.cancel()
 
+    async def _async_wait_running(self, harness: TargetHarness, within_s: float) -> None:
+        with trio.fail_after(within_s):
+            while not harness.runner.model.running:
+                await trio.sleep(0.005)
+
+    async def _async_restart_after_two_starts(
+        self, nursery: trio.Nursery, run_s: float, late_s: float
+    ) -> TargetHarness:
+        """Restart a runner to which a start was sent twice; the first may come after `late_s`."""
+        harness = TargetHarness(nursery)
+        harness.runner.model.born_s -= LONG_S  # its lease is far ahead on the clock of the next
+        nursery.start_soon(harness.target.async_run)
+        await harness.async_wait_ready()
+        harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, late_s
+        harness.start(call("a", run_s))
+        await self._async_wait_running(harness, 0.3)
+        harness.runner.model.restart(clock.boot_s())
+        harness.announce()
+        return harness
+
     async def test_run_of_a_restarted_runner_is_not_lost_while_its_next_process_may_start_it(
         self,
     ) -> None:
         """Guards against a list of one process being taken for word of the one after it."""
         async with trio.open_nursery() as nursery:
-            harness = TargetHarness(nursery)
-            model = harness.runner.model
-            model.born_s -= LONG_S  # a lease on its clock is far ahead on that of the next process
-            nursery.start_soon(harness.target.async_run)
-            await harness.async_wait_ready()
-            harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, 0.6
-            harness.start(call("a", LONG_S))
-            with trio.fail_after(0.3):
-                while not model.running:
-                    await trio.sleep(0.005)
-            model.restart(clock.boot_s())
-            harness.announce()
+            harness = await self._async_restart_after_two_starts(nursery, LONG_S, late_s=0.6)
             await trio.sleep(0.1)
-            model.restart(clock.boot_s())
+            harness.runner.model.restart(clock.boot_s())
             harness.runner.silent = True
-            with trio.fail_after(1.0):
-                while not model.running:
-                    await trio.sleep(0.005)
+            await self._async_wait_running(harness, 1.0)
             self.assertEqual({}, harness.results)
             harness.runner.silent = False
             await trio.sleep(0.3)
@@ -235,16 +242,6 @@
         self,
     ) -> None:
         async with trio.open_nursery() as nursery:
-            harness = TargetHarness(nursery)
-            model = harness.runner.model
-            nursery.start_soon(harness.target.async_run)
-            await harness.async_wait_ready()
-            harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, NEVER_S
-            harness.start(call("a", 0.3))
-            with trio.fail_after(0.3):
-                while not model.running:
-                    await trio.sleep(0.005)
-            model.restart(clock.boot_s())
-            harness.announce()
+            harness = await self._async_restart_after_two_starts(nursery, 0.3, late_s=NEVER_S)
             self.assertEqual(RAN, await harness.async_result("a#1", LATE_S / 2 + 0.1))
             nursery.cancel_scope.cancel()
