Agent logs the runner's clock and its bound of it when they disagree

Its logs show `runner_clock_reset` at each start after the suspension, which says that the runner has restarted; it hasn't (its list has the same birth). They can't tell a runner that began anew from a bound that is wrong, nor by how much.

The event has both values now. Nothing else changes.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -536,7 +536,7 @@
         run.is_start_pending = False
         now_s = clock.boot_s()
         if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
-            self._handle_reset_clock(now_s)
+            self._handle_reset_clock(outcome.clock_s, sent_at_s, now_s)
         if isinstance(outcome, NoAnswer):
             self._expect_late_start(run, now_s + LATE_START_S, now_s)
         elif is_repeated:
@@ -554,13 +554,18 @@
         if run.starts_sent == 1 and run.unsettled_until_s > now_s:
             self._expect_late_start(run, -math.inf, now_s)
 
-    def _handle_reset_clock(self, now_s: float) -> None:
+    def _handle_reset_clock(self, clock_s: float, sent_at_s: float, now_s: float) -> None:
         """Look at a runner whose clock has begun anew, so that it has restarted.
 
         Its next incarnation may have granted the longest lease, as the one that was requested was a
         time on the earlier clock.
         """
-        logs.event("runner_clock_reset", runner=self._runner_id)
+        logs.event(
+            "runner_clock_reset",
+            runner=self._runner_id,
+            clock_s=clock_s,
+            bound_s=self._lease.clock_bound_s(sent_at_s),
+        )
         self._lease.record_unknown_lease(now_s)
         self._ack_pending = False
         self._require_sync()
--- a/pistachiohill/agent/runner_lease.py
+++ b/pistachiohill/agent/runner_lease.py
@@ -42,14 +42,16 @@
         """Record a reading of the runner's clock from one of its responses."""
         self._clock.record(clock_s, now_s, ALWAYS_RUNNING_S)
 
+    def clock_bound_s(self, now_s: float) -> float:
+        """Return a time that the runner's clock should have reached, negative if none is known."""
+        return self._clock.lower_bound_s(now_s, ALWAYS_RUNNING_S)
+
     def is_reset_clock(self, clock_s: float, sent_at_s: float) -> bool:
         """Return whether a response's clock is before a time that the clock had reached already.
 
         `sent_at_s` is the boot time at which the request was sent.
         """
-        return (
-            clock_s < self._clock.lower_bound_s(sent_at_s, ALWAYS_RUNNING_S) - RUNNER_CLOCK_STEP_S
-        )
+        return clock_s < self.clock_bound_s(sent_at_s) - RUNNER_CLOCK_STEP_S
 
     def clock_age_s(self, now_s: float) -> float:
         """Return how long ago the runner's clock was read, infinity if never."""
@@ -57,7 +59,7 @@
 
     def grant(self, now_s: float) -> float | None:
         """Return the end of a new lease on the runner's clock, None if that clock is not known."""
-        clock_s = self._clock.lower_bound_s(now_s, ALWAYS_RUNNING_S)
+        clock_s = self.clock_bound_s(now_s)
         if clock_s < 0.0:
             return None
         longest_s = (LEASE_S + RUNNER_CLOCK_STEP_S) / (1.0 - MAX_CLOCK_DRIFT)
