Stand-ins: machines that are suspended

`POST /v1/suspend` lets the runner stand still, `PlatformDeployment.async_suspend_machine` pauses its agent with it, and `RunnerModel.suspend` does the same for tests without processes.

--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -214,6 +214,19 @@
         """Let a runner crash and start again at once under the same id."""
         await self.async_post(f"{self.agents[index].runner_url}/v1/restart", {})
 
+    async def async_suspend_machine(self, index: int, for_s: float, *, cut_off: bool) -> None:
+        """Suspend the machine of an agent and its runner for a while.
+
+        The agent is paused, and the runner's clock, lease and runs stand still. With `cut_off`, the
+        runner runs on afterwards but neither answers requests nor applies them.
+        """
+        self.agents[index].signal(signal.SIGSTOP)
+        if cut_off:
+            await self.async_set_runner_faults(index, silent=True)
+        await self.async_post(f"{self.agents[index].runner_url}/v1/suspend", {"for_s": for_s})
+        await trio.sleep(for_s)
+        self.agents[index].signal(signal.SIGCONT)
+
     async def async_runner_heartbeat(self, index: int) -> tuple[str, dict[str, Any]]:
         """Return the id of a runner and its current heartbeat."""
         url = f"{self.agents[index].runner_url}/v1/announcement"
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -2,9 +2,10 @@
 
 A task's spec is JSON such as `{"run_s": 0.2}`. `POST /v1/faults` sets the fields of `Faults` and
 the model's `fail_runs`, `hang_runs` and `slowness`. `POST /v1/restart` begins a new incarnation
-under the same id. `GET /v1/announcement` returns the current heartbeat, and `GET /v1/history` every
-run with its times in seconds since the epoch. Each run is also printed, so that it is known after
-the process was killed.
+under the same id. `POST /v1/suspend` lets clock, lease and runs stand still for `for_s`, as they do
+on a suspended machine; requests that arrive meanwhile are read afterwards. `GET /v1/announcement`
+returns the current heartbeat, and `GET /v1/history` every run with its times in seconds since the
+epoch. Each run is also printed, so that it is known after the process was killed.
 """
 
 import json
@@ -76,8 +77,12 @@
     faults: Faults = field(factory=Faults)
     sequence: int = 0
     rng: random.Random = field(factory=random.Random)
+    resumed: trio.Event = field(factory=trio.Event)
     _printed_count: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self.resumed.set()
+
     def app(self) -> HttpApp:
         """Return the HTTP application."""
         return HttpApp(
@@ -87,6 +92,7 @@
                 route("POST", PATH_HOLD, self._async_hold),
                 route("POST", "/v1/faults", self._async_set_faults),
                 route("POST", "/v1/restart", self._async_restart),
+                route("POST", "/v1/suspend", self._async_suspend),
                 route("GET", "/v1/announcement", self._async_get_announcement),
                 route("GET", "/v1/history", self._async_history),
                 route("GET", "/live", self._async_live),
@@ -135,6 +141,7 @@
             self.model.end_due_runs(time.time())
             if self.model.born_ms != born_ms:
                 await trio.sleep_forever()
+        await self.resumed.wait()
         return json_response(self._run_list())
 
     def _run_list(self) -> dict[str, Any]:
@@ -151,6 +158,7 @@
         """Apply a request and return its result, subject to the injected faults."""
         if request.headers.get(HEADER_TARGET_INSTANCE.lower(), "") not in ("", self.runner_id):
             return "boot"
+        await self.resumed.wait()
         value = json.loads(request.body)
         if self.faults.silent:
             await trio.sleep_forever()
@@ -170,6 +178,7 @@
 
     async def _async_apply_delayed(self, apply: Any, value: dict[str, Any], late_s: float) -> None:
         await trio.sleep(late_s)
+        await self.resumed.wait()
         apply(value)
 
     def _response(self, outcome: str) -> Response:
@@ -193,6 +202,19 @@
         self.sequence = 0
         return json_response({"born": self.model.born_ms})
 
+    async def _async_suspend(self, request: Request) -> Response:
+        for_s = float(json.loads(request.body)["for_s"])
+        self.nursery.start_soon(self._async_stand_still, for_s)
+        return json_response({})
+
+    async def _async_stand_still(self, for_s: float) -> None:
+        """Stand still for a while; nothing is received, sent or applied meanwhile."""
+        self.model.suspend(time.time())
+        self.resumed = trio.Event()
+        await trio.sleep(for_s)
+        self.model.resume(time.time())
+        self.resumed.set()
+
     async def _async_get_announcement(self, request: Request) -> Response:
         return json_response({"id": self.runner_id, "announcement": self._announcement()})
 
@@ -223,6 +245,7 @@
         timeouts = {"connect": 0.5, "read": 1.0, "write": 1.0, "pool": 1.0}
         async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
             while True:
+                await self.resumed.wait()
                 self.sequence += 1
                 body = json.dumps(self._announcement()).encode()
                 try:
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -50,6 +50,7 @@
         end_cursor: Cursor of the last ended run.
         ack_cursor: Cursor up to which ended runs were acknowledged.
         born_s: When the incarnation began.
+        suspended_at_s: When the runner's machine was suspended, None while it runs.
     """
 
     born_ms: int
@@ -66,9 +67,28 @@
     end_cursor: int = 0
     ack_cursor: int = 0
     born_s: float = 0.0
+    suspended_at_s: float | None = None
+
+    def suspend(self, now_s: float) -> None:
+        """Let the clock, the lease and the runs stand still until `resume`."""
+        self.end_due_runs(now_s)
+        self.suspended_at_s = now_s
+
+    def resume(self, now_s: float) -> None:
+        """Let the clock, the lease and the runs go on from where they stood still."""
+        if self.suspended_at_s is None:
+            return
+        suspended_s = now_s - self.suspended_at_s
+        self.suspended_at_s = None
+        self.born_s += suspended_s
+        self.lease_expires_at_s += suspended_s
+        for run in self.running.values():
+            run.ends_s += suspended_s
 
     def clock_ms(self, now_s: float) -> int:
         """Return the runner's monotonic clock, which starts at 1000 ms in each incarnation."""
+        if self.suspended_at_s is not None:
+            now_s = self.suspended_at_s
         return int((now_s - self.born_s) * self.rate * 1000) + 1000
 
     def restart(self, now_s: float) -> None:
@@ -137,6 +157,8 @@
 
     def end_due_runs(self, now_s: float) -> None:
         """End the runs that are due, and all runs if the lease has expired."""
+        if self.suspended_at_s is not None:
+            return
         for run in sorted(self.running.values(), key=lambda item: item.ends_s):
             if run.ends_s <= min(now_s, self.lease_expires_at_s):
                 self._end_run(run, run.ends_s, run.outcome)
