--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -37,6 +37,7 @@
     LATE_START_S,
     MAX_STARTS_SENT,
     RETRY_DELAY_S,
+    STALL_CHECK_INTERVAL_S,
     START_TIMEOUT_S,
 )
 from .fencing import initial_token
@@ -168,7 +169,7 @@
     def _handle_same_runner(self, confirmed: ConfirmedRunner, now_s: float) -> None:
         """Read the clock of the runner in use, which may be used again after a shutdown message."""
         was_ready = self.ready
-        self._lease.record_clock(confirmed.clock_s, now_s)
+        self._lease.record_clock(confirmed.clock_s, confirmed.sent_at_s, now_s)
         self._set_identity(confirmed.identity, now_s)
         self._signal_changed()
         if self.ready != was_ready:
@@ -288,6 +289,7 @@
         """Renew the lease and monitor the runs until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._async_watch_stalls)
             nursery.start_soon(self._async_hedge)
             nursery.start_soon(self._discovery.async_run)
             while True:
@@ -297,6 +299,13 @@
                     continue
                 await self._async_hold_once(self._identity)
 
+    async def _async_watch_stalls(self) -> None:
+        """Read the runner's clock again after this process was stalled, until cancelled."""
+        while True:
+            if self._lease.tick(clock.boot_s()):
+                self._list_runs_soon()
+            await trio.sleep(STALL_CHECK_INTERVAL_S)
+
     async def _async_hedge(self) -> None:
         """Keep a second long-polling request open while responses get lost, until cancelled."""
         while True:
@@ -368,8 +377,8 @@
             return lease
         return Lease(self._token, self._lease.granted_until_clock_s)
 
-    def _record_response(self, clock_s: float, now_s: float) -> None:
-        self._lease.record_clock(clock_s, now_s)
+    def _record_response(self, clock_s: float, sent_at_s: float, now_s: float) -> None:
+        self._lease.record_clock(clock_s, sent_at_s, now_s)
         self._response_missing = False
         self._responded_at_s = now_s
 
@@ -417,7 +426,7 @@
             return
         same_time = run_list.clock_s == self._newest_list_clock_s
         self._newest_list_clock_s = run_list.clock_s
-        self._record_response(run_list.clock_s, now_s)
+        self._record_response(run_list.clock_s, sent_at_s, now_s)
         self._ack_pending = bool(run_list.ended)
         for ended in run_list.ended:
             self._apply_ended_run(ended)
@@ -542,7 +551,7 @@
         elif is_repeated:
             self._notices.record(run.call, run.unsettled_until_s, now_s)
         if not run.is_settled:
-            self._apply_start_outcome(run, outcome, token, now_s)
+            self._apply_start_outcome(run, outcome, token, sent_at_s, now_s)
 
     def _expect_late_start(self, run: Run, until_s: float, now_s: float) -> None:
         """Record until when the next process of the runner may execute a start of a run."""
@@ -572,12 +581,12 @@
         self._list_runs_soon()
 
     def _apply_start_outcome(
-        self, run: Run, outcome: StartOutcome, token: int, now_s: float
+        self, run: Run, outcome: StartOutcome, token: int, sent_at_s: float, now_s: float
     ) -> None:
         if run.runner_restarted and not isinstance(outcome, NotStarted):
             return
         if isinstance(outcome, Started):
-            self._record_response(outcome.clock_s, now_s)
+            self._record_response(outcome.clock_s, sent_at_s, now_s)
             self._confirm_start(run, now_s)
             return
         if isinstance(outcome, NotStarted) and not run.is_unreachable(outcome, now_s):
--- a/pistachiohill/agent/runner_lease.py
+++ b/pistachiohill/agent/runner_lease.py
@@ -6,16 +6,22 @@
 
     runner's clock read as 100.0, 10 s ago: it shows at least 100.0 + 10 * 0.98 = 109.8 now
     lease of 0.7 s: until 110.5 on that clock, which is at most 0.7 / 0.98 s away
+
+The runner's clock stands still while its machine is suspended, and so does this process. So time in
+which this process was stalled doesn't count for the runner's clock.
+If the runner's clock went on meanwhile, the bound is too low, and the next reading raises it. A
+reading below the bound proves the bound wrong. The bound is dropped then, and the leases that were
+granted by it count as the longest that a runner accepts.
 """
 
 import math
 
 from attrs import define, field
 
-from ..peer_clock import PeerClock
+from ..peer_clock import PeerClock, StallDetector
 from .const import LEASE_S, MAX_CLOCK_DRIFT, MAX_LEASE_S, RUNNER_CLOCK_STEP_S, RUNNER_STOP_S
 
-ALWAYS_RUNNING_S = -math.inf  # a stall of this process makes the bound lower, not wrong
+ALWAYS_RUNNING_S = -math.inf  # time in which this process was stalled is left out instead
 
 
 @define
@@ -31,15 +37,38 @@
     expires_at_s: float = -math.inf
     granted_until_clock_s: float | None = None
     _clock: PeerClock = field(factory=PeerClock)
+    _read_at_s: float = -math.inf
+    _stalls: StallDetector = field(factory=lambda: StallDetector(math.inf))
+
+    def tick(self, now_s: float) -> bool:
+        """Record that this process runs; return whether it was stalled.
+
+        To be called at short intervals. All other methods that take the present time do the same,
+        so that none of them counts a stall that was not noticed yet.
+        """
+        stalled_s = self._stalls.tick(now_s)
+        self._clock.received_at_s += stalled_s
+        return stalled_s > 0.0
 
     def reset(self, now_s: float) -> None:
         """Forget the clock and the leases of a runner incarnation that has ended."""
+        self.tick(now_s)
         self.expires_at_s = now_s
         self.granted_until_clock_s = None
         self._clock = PeerClock()
+        self._read_at_s = -math.inf
 
-    def record_clock(self, clock_s: float, now_s: float) -> None:
-        """Record a reading of the runner's clock from one of its responses."""
+    def record_clock(self, clock_s: float, sent_at_s: float, now_s: float) -> None:
+        """Record a reading of the runner's clock from the response to a request.
+
+        `sent_at_s` is the boot time at which the request was sent.
+        """
+        self.tick(now_s)
+        self._read_at_s = now_s
+        if self.is_reset_clock(clock_s, sent_at_s):
+            self._clock = PeerClock()
+            self.granted_until_clock_s = None
+            self.record_unknown_lease(now_s)
         self._clock.record(clock_s, now_s, ALWAYS_RUNNING_S)
 
     def clock_bound_s(self, now_s: float) -> float:
@@ -47,7 +76,7 @@
         return self._clock.lower_bound_s(now_s, ALWAYS_RUNNING_S)
 
     def is_reset_clock(self, clock_s: float, sent_at_s: float) -> bool:
-        """Return whether a response's clock is before a time that the clock had reached already.
+        """Return whether a response's clock is before a time that the clock should have reached.
 
         `sent_at_s` is the boot time at which the request was sent.
         """
@@ -55,10 +84,11 @@
 
     def clock_age_s(self, now_s: float) -> float:
         """Return how long ago the runner's clock was read, infinity if never."""
-        return now_s - self._clock.received_at_s
+        return now_s - self._read_at_s
 
     def grant(self, now_s: float) -> float | None:
         """Return the end of a new lease on the runner's clock, None if that clock is not known."""
+        self.tick(now_s)
         clock_s = self.clock_bound_s(now_s)
         if clock_s < 0.0:
             return None
@@ -69,8 +99,10 @@
 
     def record_unknown_lease(self, now_s: float) -> None:
         """Allow for a lease that was granted just now to an unknown time: the longest there is."""
+        self.tick(now_s)
         self.expires_at_s = max(self.expires_at_s, now_s + MAX_LEASE_S / (1.0 - MAX_CLOCK_DRIFT))
 
     def runs_have_ended(self, now_s: float) -> bool:
         """Return whether all runs have ended, if the runner has executed no other request."""
+        self.tick(now_s)
         return now_s > self.expires_at_s + RUNNER_STOP_S
--- a/pistachiohill/peer_clock.py
+++ b/pistachiohill/peer_clock.py
@@ -47,11 +47,14 @@
     def lower_bound_s(self, now_s: float, running_since_s: float) -> float:
         """Return a time that the peer's clock has reached, NO_READING_S if none is known.
 
-        `running_since_s` is the boot time since which this process has run without a stall.
+        `running_since_s` is the boot time since which this process has run without a stall. The
+        time that is asked for may be before the reading.
         """
         if self.reading_s < 0.0 or self.received_at_s < running_since_s:
             return self.reading_s
-        return self.reading_s + (now_s - self.received_at_s) * (1.0 - MAX_CLOCK_DRIFT)
+        passed_s = now_s - self.received_at_s
+        drift = -MAX_CLOCK_DRIFT if passed_s > 0.0 else MAX_CLOCK_DRIFT
+        return self.reading_s + passed_s * (1.0 + drift)
 
 
 @define
@@ -64,13 +67,15 @@
     _last_tick_s: float
     _resumed_at_s: float = -math.inf
 
-    def tick(self, now_s: float) -> None:
-        """Record that the process runs."""
+    def tick(self, now_s: float) -> float:
+        """Record that the process runs; return for how long it did not, 0 if it was not stalled."""
         stalled_s = now_s - self._last_tick_s
         self._resumed_at_s = self.running_since_s(now_s)
         self._last_tick_s = now_s
-        if self._resumed_at_s == now_s:
-            logs.warning("process_stalled", stalled_s=stalled_s)
+        if self._resumed_at_s != now_s:
+            return 0.0
+        logs.warning("process_stalled", stalled_s=stalled_s)
+        return stalled_s
 
     def running_since_s(self, now_s: float) -> float:
         """Return the boot time since which the process has run without a stall."""
--- /dev/null
+++ b/tests/failures/test_suspended_machines.py
@@ -0,0 +1,46 @@
+"""Machines that are suspended: an agent and its runner, whose clock stands still meanwhile."""
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from standins.platform_deployment import PlatformDeployment, PlatformSpec
+
+from ..base import TestCase
+
+SUSPENDED_S = 4.0
+CALM_S = 3.0
+UNTIL_PLACED_S = 1.0
+CUT_S = 3.0
+RUN_S = 4.0
+DEADLINE_S = 15.0
+SPEC = PlatformSpec(cores=4)
+TASKS = 9  # some are placed at each agent
+
+
+class SuspendedMachinesTest(TestCase):
+    @asynccontextmanager
+    async def _jobs(self, deployment: PlatformDeployment) -> AsyncIterator[None]:
+        """Check that no task has two runs at once after the block, beside a job of long tasks."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(deployment.async_submit_job, TASKS, RUN_S, DEADLINE_S)
+            await trio.sleep(UNTIL_PLACED_S)
+            yield
+            resumed_at_s = time.time()
+            await trio.sleep(CUT_S)
+            await deployment.async_set_runner_faults(0, silent=False)
+            await trio.sleep(RUN_S)
+            pairs = await deployment.async_overlapping_runs()
+            late = [pair for pair in pairs if min(run.ended_at_s for run in pair) > resumed_at_s]
+            self.assertEqual([], late, deployment.directory)
+            nursery.cancel_scope.cancel()
+
+    async def test_runs_go_on_for_no_longer_than_the_agent_assumes_after_a_suspension(self) -> None:
+        """Guards against leases that are too long by the time of a suspension before them."""
+        async with PlatformDeployment(SPEC) as deployment:
+            await deployment.async_suspend_machine(0, SUSPENDED_S, cut_off=False)
+            await trio.sleep(CALM_S)
+            async with self._jobs(deployment):
+                await deployment.async_set_runner_faults(0, silent=True)
