A lease doesn't run out while its machine is suspended

Cause: `RunnerLease.expires_at_s` is a time on CLOCK_BOOTTIME, which counts the suspension, while the lease lasts on the runner's clock, which stood still.

Change: after a stall, a lease lasts longer by the stall. If only the agent was frozen, it waits longer than it must, by 0.57 s at most, and only if the runner is silent then.

--- a/pistachiohill/agent/runner_lease.py
+++ b/pistachiohill/agent/runner_lease.py
@@ -8,7 +8,10 @@
     lease of 0.7 s: until 110.5 on that clock, which is at most 0.7 / 0.98 s away
 
 The runner's clock stands still while its machine is suspended, and so does this process. So time in
-which this process was stalled doesn't count for the runner's clock.
+which this process was stalled counts neither for the runner's clock nor for the end of a lease:
+
+    lease granted at 20.0 until 20.6; suspended from 20.1 to 24.1: the lease ends at 24.6
+
 If the runner's clock went on meanwhile, the bound is too low, and the next reading raises it. A
 reading below the bound proves the bound wrong. The bound is dropped then, and the leases that were
 granted by it count as the longest that a runner accepts.
@@ -47,6 +50,7 @@
         so that none of them counts a stall that was not noticed yet.
         """
         stalled_s = self._stalls.tick(now_s)
+        self.expires_at_s += stalled_s
         self._clock.received_at_s += stalled_s
         return stalled_s > 0.0
 
--- a/tests/agent/test_runner_lease.py
+++ b/tests/agent/test_runner_lease.py
@@ -81,6 +81,21 @@
         end_s = lease_end_s(model, lease.grant(resumed_s), resumed_s)
         self.assertLessEqual(end_s, resumed_s + LEASE_S + ROUNDING_S)
 
+    def test_lease_goes_on_after_a_suspension_for_as_long_as_it_had_left(self) -> None:
+        """Guards against counting a suspension as time in which a lease ran out."""
+        model, lease = RunnerModel(born_ms=1), RunnerLease()
+        lease.record_clock(model.clock_ms(5.0) / 1000, 5.0, 5.0)
+        lease_end_s(model, lease.grant(5.0), 5.0)
+        run_until_s(lease, 5.0, 5.2)
+        model.suspend(5.2)
+        resumed_s = 5.2 + SUSPENDED_S
+        model.resume(resumed_s)
+        end_s = model.lease_expires_at_s
+        self.assertGreater(end_s, resumed_s)
+        self.assertFalse(lease.runs_have_ended(resumed_s))
+        self.assertFalse(lease.runs_have_ended(run_until_s(lease, resumed_s, end_s - ROUNDING_S)))
+        self.assertTrue(lease.runs_have_ended(run_until_s(lease, end_s, resumed_s + MAX_LEASE_S)))
+
     def test_reading_that_proves_the_bound_wrong_replaces_it(self) -> None:
         """Guards against a clock that stood still unnoticed: the bound stayed wrong for minutes."""
         model, lease = RunnerModel(born_ms=1), RunnerLease()
--- a/tests/failures/test_suspended_machines.py
+++ b/tests/failures/test_suspended_machines.py
@@ -11,6 +11,7 @@
 from ..base import TestCase
 
 SUSPENDED_S = 4.0
+BRIEFLY_S = 0.9  # shorter than the time after which entries take the runs for ended
 CALM_S = 3.0
 UNTIL_PLACED_S = 1.0
 CUT_S = 3.0
@@ -44,3 +45,8 @@
             await trio.sleep(CALM_S)
             async with self._jobs(deployment):
                 await deployment.async_set_runner_faults(0, silent=True)
+
+    async def test_lease_has_not_ended_when_a_machine_resumes(self) -> None:
+        """Guards against counting a suspension as time in which the runner's lease ran out."""
+        async with PlatformDeployment(SPEC) as deployment, self._jobs(deployment):
+            await deployment.async_suspend_machine(0, BRIEFLY_S, cut_off=True)
