Agents tell answered starts within milliseconds

An agent told its entry which starts were answered only in the frame of its next message, and a task of 0.1 s ends before that. So each task at a killed agent counted as one that may still start.

Change: the agent tells within ANSWERS_BATCH_S (2 ms) of the answers, in one frame for all that came meanwhile. The unit test failed before (there was nothing to wait for).

--- a/pistachiohill/agent/const.py
+++ b/pistachiohill/agent/const.py
@@ -45,6 +45,7 @@
     + TIMER_MARGIN_S
 )
 
+ANSWERS_BATCH_S: Final = 0.002  # answered starts within this time are told in one frame
 LOAD_PUSH_INTERVAL_S: Final = 0.01  # per linked entry; load changes within this time are batched
 LOW_CAPACITY_FRACTION: Final = 0.25  # of the CPU; with less free, smaller load changes are sent
 LOW_CAPACITY_STEP_FRACTION: Final = 0.05  # of the CPU; about half a task of the users' jobs
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -113,6 +113,7 @@
         self._hedge_needed = trio.Event()
         self._changed = trio.Event()
         self._ready_changed = trio.Event()
+        self._start_confirmed = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -260,6 +261,10 @@
         run = self._runs.get(RunName(call.task_id, call.run))
         return run is not None and run.call is call and run.acknowledged_at_s is not None
 
+    async def async_start_answered(self) -> None:
+        """Wait until the runner confirms the start of another run."""
+        await self._start_confirmed.wait()
+
     def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Ask the runner to stop a run; its call returns once the run is known to have ended.
 
@@ -715,6 +720,8 @@
             return
         run.acknowledged_at_s = now_s
         logs.event("run_started", name=run.call.name, run=run.call.run, runner=self._runner_id)
+        confirmed, self._start_confirmed = self._start_confirmed, trio.Event()
+        confirmed.set()
 
     def _end_runs(self, runs: list[Run], why: str) -> None:
         for run in runs:
--- a/pistachiohill/agent/models.py
+++ b/pistachiohill/agent/models.py
@@ -87,6 +87,9 @@
     def is_start_answered(self, call: TargetCall) -> bool:
         """Return whether the target has answered the start of a task that was called."""
 
+    async def async_start_answered(self) -> None:
+        """Wait until the target answers the start of another task."""
+
     def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Request that a task be stopped, if the target supports it; its call returns as usual.
 
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -43,6 +43,7 @@
     target_call,
 )
 from .const import (
+    ANSWERS_BATCH_S,
     ENTRY_LEASE_S,
     EXPIRY_INTERVAL_S,
     LEASE_CHECK_INTERVAL_S,
@@ -126,7 +127,7 @@
     def record_sent_load(self, link: Link, now_s: float) -> AgentLoad:
         """Return the load for a message to an entry, and record it as the last one sent.
 
-        The entry is told in the same frame which starts have been answered.
+        The entry is told in the same frame which starts have been answered since.
         """
         self._tell_answered(link)
         load = self.load_for(link, now_s)
@@ -306,6 +307,17 @@
             self.leases.expire(now_s)
             self._reports.expire(lambda key: self.table.find(key) is not None)
 
+    async def async_tell_answered(self) -> None:
+        """Tell entries soon which of their starts have been answered, until cancelled.
+
+        An entry doesn't place a task of a lost agent elsewhere while its start may be under way.
+        """
+        while True:
+            await self._target_client.async_start_answered()
+            await trio.sleep(ANSWERS_BATCH_S)
+            for link in self.links:
+                self._tell_answered(link)
+
     async def async_watch_leases(self) -> None:
         """Check the leases of entries periodically until cancelled."""
         while True:
--- a/pistachiohill/agent/target_client.py
+++ b/pistachiohill/agent/target_client.py
@@ -36,6 +36,10 @@
         """Return True: what a target called over HTTP has been sent does not come later."""
         return True
 
+    async def async_start_answered(self) -> None:
+        """Wait forever: all starts count as answered from the beginning."""
+        await trio.sleep_forever()
+
     def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         """Do nothing: a target called over HTTP has no way to stop a running task."""
 
--- a/pistachiohill/daemon/agent.py
+++ b/pistachiohill/daemon/agent.py
@@ -52,6 +52,7 @@
     nursery.start_soon(service.async_push_load)
     nursery.start_soon(runner.async_expire)
     nursery.start_soon(runner.async_watch_leases)
+    nursery.start_soon(runner.async_tell_answered)
     return runner, service, api
 
 
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -921,7 +921,7 @@
 
 @define(slots=True)
 class StartsAnswered:
-    """Tells an entry which of its placements the target has answered; sent with another message, once on a link.
+    """Tells an entry which of its placements the target has answered; sent soon after, once on a link.
 
     Fields:
         starts: Placements whose starts are not under way any more.
--- a/tests/agent/test_runner.py
+++ b/tests/agent/test_runner.py
@@ -9,7 +9,7 @@
 from attrs import define, evolve, field
 
 from pistachiohill import clock
-from pistachiohill.agent.const import ENTRY_LEASE_S
+from pistachiohill.agent.const import ANSWERS_BATCH_S, ENTRY_LEASE_S
 from pistachiohill.agent.metrics import AgentMetrics
 from pistachiohill.agent.models import (
     UNRESTRICTED,
@@ -85,6 +85,7 @@
     running: dict[str, trio.Event] = field(factory=dict)
     called: list[str] = field(factory=list)
     answered: set[str] = field(factory=set)
+    answered_changed: trio.Event = field(factory=trio.Event)
     permissions: list[RunPermission] = field(factory=list)
 
     async def async_call(
@@ -99,6 +100,14 @@
     def is_start_answered(self, call: TargetCall) -> bool:
         return call.task_id in self.answered
 
+    async def async_start_answered(self) -> None:
+        await self.answered_changed.wait()
+
+    def answer(self, task_id: str) -> None:
+        self.answered.add(task_id)
+        changed, self.answered_changed = self.answered_changed, trio.Event()
+        changed.set()
+
     def stop(self, call: TargetCall, *, must_end: bool = True) -> None:
         stopped = self.running.get(call.task_id)
         if stopped is not None:
@@ -158,6 +167,24 @@
             self.assertEqual([(SUBMISSION_ID, 1, 1)], next_link.answered_starts())
             self.assertEqual([], other.answered_starts())
 
+    async def test_entry_is_told_soon_which_starts_were_answered_without_another_message(
+        self,
+    ) -> None:
+        """Guards against jobs that fail since their tasks' agent was killed before it told."""
+        async with open_runner() as (runner, target, link), trio.open_nursery() as nursery:
+            nursery.start_soon(runner.async_tell_answered)
+            now_s = clock.boot_s()
+            runner.start_tasks(link, start_message(now_s), now_s)  # type: ignore[arg-type]
+            await trio.testing.wait_all_tasks_blocked()
+            for index in range(2):
+                target.answer(f"5c0e7a21d94b36f8/{index}")
+            await trio.sleep(2.0 * ANSWERS_BATCH_S)
+            told = [(SUBMISSION_ID, 0, 1), (SUBMISSION_ID, 1, 1)]
+            self.assertEqual(told, sorted(link.answered_starts()))
+            frames = [item for item in link.sent if isinstance(item, StartsAnswered)]
+            self.assertEqual(1, len(frames))
+            nursery.cancel_scope.cancel()
+
     async def test_task_that_is_stopped_while_its_start_waits_may_not_start(self) -> None:
         async with open_runner() as (runner, target, link):
             now_s = clock.boot_s()
