The successor of a killed agent takes its tasks over, as the same run

Cause: the entry didn't know whether the agent had sent a start. Elsewhere the task could have run only when no start could come any more, 15 s later, and no job can wait for that.

Change: a runner executes a run once. So the entry places the same run, under its number, at the next process of the agent, if it reports the same runner (`AgentState.target_id`, compared with the one at the time of the placement). That agent reports the end that the runner has listed, or sends the start itself and treats its predecessor's as one without an answer: all of `late_starts` applies, so that entries are told, and only `done` settles the run. An outcome other than success says nothing of the first start; the job fails then, as it did without a successor, and is known as one that may still start. Such tasks aren't moved from slow targets.

Result: the test with real processes (an agent is frozen, gets a job and is killed) failed before and passes. The model doesn't know successors that take over yet.

--- a/pistachiohill/agent/admitted_task.py
+++ b/pistachiohill/agent/admitted_task.py
@@ -1,5 +1,7 @@
 """A task that an agent has accepted, and the log lines on its way through the agent."""
 
+import math
+
 from attrs import define
 
 from .. import logs
@@ -71,7 +73,7 @@
     return task_name(message.job_key or message.submission_id, index)
 
 
-def target_call(message: StartTasks, task: TaskStart, demand: Demand) -> TargetCall:
+def target_call(message: StartTasks, task: TaskStart, demand: Demand, now_s: float) -> TargetCall:
     """Return the request by which a task of a message is run."""
     return TargetCall(
         task_id=make_task_id(message.job_key or message.submission_id, task.index),
@@ -82,6 +84,7 @@
         timeout_s=message.task_timeout_s,
         refusal_is_not_run=message.refusal_is_not_run,
         demand=demand,
+        late_start_until_s=now_s + task.late_start_s if task.late_start_s else -math.inf,
     )
 
 
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -64,6 +64,7 @@
     TargetCall,
     TargetResult,
 )
+from .predecessor_runs import PredecessorRuns
 from .run import RUN_END_REASONS, START_REFUSAL_REASONS, Run, log_end
 from .run_stops import RunnerAccess, async_stop, async_stop_foreign_runs
 from .run_table import RunTable
@@ -101,6 +102,7 @@
             self._async_start,
         )
         self._runs = RunTable()
+        self._predecessor_runs = PredecessorRuns()
         self._foreign_runs: frozenset[RunName] = frozenset()
         self._synchronized = False
         self._ack_cursor = 0
@@ -239,10 +241,15 @@
         has the same job, and would place the task elsewhere if it were refused here.
         """
         run = Run(call, permission)
+        run.expect_start_of_predecessor()
         if await self._runs.async_wait_for_earlier_runs(run.name):
             return TargetResult(Verdict.NOT_RUN, RefusalReason.BUSY)
         if not self.ready or self._response_missing:
             return TargetResult(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
+        end = self._predecessor_runs.end_of(run.name)
+        if end is not None and run.was_started_before:
+            logs.event("predecessor_run_ended", name=call.name, run=call.run, outcome=end)
+            return TargetResult(Verdict.RAN, RUN_END_REASONS[end])
         self._runs[run.name] = run
         self._signal_changed()
         try:
@@ -450,6 +457,7 @@
         self._ack_cursor = max(self._ack_cursor, ended.number)
         run = self._runs.get(ended.name)
         if run is None:
+            self._predecessor_runs.record_end(ended.name, ended.outcome)
             return
         reason = RUN_END_REASONS[ended.outcome]
         if ended.outcome == RunEnd.LAPSED and self._runs.renewal_paused:
@@ -595,6 +603,8 @@
             self._confirm_start(run, now_s)
             return
         if isinstance(outcome, NotStarted) and not run.is_unreachable(outcome, now_s):
+            if outcome.refusal == StartRefusal.OLD_RUN and run.was_started_before:
+                run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
             self._settle(run, Verdict.NOT_RUN, START_REFUSAL_REASONS[outcome.refusal])
             logs.event(
                 "start_refused",
--- a/pistachiohill/agent/models.py
+++ b/pistachiohill/agent/models.py
@@ -25,6 +25,8 @@
         timeout_s: Time limit of the call, for targets that cannot stop a running task.
         refusal_is_not_run: Whether a refusal by the target guarantees that the task did not run.
         demand: Resources that the task needs.
+        late_start_until_s: Boot time until which the target may execute a start of the same run
+            that this agent's predecessor may have sent, -inf if there is none.
     """
 
     task_id: str
@@ -35,6 +37,7 @@
     timeout_s: float
     refusal_is_not_run: bool
     demand: Demand = Demand()
+    late_start_until_s: float = -math.inf
 
     @property
     def name(self) -> str:
@@ -104,6 +107,7 @@
     Fields:
         service: Service whose tasks the target runs.
         url: Base URL or address of the target.
+        target_id: Name of the target, empty if it has none.
         cpu_m, mem_mb: Capacity in millicores and megabytes.
         leaving: Whether the target is shutting down and accepts no more work.
         expires_at_s: Boot time at which the announcement expires; a target that stops announcing
@@ -118,6 +122,7 @@
     leaving: bool = False
     expires_at_s: float = float("-inf")
     leaves_at_s: float = math.inf
+    target_id: str = ""
 
     def leaves_in_s(self, now_s: float) -> float:
         """Return for how long a leaving target is certain to go on, -1 if that is unknown."""
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -79,6 +79,17 @@
     done: trio.Event = field(factory=trio.Event)
     removed: trio.Event = field(factory=trio.Event)
 
+    @property
+    def was_started_before(self) -> bool:
+        """Return whether the agent's predecessor may have sent a start of this run."""
+        return self.call.late_start_until_s > -math.inf
+
+    def expect_start_of_predecessor(self) -> None:
+        """Count the start that the agent's predecessor may have sent as one without an answer."""
+        if self.was_started_before:
+            self.starts_sent = 1
+            self.unsettled_until_s = self.call.late_start_until_s
+
     @property
     def name(self) -> RunName:
         """Return the task id and run number."""
--- a/pistachiohill/agent/runner.py
+++ b/pistachiohill/agent/runner.py
@@ -180,6 +180,7 @@
             applied_offset=self.view.offset,
             view_age_s=min(self.view.age_s(now_s), 1e9),
             leaves_in_s=self.target.leaves_in_s(now_s),
+            target_id=self.target.target_id,
         )
 
     def broadcast_state(self, now_s: float) -> None:
@@ -382,7 +383,7 @@
     ) -> None:
         ref = TaskRef(task.index, task.attempt)
         demand = Demand(task.cpu_m, task.mem_mb)
-        if refusal is None and self._is_queue_full(message, now_s):
+        if refusal is None and not task.late_start_s and self._is_queue_full(message, now_s):
             fits = self._resources.fits(demand, self.target.cpu_m, self.target.mem_mb)
             refusal = None if fits else RefusalReason.BUSY
         if refusal is not None:
@@ -412,7 +413,7 @@
             record,
             ref,
             now_s + message.deadline_in_s,
-            target_call(message, task, demand),
+            target_call(message, task, demand, now_s),
             reservation,
             message.best_effort,
             self._sequence,
--- a/pistachiohill/entry/agent.py
+++ b/pistachiohill/entry/agent.py
@@ -27,6 +27,7 @@
         accepting: Whether it accepts tasks.
         announce_offset: Offset of its announcement, NO_OFFSET while unknown.
         applied_offset, view_age_s: Settings offset and view age that it last reported.
+        target_id: Name of its target, empty if it has none.
         clock: What is known of the agent's clock.
         last_sent_at_s: When the last message was sent on the most recently closed link.
         lost: Whether the incarnation is known to have ended.
@@ -46,6 +47,7 @@
     announce_offset: int = NO_OFFSET
     applied_offset: int = NO_OFFSET
     view_age_s: float = 0.0
+    target_id: str = ""
     clock: PeerClock = field(factory=PeerClock)
     last_sent_at_s: float = 0.0
     lost: bool = False
--- a/pistachiohill/entry/agents.py
+++ b/pistachiohill/entry/agents.py
@@ -96,6 +96,11 @@
         self.shared_load = EntrySharedLoad()
         self.late_starts = LateStartTable()
 
+    @property
+    def lost_agents(self) -> tuple[Agent, ...]:
+        """Return the agents that have ended and at which tasks are outstanding."""
+        return tuple(self._lost_agents)
+
     def set_renewal_check(self, check: Callable[[float], None]) -> None:
         """Set what is called with the boot time before this entry's lease at an agent is renewed.
 
@@ -428,6 +433,7 @@
         self._record_clock(agent, message.stamp_s, now_s)
         agent.record_notice(message.leaves_in_s, now_s)
         agent.service = message.service
+        agent.target_id = message.target_id
         self._record_load(agent, message.load, now_s)
         agent.load.cpu_m = message.cpu_m
         agent.load.mem_mb = message.mem_mb
--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -1,5 +1,6 @@
 """Dispatcher: sends tasks to agents, processes their reports and answers submissions."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -35,6 +36,7 @@
     fatal_reasons,
     may_run_again,
 )
+from .successors import find_tasks, may_have_successor
 from .waiting import Placement, WaitingTasks
 
 POLL_INTERVAL_S = 0.25
@@ -164,9 +166,36 @@
                 agent.link.send(QueryTasks(submission_id, refs))
 
     def agent_changed(self, agent: Agent, now_s: float) -> None:
-        """Trigger a new placement round."""
+        """Let an agent take over tasks of its predecessors, and trigger a new placement round."""
+        self._take_over(agent, now_s)
         self._wakeup.set()
 
+    def _take_over(self, successor: Agent, now_s: float) -> None:
+        """Place tasks of earlier agents at the same target there, under the same run numbers."""
+        batches: dict[str, list[Placement]] = {}
+        for lost in find_tasks(successor, self._directory.lost_agents):
+            submission, task = lost.submission, lost.task
+            task_id = submission.task_id(task.index)
+            self._directory.late_starts.expect(lost.agent.incarnation, task_id, lost.until_s, now_s)
+            key = (submission.submission_id, task.index)
+            del lost.agent.outstanding[key]
+            lost.agent.load.settle(key)
+            submission.outstanding -= 1
+            logs.event(
+                "task_taken_over",
+                name=submission.task_name(task.index),
+                attempt=task.attempt,
+                agent=successor.incarnation,
+                predecessor=lost.agent.incarnation,
+                left_s=submission.deadline_s - now_s,
+            )
+            end_s = now_s + self.waiting.task_needs(submission, task).run_s
+            placement = Placement(successor, submission, task, now_s, end_s)
+            self._record_placement(placement, lost.until_s)
+            batches.setdefault(submission.submission_id, []).append(placement)
+        for batch in batches.values():
+            self._send(batch, now_s)
+
     def agent_lost(self, agent: Agent, now_s: float) -> None:
         """Settle the at-most-once tasks of an agent that was lost as MAY_HAVE_RUN.
 
@@ -215,10 +244,12 @@
     ) -> bool:
         """Return whether a start of a task at a lost agent may still be executed.
 
-        A job that can't wait for so long is answered at once.
+        A job that can't wait for so long is answered, unless the agent's successor may take the
+        task over.
         """
         task_id = submission.task_id(task.index)
         until_s = self._directory.late_starts.task_until_s(task_id, agent.incarnation)
+        until_s = max(until_s, task.late_start_until_s)
         if not task.is_start_answered:
             until_s = max(until_s, agent.late_starts_end_s())
         if now_s >= until_s:
@@ -234,7 +265,9 @@
                 for_s=until_s - now_s,
                 left_s=submission.deadline_s - now_s,
             )
-        if until_s >= submission.deadline_s and submission.failure is None:
+        can_wait = until_s < submission.deadline_s or may_have_successor(agent, task, now_s)
+        if not can_wait and submission.failure is None:
+            self._directory.late_starts.expect(agent.incarnation, task_id, until_s, now_s)
             detail = f"task {task.index}: its agent is lost, and its run may still start"
             self._fail(submission, RefusalReason.LOST_AGENT, detail, now_s)
         return True
@@ -261,10 +294,15 @@
             listener.seal_replied(agent, message, now_s)
 
     def _assign(self, placement: Placement) -> None:
+        placement.task.attempt += 1
+        self._record_placement(placement, -math.inf)
+
+    def _record_placement(self, placement: Placement, late_start_until_s: float) -> None:
         agent, submission, task = placement.agent, placement.submission, placement.task
-        task.attempt += 1
         task.is_start_answered = False
+        task.late_start_until_s = late_start_until_s
         task.agent = agent.incarnation
+        task.target_id = agent.target_id
         key = (submission.submission_id, task.index)
         submission.outstanding += 1
         agent.outstanding[key] = (submission, task)
@@ -287,7 +325,9 @@
             task_timeout_s=min(settings.task_timeout_s, max(MIN_TIMEOUT_S, left_s)),
             refusal_is_not_run=settings.refusal_is_not_run,
             view=self._directory.view_stamp(agent, now_s),
-            tasks=[self._task_start(submission, task, factor, shared_payload) for task in tasks],
+            tasks=[
+                self._task_start(submission, task, factor, shared_payload, now_s) for task in tasks
+            ],
             shared_payload=shared_payload,
             job_key=submission.request.key,
             best_effort=settings.best_effort,
@@ -309,7 +349,12 @@
         )
 
     def _task_start(
-        self, submission: Submission, task: Task, factor: float, shared_payload: bytes
+        self,
+        submission: Submission,
+        task: Task,
+        factor: float,
+        shared_payload: bytes,
+        now_s: float,
     ) -> TaskStart:
         needs = self.waiting.task_needs(submission, task)
         return TaskStart(
@@ -319,6 +364,7 @@
             needs.demand.cpu_m,
             needs.demand.mem_mb,
             needs.run_s * factor,
+            max(0.0, task.late_start_until_s - now_s),
         )
 
     # Settling tasks and answering submissions
@@ -340,6 +386,10 @@
                 "refused" if report.verdict == Verdict.NOT_RUN else "late"
             )
             return
+        succeeded = report.verdict == Verdict.RAN and not report.reason
+        if not succeeded and now_s < task.late_start_until_s:
+            self._record_late_start(submission, task, report, now_s)
+            return
         if report.verdict == Verdict.NOT_RUN:
             self._accounting.record_wasted("refused")
             self._retry_task(agent, submission, task, report, now_s)
@@ -351,11 +401,20 @@
             return
         if submission.failure is not None and report.verdict == Verdict.RAN:
             self._accounting.record_wasted("cancelled_after_start")
-        if report.verdict == Verdict.RAN and not report.reason:
+        if succeeded:
             self.waiting.record_run(agent, submission, task, report.run_s)
             agent.load.factor_updated_at_s = now_s
         self._record_outcome(submission, task, report, now_s)
 
+    def _record_late_start(
+        self, submission: Submission, task: Task, report: TaskReport, now_s: float
+    ) -> None:
+        """Settle a task that an agent has taken over in vain; its first start may still come."""
+        if report.verdict == Verdict.NOT_RUN:
+            report.verdict = Verdict.MAY_HAVE_RUN
+        report.reason = RefusalReason.LOST_AGENT
+        self._record_outcome(submission, task, report, now_s)
+
     def _update_quarantine(
         self, agent: Agent, submission: Submission, report: TaskReport, now_s: float
     ) -> None:
--- a/pistachiohill/entry/late_starts.py
+++ b/pistachiohill/entry/late_starts.py
@@ -35,6 +35,11 @@
             origins[Origin(agent, start.task_id)] = now_s + start.for_s
         self._expire(now_s)
 
+    def expect(self, agent: str, task_id: str, until_s: float, now_s: float) -> None:
+        """Store that a start which a lost agent may have sent may come until a boot time."""
+        self._expire(now_s)
+        self._until_s.setdefault(job_of_task(task_id), {})[Origin(agent, task_id)] = until_s
+
     def task_until_s(self, task_id: str, agent: str) -> float:
         """Return until when a start of a task by one agent may come, -inf if it can't."""
         origins = self._until_s.get(job_of_task(task_id), {})
--- a/pistachiohill/overload/mover.py
+++ b/pistachiohill/overload/mover.py
@@ -172,7 +172,8 @@
     ) -> Outlook:
         now_s = this_round.now_s
         stay_end_s = expected_end_s(placed, agent.load, now_s)
-        cause = move_cause(placed, agent.load, now_s) if agent.link is not None else None
+        may_move = agent.link is not None and now_s >= task.late_start_until_s
+        cause = move_cause(placed, agent.load, now_s) if may_move else None
         if cause is None or (cause == MoveCause.SLOW and stay_end_s <= goal_at_s):
             return Outlook(task.index, task.agent, stay_end_s)
         move_end_s = self._move_end_s(submission, task, goal_at_s, this_round)
--- a/pistachiohill/platform/agent.py
+++ b/pistachiohill/platform/agent.py
@@ -141,6 +141,7 @@
             leaving=allowance.leaving,
             expires_at_s=runner.expires_at_s,
             leaves_at_s=runner.leaves_at_s,
+            target_id=runner.identity.runner_id,
         )
         self._service.update_target(target, now_s)
 
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -20,6 +20,8 @@
         cpu_m: CPU demand of the task in millicores.
         mem_mb: Memory demand of the task in MB.
         run_s: Expected run time at this target in seconds, 0 if unknown.
+        late_start_s: Seconds for which a start of this placement by the agent's predecessor may
+            still be executed, 0 if there is none.
     """
 
     index: int
@@ -28,10 +30,19 @@
     cpu_m: int = 1000
     mem_mb: int = 0
     run_s: float = 0.0
+    late_start_s: float = 0.0
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
-        return [self.index, self.attempt, self.payload, self.cpu_m, self.mem_mb, self.run_s]
+        return [
+            self.index,
+            self.attempt,
+            self.payload,
+            self.cpu_m,
+            self.mem_mb,
+            self.run_s,
+            self.late_start_s,
+        ]
 
     @classmethod
     def from_wire(cls, source: object) -> "TaskStart":
@@ -44,6 +55,7 @@
             cpu_m=wire.read_int(items[3]) if len(items) > 3 else 1000,
             mem_mb=wire.read_int(items[4]) if len(items) > 4 else 0,
             run_s=wire.read_float(items[5]) if len(items) > 5 else 0.0,
+            late_start_s=wire.read_float(items[6]) if len(items) > 6 else 0.0,
         )
 
 
@@ -1733,6 +1745,8 @@
         applied_offset: Log offset of the view that the agent uses.
         view_age_s: Age of that view in seconds.
         leaves_in_s: Minimum time in seconds until the target ends, -1 if it isn't known to end.
+        target_id: Name of the target, which keeps it when it or its agent restarts; empty if it
+            has none.
     """
 
     stamp_s: float
@@ -1745,6 +1759,7 @@
     applied_offset: int
     view_age_s: float
     leaves_in_s: float = -1.0
+    target_id: str = ""
 
     def to_wire(self) -> list[object]:
         """Return the fields by position."""
@@ -1759,6 +1774,7 @@
             self.applied_offset,
             self.view_age_s,
             self.leaves_in_s,
+            self.target_id,
         ]
 
     @classmethod
@@ -1776,6 +1792,7 @@
             applied_offset=wire.read_int(items[7]),
             view_age_s=wire.read_float(items[8]),
             leaves_in_s=wire.read_float(items[9]) if len(items) > 9 else -1.0,
+            target_id=wire.read_str(items[10]) if len(items) > 10 else "",
         )
 
 
--- a/pistachiohill/submissions/models.py
+++ b/pistachiohill/submissions/models.py
@@ -1,5 +1,6 @@
 """Submissions as stored by their owner, and the answers to callers."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 
@@ -117,7 +118,10 @@
         restarts: Number of placements that followed a refusal by a target.
         failed_runs: Number of failed runs.
         agent: Incarnation of the agent at which the task is placed.
+        target_id: Name of that agent's target then, empty if it had none.
         is_start_answered: Whether the agent has reported that its target answered the start.
+        late_start_until_s: Boot time until which the target may execute a start of this placement
+            that an earlier agent may have sent, -inf if there is none.
         refused_by: Incarnations of agents at which the task was refused or failed; they are
             avoided until this includes all agents of the service.
     """
@@ -128,7 +132,9 @@
     restarts: int = 0
     failed_runs: int = 0
     agent: str = ""
+    target_id: str = ""
     is_start_answered: bool = False
+    late_start_until_s: float = -math.inf
     refused_by: set[str] = field(factory=set)
     report: TaskReport | None = None
 
--- a/tests/failures/test_platform_jobs.py
+++ b/tests/failures/test_platform_jobs.py
@@ -222,6 +222,27 @@
             self.assert_completed(answers)
             self.assertEqual({1}, {answer.sent for answer in answers})
 
+    async def test_job_placed_at_an_agent_that_is_killed_before_it_reads_it_completes(self) -> None:
+        """Guards against tasks that run nowhere, as the entry can't know whether they started."""
+        spec = PlatformSpec(domains=("bern-a",), entries=1)
+        async with PlatformDeployment(spec) as deployment, trio.open_nursery() as nursery:
+            agent = deployment.agents[0]
+            agent.signal(signal.SIGSTOP)
+            answers: list[JobResponse] = []
+
+            async def async_submit() -> None:
+                answers.append(await deployment.async_submit_job(tasks=3, run_s=0.1))
+
+            nursery.start_soon(async_submit)
+            await trio.sleep(0.1)
+            await agent.async_kill()
+            agent.start()
+            with trio.fail_after(12.0):
+                while not answers:
+                    await trio.sleep(0.05)
+            self.assert_completed(answers)
+            self.assertEqual(1, answers[0].sent)
+
     async def test_an_agent_freezes(self) -> None:
         """Its runs end when their lease expires, and its tasks run elsewhere."""
         async with self.load(PlatformSpec(), tasks=3, run_s=0.4) as (deployment, load):
