A job that can only wait past its deadline is answered at once at all entries

The entry that knew answered nothing but "its runs are ending", and another entry knew no time.

The test failed before, as nothing was told.

--- a/pistachiohill/daemon/entry.py
+++ b/pistachiohill/daemon/entry.py
@@ -108,7 +108,7 @@
             self.accounting,
         )
         admission = Admission(waiting)
-        self.holders = JobHolders(self.peers)
+        self.holders = JobHolders(self.peers, self.directory.late_starts)
         self.jobs = BestEffortJobs(
             issuer,
             view,
--- a/pistachiohill/entry/job_holders.py
+++ b/pistachiohill/entry/job_holders.py
@@ -11,7 +11,8 @@
     entry 2: accepts K
 
 Of two requests for a job the newer one is served: its caller has given up the older one. A holder
-that doesn't answer is waited for until its runs have ended without it (`RUNS_END_S`).
+that doesn't answer is waited for until its runs have ended without it (`RUNS_END_S`). One that does
+also tells of which tasks a start may still come, so that a job that can't wait is answered at once.
 
 A request that is old when its job is to be accepted, since it waited behind another one, for a
 target or for a release, may have been sent again just now. So all other entries are asked first.
@@ -28,7 +29,7 @@
 from ..agent.const import RUNS_END_S
 from ..const import VIEW_EXCHANGE_INTERVAL_S
 from ..protocol.link import Link
-from ..protocol.models import JobReleased, JobsHeld, Message, ReleaseJob
+from ..protocol.models import JobReleased, JobsHeld, LateStarts, Message, ReleaseJob
 from .const import (
     HELD_AFTER_S,
     HELD_REPEAT_S,
@@ -38,6 +39,7 @@
     RELEASE_POLL_S,
     RELEASE_REPEAT_S,
 )
+from .late_starts import LateStartTable
 from .peers import PeerListener
 
 # Entries exchange views, so that a longer silence means that the peer doesn't run or is cut off.
@@ -104,6 +106,7 @@
     """Exchanges with the other entries which jobs each of them holds."""
 
     _links: PeerLinks
+    _late_starts: LateStartTable = field(factory=LateStartTable)
     _jobs: JobTable | None = None
     _holders: dict[str, dict[str, Holder]] = field(factory=dict)
     _heard_at_s: dict[str, float] = field(factory=dict)
@@ -240,6 +243,9 @@
         release = self._jobs.release(message.key, message.age_s, entry, now_s)
         if release != Release.KEPT:
             self._holders.setdefault(message.key, {})[entry] = Holder(now_s)
+        starts = self._late_starts.starts_of(message.key, now_s)
+        if starts:
+            self._send(entry, LateStarts(starts))
         if release == Release.ENDING:
             self._send(entry, JobsHeld([message.key], []))
             self._askers.add((message.key, entry))
@@ -255,6 +261,10 @@
         elif holder is not None:
             holder.kept_at_s = now_s
 
+    def late_starts_told(self, entry: str, message: LateStarts, now_s: float) -> None:
+        """Store which starts may come of a job that this entry has asked another one for."""
+        self._late_starts.record(entry, message, now_s)
+
     def peer_linked(self, entry: str, now_s: float) -> None:
         """Tell a newly linked entry which jobs this one holds."""
         if self._announced:
--- a/pistachiohill/entry/late_starts.py
+++ b/pistachiohill/entry/late_starts.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field, frozen
 
-from ..protocol.models import LateStarts
+from ..protocol.models import LateStart, LateStarts
 from ..submissions.identifiers import job_of_task
 
 
@@ -52,6 +52,15 @@
         """
         return max(self._until_s.get(job, {}).values(), default=-math.inf)
 
+    def starts_of(self, job: str, now_s: float) -> list[LateStart]:
+        """Return the starts of a job's tasks that may come, for another entry."""
+        origins = self._until_s.get(job, {})
+        return [
+            LateStart(origin.task_id, until_s - now_s)
+            for origin, until_s in origins.items()
+            if until_s > now_s
+        ]
+
     def _expire(self, now_s: float) -> None:
         for job, origins in list(self._until_s.items()):
             for origin in [item for item, until_s in origins.items() if until_s <= now_s]:
--- a/pistachiohill/entry/peers.py
+++ b/pistachiohill/entry/peers.py
@@ -34,6 +34,7 @@
     JobCancelled,
     JobReleased,
     JobsHeld,
+    LateStarts,
     MemberCounters,
     Message,
     PeerView,
@@ -107,6 +108,9 @@
     def release_requested(self, entry: str, message: ReleaseJob, now_s: float) -> None:
         """Handle the request to release a job."""
 
+    def late_starts_told(self, entry: str, message: LateStarts, now_s: float) -> None:
+        """Handle what an entry says of starts of a job that may still be executed."""
+
     def job_released(self, entry: str, message: JobReleased, now_s: float) -> None:
         """Handle the answer to such a request."""
 
@@ -432,6 +436,10 @@
     def _(self, message: JobReleased, peer: Peer, now_s: float) -> None:
         self._listener.job_released(peer.link.peer_incarnation, message, now_s)
 
+    @_handle.register
+    def _(self, message: LateStarts, peer: Peer, now_s: float) -> None:
+        self._listener.late_starts_told(peer.link.peer_incarnation, message, now_s)
+
     @_handle.register
     def _(self, message: CountersRequest, peer: Peer, now_s: float) -> None:
         peer.link.send(CountersReply(message.request_id, self._member_counters()))
--- a/pistachiohill/protocol/models.py
+++ b/pistachiohill/protocol/models.py
@@ -956,7 +956,7 @@
 
 @define(slots=True)
 class LateStarts:
-    """Tells all entries linked to an agent which tasks must not run elsewhere yet, even after the agent has ended.
+    """Tells entries which tasks must not run elsewhere yet, even after their agent has ended. Agents tell all linked entries, an entry the one that asks for the job.
 
     Fields:
         starts: Starts that may still be executed, and those that no longer can be.
--- a/tests/entry/test_job_holders.py
+++ b/tests/entry/test_job_holders.py
@@ -13,7 +13,8 @@
     RELEASE_REPEAT_S,
 )
 from pistachiohill.entry.job_holders import PEER_HEARD_S, Holding, JobHolders, Release
-from pistachiohill.protocol.models import JobReleased, JobsHeld, Message, ReleaseJob
+from pistachiohill.entry.late_starts import LateStartTable
+from pistachiohill.protocol.models import JobReleased, JobsHeld, LateStarts, Message, ReleaseJob
 
 from ..base import TestCase
 
@@ -62,10 +63,11 @@
     jobs: FakeJobs = field(factory=FakeJobs)
     peer: str = ""
     link: FakeLink | None = field(factory=FakeLink)
+    late_starts: LateStartTable = field(factory=LateStartTable)
     holders: JobHolders = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.holders = JobHolders(self)  # type: ignore[arg-type]
+        self.holders = JobHolders(self, self.late_starts)  # type: ignore[arg-type]
         self.holders.set_jobs(self.jobs)
 
     def find_link(self, incarnation: str) -> FakeLink | None:
@@ -108,6 +110,8 @@
                     receiver.holders.release_requested(name, message, now_s)
                 elif isinstance(message, JobReleased):
                     receiver.holders.job_released(name, message, now_s)
+                elif isinstance(message, LateStarts):
+                    receiver.holders.late_starts_told(name, message, now_s)
 
     def check(self, now_s: float, age_s: float = 0.0) -> Holding:
         holding = self.second.holders.check(KEY, age_s, now_s)
@@ -136,6 +140,14 @@
         pair.deliver(6.0)
         self.assertEqual(Holding.FREE, pair.check(6.0))
 
+    def test_entry_that_asks_for_a_job_is_told_of_which_tasks_a_start_may_come(self) -> None:
+        """Guards against jobs that wait in vain until their deadline, and against two runs."""
+        pair = Pair()
+        pair.announce(1.0)
+        pair.first.late_starts.expect("agent", f"{KEY}/0", 20.0, 1.5)
+        pair.check(2.0)
+        self.assertEqual(20.0, pair.second.late_starts.job_until_s(KEY))
+
     def test_a_job_that_was_released_in_the_meantime_is_free(self) -> None:
         pair = Pair()
         pair.announce(1.0)
