A job that isn't best-effort waits for its other tasks when it loses an agent

Cause: since `Dispatcher._fail` forces the answer for each LOST_AGENT, meant for jobs that can't wait for a late start.

Change: only that caller forces it; a passed deadline does as before. The test failed before: answered 0.1 s after the loss as "may_have_run".

--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -269,7 +269,7 @@
         if not can_wait and submission.failure is None:
             self._directory.late_starts.expect(agent.incarnation, task_id, until_s, now_s)
             detail = f"task {task.index}: its agent is lost, and its run may still start"
-            self._fail(submission, RefusalReason.LOST_AGENT, detail, now_s)
+            self._fail(submission, RefusalReason.LOST_AGENT, detail, now_s, force=True)
         return True
 
     def tasks_reported(self, agent: Agent, message: TaskReports, now_s: float) -> None:
@@ -480,17 +480,25 @@
             self._answer_complete(submission, now_s)
 
     def _fail(
-        self, submission: Submission, reason: RefusalReason, detail: str, now_s: float
+        self,
+        submission: Submission,
+        reason: RefusalReason,
+        detail: str,
+        now_s: float,
+        *,
+        force: bool = False,
     ) -> None:
-        """Fail a submission: drop its waiting tasks, cancel those at agents, then answer."""
+        """Fail a submission: drop its waiting tasks, cancel those at agents, then answer.
+
+        It is answered once it is known whether any task ran; at once if `force` or at its deadline.
+        """
         submission.failure = reason
         submission.failure_detail = detail
         self.waiting.drop(submission)
         for agent in self._directory.agents.values():
             if any(key[0] == submission.submission_id for key in agent.outstanding):
                 self._send_cancellation(agent, submission.submission_id)
-        final_reasons = (RefusalReason.DEADLINE, RefusalReason.LOST_AGENT)
-        self._answer_failed(submission, now_s, force=reason in final_reasons)
+        self._answer_failed(submission, now_s, force=force or reason == RefusalReason.DEADLINE)
 
     def _send_cancellation(self, agent: Agent, submission_id: str) -> None:
         """Cancel a submission at an agent; without a link, it is cancelled when one is opened."""
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pistachiohill.consortium.view import ConsortiumView
 from pistachiohill.const import JobState, TaskState
@@ -157,6 +157,25 @@
         self.assertEqual(Verdict.NOT_RUN, submission.answer.verdict)
 
 
+class LostAgentTest(TestCase):
+    def test_job_that_is_not_best_effort_is_answered_once_its_other_tasks_have_reported(
+        self,
+    ) -> None:
+        """Guards against "may have run" as the answer of a job of which a task has run."""
+        fixture = DispatcherFixture(agents=2)
+        submission = fixture.submit(tasks=2)
+        submission.settings = evolve(SETTINGS, best_effort=False)
+        fixture.dispatcher.place(0.0)
+        lost = fixture.agents[0]
+        del fixture.directory.agents[lost.incarnation]
+        fixture.dispatcher.agent_lost(lost, 0.1)
+        self.assertIsNone(submission.answer)
+        other = next(task for _, task in fixture.agents[1].outstanding.values())
+        fixture.report(1, submission.submission_id, other.index, other.attempt, 0.1, 0.2)
+        assert submission.answer is not None
+        self.assertEqual(Verdict.RAN, submission.answer.verdict)
+
+
 class CancellationTest(TestCase):
     def cancellations(self, link: Any) -> list[str]:
         return [item.submission_id for item in link.sent if isinstance(item, CancelTasks)]
