A suspension doesn't count for the time in which a start may come late

A start without an answer may be executed up to 12 s later; the agent waits for 15 s. A start that arrives while its machine is suspended is read after that, so that a suspension of more than 3 s at the end of that time was too long: the result was released, and the task could run elsewhere beside the late start.

Cause: `unsettled_until_s` is a time on CLOCK_BOOTTIME, which counts the suspension. The list of the newest process proves nothing here, as the start may be executed by the next one.

Change: after a stall, starts of which the time isn't over are expected for longer by the stall, and entries are told. Each step after an answer or a pause allows for a stall first (`LeasedTarget._observe`), as it may run before the check at intervals does.

Result: the new test (a real stall of the process) failed before, "not_run" within the time, and passes now. Not mended: entries that lost the agent count by their own clock; they can't know that its machine is suspended.

--- a/pistachiohill/agent/late_starts.py
+++ b/pistachiohill/agent/late_starts.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from .. import clock, logs
+from .. import logs
 from ..errors import RefusalReason, Verdict
 from .const import LATE_START_RETRY_S
 from .models import TargetResult
@@ -27,15 +27,18 @@
         is_answering: Callable[[], bool],
         is_ready: Callable[[], bool],
         async_send: Callable[[Run], Awaitable[None]],
+        present_s: Callable[[], float],
     ) -> None:
         """Initialize without runs.
 
         `is_answering` returns whether the runner's lists of runs are recent, `is_ready` whether it
-        may be given runs; `async_send` sends the start of a run again.
+        may be given runs; `async_send` sends the start of a run again. `present_s` returns the
+        present boot time, after the runs were allowed for a stall of this process.
         """
         self._is_answering = is_answering
         self._is_ready = is_ready
         self._async_send = async_send
+        self._present_s = present_s
         self._awaited: set[Run] = set()
 
     def settle(
@@ -44,7 +47,8 @@
         """Set the result of a run, or withhold it while a start of the run may still come."""
         if run.is_settled:
             return
-        if reason is None or clock.boot_s() >= run.unsettled_until_s:
+        now_s = self._present_s()
+        if reason is None or now_s >= run.unsettled_until_s:
             run.end(verdict, reason)
             return
         run.withhold(verdict, reason)
@@ -53,7 +57,7 @@
             name=run.call.name,
             run=run.call.run,
             reason=reason,
-            for_s=run.unsettled_until_s - clock.boot_s(),
+            for_s=run.unsettled_until_s - now_s,
         )
         if run not in self._awaited:
             self._awaited.add(run)
@@ -69,7 +73,7 @@
                 await run.done.wait()
             if run.withheld is None or not self._is_answering():
                 continue
-            now_s = clock.boot_s()
+            now_s = self._present_s()
             if now_s >= run.unsettled_until_s:
                 run.end(run.withheld.verdict, run.withheld.reason)
             elif self._may_be_sent(run, run.withheld, now_s):
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -100,6 +100,7 @@
             lambda: self._synchronized and not self._response_missing,
             lambda: self.ready,
             self._async_start,
+            self._observe,
         )
         self._runs = RunTable()
         self._predecessor_runs = PredecessorRuns()
@@ -108,6 +109,7 @@
         self._ack_cursor = 0
         self._ack_pending = False
         self._lease = RunnerLease()
+        self._allowed_stall_s = 0.0
         self._response_missing = False
         self._responded_at_s = -math.inf
         self._newest_list_clock_s = -math.inf
@@ -312,12 +314,27 @@
                 await self._async_hold_once(self._identity)
 
     async def _async_watch_stalls(self) -> None:
-        """Read the runner's clock again after this process was stalled, until cancelled."""
+        """Notice when this process was stalled, until cancelled."""
         while True:
-            if self._lease.tick(clock.boot_s()):
-                self._list_runs_soon()
+            self._observe()
             await trio.sleep(STALL_CHECK_INTERVAL_S)
 
+    def _observe(self) -> float:
+        """Return the present boot time, after allowing for a stall of this process before it.
+
+        A request that arrived while the machine was suspended may be executed now.
+        """
+        now_s = clock.boot_s()
+        self._lease.tick(now_s)
+        stalled_s = self._lease.stalled_s - self._allowed_stall_s
+        if stalled_s > 0.0:
+            self._allowed_stall_s = self._lease.stalled_s
+            for run in self._runs.values():
+                if run.unsettled_until_s > now_s - stalled_s:
+                    self._expect_late_start(run, run.unsettled_until_s + stalled_s, now_s)
+            self._list_runs_soon()
+        return now_s
+
     async def _async_hedge(self) -> None:
         """Keep a second long-polling request open while responses get lost, until cancelled."""
         while True:
@@ -346,13 +363,13 @@
         return pending or bool(self._runs) or bool(self._foreign_runs)
 
     async def _async_hold_once(self, identity: RunnerIdentity) -> None:
-        sent_at_s = clock.boot_s()
+        sent_at_s = self._observe()
         wait_s = HOLD_WAIT_S if self._can_long_poll() else 0.0
         lease = self._next_lease(sent_at_s)
         outcome = await self._runner_client.async_hold(
             identity, lease, self._next_ack(), wait_s, wait_s + HOLD_TIMEOUT_S
         )
-        now_s = clock.boot_s()
+        now_s = self._observe()
         if identity != self._identity:
             return
         if isinstance(outcome, RunList):
@@ -464,7 +481,7 @@
             reason = RefusalReason.LEASE_ENDED  # by this agent, not by a fault of the runner
         if run.withheld is None or run.withheld.verdict == Verdict.NOT_RUN or reason is None:
             run.withheld = None
-            self._record_execution(run, clock.boot_s())
+            self._record_execution(run, self._observe())
             self._settle(run, Verdict.RAN, reason)
 
     def _reconcile_run(
@@ -509,7 +526,7 @@
             logs.warning("run_missing", name=run.call.name, run=run.call.run)
             run.runner_restarted = False
             run.may_have_run = True
-            if clock.boot_s() >= run.unsettled_until_s:
+            if self._observe() >= run.unsettled_until_s:
                 run.end(Verdict.RAN, RefusalReason.TARGET_LOST)
                 return
         if run.starts_sent >= MAX_STARTS_SENT:
@@ -538,7 +555,7 @@
         identity = self._identity
         assert identity is not None
         token = self._token
-        sent_at_s = clock.boot_s()
+        sent_at_s = self._observe()
         refusal = run.start_refusal(sent_at_s)
         if refusal is not None:
             self._settle(run, Verdict.NOT_RUN, refusal)
@@ -556,7 +573,7 @@
         run.is_start_pending = True
         outcome = await self._runner_client.async_start(identity, run.call, lease, START_TIMEOUT_S)
         run.is_start_pending = False
-        now_s = clock.boot_s()
+        now_s = self._observe()
         if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
             self._handle_reset_clock(outcome.clock_s, sent_at_s, now_s)
         if isinstance(outcome, NoAnswer):
@@ -641,7 +658,7 @@
             identity = self._identity
             if identity is None:
                 return
-            sent_at_s = clock.boot_s()
+            sent_at_s = self._observe()
             lease = self._next_lease(sent_at_s)
             outcome = await self._runner_client.async_hold(
                 identity, lease, self._next_ack(), 0.0, HOLD_TIMEOUT_S
@@ -649,7 +666,7 @@
             if identity != self._identity:
                 return
             if isinstance(outcome, RunList):
-                self._apply_run_list(outcome, lease.token, sent_at_s, clock.boot_s())
+                self._apply_run_list(outcome, lease.token, sent_at_s, self._observe())
             elif isinstance(outcome, Fenced):
                 self._handle_fenced(lease.token)
             else:
--- a/pistachiohill/agent/runner_lease.py
+++ b/pistachiohill/agent/runner_lease.py
@@ -35,24 +35,26 @@
         expires_at_s: Boot time at which every lease granted so far has expired.
         granted_until_clock_s: Time on the runner's clock at which the latest lease ends, None if
             there is none.
+        stalled_s: For how long this process was stalled, in all.
     """
 
     expires_at_s: float = -math.inf
     granted_until_clock_s: float | None = None
+    stalled_s: float = 0.0
     _clock: PeerClock = field(factory=PeerClock)
     _read_at_s: float = -math.inf
     _stalls: StallDetector = field(factory=lambda: StallDetector(math.inf))
 
-    def tick(self, now_s: float) -> bool:
-        """Record that this process runs; return whether it was stalled.
+    def tick(self, now_s: float) -> None:
+        """Record that this process runs, and leave out the time in which it was stalled.
 
         To be called at short intervals. All other methods that take the present time do the same,
         so that none of them counts a stall that was not noticed yet.
         """
         stalled_s = self._stalls.tick(now_s)
+        self.stalled_s += stalled_s
         self.expires_at_s += stalled_s
         self._clock.received_at_s += stalled_s
-        return stalled_s > 0.0
 
     def reset(self, now_s: float) -> None:
         """Forget the clock and the leases of a runner incarnation that has ended."""
--- a/tests/agent/test_suspended_runner.py
+++ b/tests/agent/test_suspended_runner.py
@@ -1,15 +1,23 @@
 """A runner whose clock stood still: what its agent takes for ended has ended."""
 
+import math
+import time
+from unittest import mock
+
 import trio
 
 from pistachiohill import clock
+from pistachiohill.agent import leased_target
 from pistachiohill.agent.const import LEASE_S, MAX_LEASE_S
+from pistachiohill.agent.models import UNRESTRICTED, RunPermission
+from pistachiohill.errors import RefusalReason
 from standins.runner_model import RunnerModel
 
 from ..base import TestCase
 from .test_leased_target import LOST, TargetHarness, call
 
 STOOD_STILL_S = 1.5
+LATE_S = 0.8  # for how long a start may come late, in place of the platform's time
 
 
 class SuspendedRunnerTest(TestCase):
@@ -51,3 +59,26 @@
             await trio.sleep(0.05)
             self.assertLess(model.lease_expires_at_s - clock.boot_s(), LEASE_S)
             nursery.cancel_scope.cancel()
+
+    async def test_suspension_does_not_count_for_the_time_in_which_a_start_may_come(self) -> None:
+        """Guards against two runs: a start that arrives on a suspended machine comes after it."""
+        refused = RunPermission(lambda _now_s: RefusalReason.DEADLINE, lambda: math.inf)
+        permissions = [UNRESTRICTED, refused]
+        permission = RunPermission(
+            lambda now_s: permissions[0].start_refusal(now_s), lambda: math.inf
+        )
+        with mock.patch.object(leased_target, "LATE_START_S", LATE_S):
+            async with trio.open_nursery() as nursery:
+                harness = TargetHarness(nursery)
+                nursery.start_soon(harness.target.async_run)
+                await harness.async_wait_ready()
+                harness.runner.unanswered_starts, harness.runner.execution_delay_s = 1, 100.0
+                harness.start(call("a"), permission)
+                await trio.sleep(0.02)
+                del permissions[0]
+                await trio.sleep(0.2)
+                time.sleep(STOOD_STILL_S)  # no task of this process runs, as on a suspended machine
+                await trio.sleep(LATE_S - 0.4)
+                self.assertEqual({}, harness.results)
+                await harness.async_result("a#1", 1.0)
+                nursery.cancel_scope.cancel()
