Model: suspended machines, successors that take over; a predecessor's lease

The model finds what reading missed: a run that the successor of an agent has taken over may go on under a lease of its predecessor. The successor counts the longest lease for it now, and at least two starts, as the predecessor may have sent several, so that a list of the run doesn't settle them. Neither was a fault of its own yet: the time in which a start may come is longer.

--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -253,6 +253,8 @@
             logs.event("predecessor_run_ended", name=call.name, run=call.run, outcome=end)
             return TargetResult(Verdict.RAN, RUN_END_REASONS[end])
         self._runs[run.name] = run
+        if run.was_started_before:
+            self._lease.record_unknown_lease(self._observe())
         self._signal_changed()
         try:
             await self._async_start(run)
--- a/pistachiohill/agent/run.py
+++ b/pistachiohill/agent/run.py
@@ -19,6 +19,8 @@
     TargetResult,
 )
 
+STARTS_OF_PREDECESSOR = 2  # it may have sent several, so that a list of the run settles nothing
+
 START_REFUSAL_REASONS = {
     StartRefusal.FENCED: RefusalReason.FENCED,
     StartRefusal.LEASE_ENDED: RefusalReason.FENCED,
@@ -87,7 +89,7 @@
     def expect_start_of_predecessor(self) -> None:
         """Count the start that the agent's predecessor may have sent as one without an answer."""
         if self.was_started_before:
-            self.starts_sent = 1
+            self.starts_sent = STARTS_OF_PREDECESSOR
             self.unsettled_until_s = self.call.late_start_until_s
 
     @property
--- a/pistachiohill/agent/spec.py
+++ b/pistachiohill/agent/spec.py
@@ -18,6 +18,10 @@
 ended; that a start never comes is a step of its own. Another entry is
 told what an agent tells all entries, and asks the first entry while that one is up.
 
+A suspended machine stands still: the runner's clock and its run, and the agent, but not the lease
+of the entry, which counts real time. The entry can't tell it from a lost one and may begin the
+second run, so that this fault is checked only for what the agent reports (`AGENT_INVARIANTS`).
+
 `RUNS_END_TICKS` and `RESEND_TICKS` have no room: with one tick less, the runs overlap. The sums in
 the implementation add margins for timers, drifting clocks and the duration of a stop.
 
@@ -39,203 +43,37 @@
 | report | `agent.reports.ReportSender`, `entry.dispatcher.Dispatcher.tasks_reported` |
 | hear | `AgentDirectory._record_clock`, `view_stamp` |
 | relink | `Dispatcher.link_opened`, `StartTable.query`, `TaskRunner.cancel` |
+| successor takes over | `entry.successors`, `agent.predecessor_runs.PredecessorRuns` |
+| suspended machine | `RunnerLease.tick`, `RunnerLease.record_clock` |
 | leases end | `entry.agent.Agent.runs_end_s`, `Dispatcher.runs_ended` |
 | successor accepts | `LeasedTarget.ready`; entries also wait until the leases have ended |
 | caller leaves | `entry.best_effort.BestEffortJobs.async_run`, `Dispatcher.cancel` |
 """
 
 from collections.abc import Iterator
-from enum import IntEnum, StrEnum
 from typing import Any
 
-from attrs import evolve, frozen
+from attrs import evolve
+
+from .spec_state import (
+    IN_PROGRESS,
+    AgentState,
+    Bounds,
+    Guard,
+    Placement,
+    Process,
+    Request,
+    RunnerState,
+    SystemState,
+)
 
 ENTRY_LEASE_TICKS = 1
 RUNNER_LEASE_TICKS = 2
 # The last renewal at the runner is at the latest one tick before the lease of the entry ends.
 RUNS_END_TICKS = ENTRY_LEASE_TICKS + RUNNER_LEASE_TICKS - 1
 RESEND_TICKS = RUNS_END_TICKS
-SUCCESSOR_TOKEN = 9
-
-
-class Guard(StrEnum):
-    """Guard of the protocol; each mutant of the specification omits one of them."""
-
-    START_UNDER_LEASE = "an agent starts a run only under a recent stamp of its entry"
-    CHECK_AT_SEND = "the entry's lease is checked when the start is sent, not before a pause"
-    OWN_LINK = "that stamp has to arrive on the link on which the entry names the placement"
-    STAMP_AGE = "the entry's lease counts from the time that its stamp proves, not from the arrival"
-    STALL = "an entry that was stalled proves nothing until it hears from the agent"
-    LEASE_END = "runs of an entry whose lease has ended must end"
-    RENEWAL = "an agent renews no lease at the runner while a run that must end may go on"
-    FENCE = "the fencing token is raised after an unanswered start"
-    RUNNER_LEASE = "runs at a silent runner have ended only when their lease must have"
-    LOOK = "after a restart of the runner, starts sent before are looked up there"
-    ANNOUNCEMENT = "an announcement ends no run"
-    SUCCESSOR = "a new agent process accepts tasks only when no earlier run is listed"
-    QUERY = "a query on a new link fences placements that the agent does not know"
-    CANCEL_AGAIN = "a cancellation is repeated on a new link"
-    RUNS_END = "an entry takes runs for ended after the sum of the leases only"
-    WITHHOLD = "an agent reports no end of a run while a start without an answer may come"
-    NEXT_LIST = "not even on a list of the runner's next process"
-    NOTICE = "an agent tells all entries of a start without an answer as soon as it knows"
-    ANSWERED = "until told of its answer, an entry takes a start at a lost agent for a late one"
-
-
-class Process(IntEnum):
-    """State of a process."""
-
-    UP = 0
-    FROZEN = 1
-    DEAD = 2
-
-
-class Placement(StrEnum):
-    """State of the placement at the agent; PREPARED only if starts are checked too early."""
-
-    UNKNOWN = "unknown"
-    FENCED = "fenced"
-    QUEUED = "queued"
-    PREPARED = "prepared"
-    UNANSWERED = "unanswered"
-    RUNNING = "running"
-    WITHHELD = "withheld"
-    ENDED = "ended"
-
-
-IN_PROGRESS = (Placement.UNANSWERED, Placement.RUNNING)
-
-
-@frozen
-class Bounds:
-    """Bounds of the model.
-
-    Fields:
-        faults: Number of faults.
-        kinds: Kinds of faults; none stand for all.
-        entries_linked: Whether an entry to which the job is sent again waits for the first one's
-            release while that one is up. Otherwise it asks only for starts that may come late.
-    """
-
-    faults: int
-    kinds: frozenset[str] = frozenset()
-    entries_linked: bool = False
-
-
-@frozen
-class EntryState:
-    """The entry that placed the first run.
-
-    Fields:
-        silent_ticks: Ticks since it last sent something to the agent.
-        stalled_ticks: By how much its stamps are older than the time at which they are sent.
-        settled: Whether it knows, or takes it for known, that the first run has ended.
-        cancelled: Whether it has noticed that the caller left.
-        told: Whether the agent has told it of a start without an answer.
-        answered: Whether the agent has told it that a start was answered.
-    """
-
-    process: Process = Process.UP
-    linked: bool = True
-    silent_ticks: int = 0
-    stalled_ticks: int = 0
-    settled: bool = False
-    cancelled: bool = False
-    told: bool = False
-    answered: bool = False
-
-
-@frozen
-class AgentState:
-    """The agent beside the first run's runner.
-
-    Fields:
-        lease_ticks: Rest of the entry's lease.
-        link_ticks: How long the latest stamp on the link of the start allows it to be sent.
-        must_end: Whether the run is being stopped.
-        sealed: Whether the job was cancelled here.
-        granted_ticks: Ticks for which a lease that it has granted may still last.
-        restart_known: Whether it has noticed the latest restart of the runner.
-        sent: Whether a start was sent.
-        repeated: Whether it was sent again.
-        unsettled: Whether a start without an answer may still be executed.
-    """
-
-    process: Process = Process.UP
-    placement: Placement = Placement.UNKNOWN
-    lease_ticks: int = 0
-    link_ticks: int = 0
-    must_end: bool = False
-    sealed: bool = False
-    token: int = 0
-    granted_ticks: int = 0
-    restart_known: bool = False
-    sent: bool = False
-    repeated: bool = False
-    unsettled: bool = False
-
-
-@frozen
-class RunnerState:
-    """The runner of the first run.
-
-    Fields:
-        began_late: Whether the run was begun by a late start.
-        refused: Whether the run's number is refused from now on.
-    """
-
-    restarted: bool = False
-    running: bool = False
-    began_late: bool = False
-    refused: bool = False
-    lease_ticks: int = 0
-    token: int = 0
-
-
-@frozen
-class Request:
-    """Request to the runner, for a lease that lasts `lease_ticks`."""
-
-    kind: str
-    token: int
-    lease_ticks: int = 0
-
-
-@frozen
-class SystemState:
-    """State of the whole system.
-
-    Fields:
-        fault_kinds: Kinds of faults that may occur, all if it is empty.
-        entries_linked: As in the bounds.
-        late_starts: Starts that were sent to the runner and may be executed later.
-        others_told: Whether other entries were told of a start without an answer.
-        start_ticks, stamp_ticks: Age of the start and of the stamp in flight, None if there is
-            none.
-        cancel_sent: Whether a cancellation is in flight.
-        stamp_after_cancel: Whether the stamp was sent after a cancellation, on the same link.
-        old_link: Whether the start was sent on a link that is closed.
-        left_ticks: Ticks since the caller left, None before.
-        second_run: Whether the second run is in progress.
-    """
-
-    faults_left: int
-    entry: EntryState = EntryState()
-    agent: AgentState = AgentState()
-    runner: RunnerState = RunnerState()
-    fault_kinds: frozenset[str] = frozenset()
-    entries_linked: bool = False
-    late_starts: tuple[Request, ...] = ()
-    others_told: bool = False
-    start_ticks: int | None = 0
-    stamp_ticks: int | None = None
-    old_link: bool = False
-    cancel_sent: bool = False
-    stamp_after_cancel: bool = False
-    cut: bool = False
-    requests_late: bool = False
-    left_ticks: int | None = None
-    second_run: bool = False
+LONGEST_LEASE_TICKS = RUNNER_LEASE_TICKS + 1  # to which the runner shortens longer ones
+NAMED_KINDS = frozenset({"machine suspended"})  # of faults, which occur only if they are named
 
 
 Step = tuple[str, SystemState]
@@ -256,12 +94,12 @@
     if not _may_be_in_progress(system):
         return
     if _may_tick(system, guards):
-        yield "tick", _tick(system)
+        yield "tick", _tick(system, guards)
     if system.faults_left:
         for label, after in _faults(evolve(system, faults_left=system.faults_left - 1)):
-            if not system.fault_kinds or label in system.fault_kinds:
+            if _may_occur(label, system.fault_kinds):
                 yield label, after
-    yield from _recoveries(system)
+    yield from _recoveries(system, guards)
     yield from _caller_steps(system, guards)
     if system.entry.process == Process.UP:
         yield from _entry_steps(system, guards)
@@ -272,10 +110,15 @@
         yield from _successor_steps(system, guards)
     for position, request in enumerate(system.late_starts):
         rest = system.late_starts[:position] + system.late_starts[position + 1 :]
-        yield "late start", _execute_late(evolve(system, late_starts=rest), request)
+        if not system.suspended:
+            yield "late start", _execute_late(evolve(system, late_starts=rest), request)
         yield "start never comes", evolve(system, late_starts=rest)
 
 
+def _may_occur(fault: str, kinds: frozenset[str]) -> bool:
+    return fault in kinds if kinds else fault not in NAMED_KINDS
+
+
 def _may_be_in_progress(system: SystemState) -> bool:
     """Return whether the first run is in progress or may start later."""
     if system.runner.running or system.late_starts:
@@ -298,12 +141,15 @@
         killed = _agent(system, process=Process.DEAD)
         yield "agent killed", _entry(killed, linked=False)
         yield "agent frozen", _agent(system, process=Process.FROZEN)
+        frozen = _agent(system, process=Process.FROZEN)
+        yield "machine suspended", evolve(frozen, suspended=True)
     if not system.cut:
         yield "cut", evolve(system, cut=True)
         yield "reset", _close_link(system)
     if not system.requests_late:
         yield "requests late", evolve(system, requests_late=True)
-    yield "runner restarted", _restart(system)
+    if not system.suspended:
+        yield "runner restarted", _restart(system)
 
 
 def _restart(system: SystemState) -> SystemState:
@@ -315,14 +161,18 @@
     return evolve(system, runner=RunnerState(restarted=True), late_starts=late_starts)
 
 
-def _recoveries(system: SystemState) -> Iterator[Step]:
+def _recoveries(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
     if system.cut:
         yield "cut ends", evolve(system, cut=False)
     if system.cut and system.entry.linked:
         yield "link closed", _close_link(system)
     if system.entry.process == Process.FROZEN:
         yield "entry wakes", _entry(system, process=Process.UP)
-    if system.agent.process == Process.FROZEN:
+    if system.suspended:
+        ahead = Guard.CLOCK not in guards
+        resumed = _agent(system, process=Process.UP, bound_ahead=ahead)
+        yield "machine resumes", evolve(resumed, suspended=False)
+    elif system.agent.process == Process.FROZEN:
         yield "agent wakes", _agent(system, process=Process.UP)
 
 
@@ -392,7 +242,7 @@
     if agent.placement == Placement.PREPARED:
         yield from _start(system, guards)
     if agent.lease_ticks == 0 and agent.placement == Placement.QUEUED:
-        yield "withdraw", _agent(system, placement=Placement.ENDED)
+        yield "withdraw", _withdraw(system)
     if _lease_end_is_due(agent, guards):
         yield "lease of the entry ends", _agent(system, must_end=True)
     if agent.must_end and agent.placement in IN_PROGRESS:
@@ -406,6 +256,13 @@
     yield from _notices(system, guards)
 
 
+def _withdraw(system: SystemState) -> SystemState:
+    """Take a placement out of the queue; a run that was to be taken over is stopped if it comes."""
+    if system.agent.unsettled and (system.late_starts or system.runner.running):
+        return _agent(system, placement=Placement.WITHHELD, must_end=True)
+    return _agent(system, placement=Placement.ENDED)
+
+
 def _withheld_steps(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
     """Yield what an agent does about a run that has not begun, but may."""
     agent = system.agent
@@ -457,15 +314,40 @@
     if system.entry.process != Process.UP or system.entry.settled or system.cut:
         return
     if _awaits_late_start(system, guards):
+        if not system.entry.cancelled:
+            yield "successor takes over", _take_over(system)
         return
     if Guard.SUCCESSOR not in guards:
         yield "successor accepts", _settle(system)
         return
-    listed = _runner(system, token=SUCCESSOR_TOKEN)
+    listed = _runner(system, token=_next_token(system))
     if not system.runner.running:
         yield "successor accepts", _settle(listed)
 
 
+def _take_over(system: SystemState) -> SystemState:
+    """Place the same run at the successor of the agent, for which the first start may come."""
+    token = _next_token(system)
+    successor = AgentState(
+        placement=Placement.QUEUED,
+        lease_ticks=ENTRY_LEASE_TICKS,
+        link_ticks=ENTRY_LEASE_TICKS,
+        token=token,
+        granted_ticks=RUNNER_LEASE_TICKS,
+        restart_known=system.runner.restarted,
+        sent=True,
+        repeated=True,
+        unsettled=True,
+    )
+    system = evolve(_runner(system, token=token), agent=successor)
+    system = _entry(system, linked=True, silent_ticks=0, stalled_ticks=0, answered=False)
+    return evolve(system, start_ticks=None, stamp_ticks=None, old_link=False, cancel_sent=False)
+
+
+def _next_token(system: SystemState) -> int:
+    return max(system.agent.token, system.runner.token) + 1
+
+
 def _may_tick(system: SystemState, guards: frozenset[Guard]) -> bool:
     """Return whether every process that runs has done what it does within a tick."""
     entry, agent = system.entry, system.agent
@@ -486,8 +368,8 @@
     return ended and not agent.must_end and Guard.LEASE_END in guards
 
 
-def _tick(system: SystemState) -> SystemState:
-    entry, agent, runner = system.entry, system.agent, system.runner
+def _tick(system: SystemState, guards: frozenset[Guard]) -> SystemState:
+    entry, agent = system.entry, system.agent
     frozen_ticks = entry.stalled_ticks + (entry.process == Process.FROZEN)
     system = _entry(
         system,
@@ -498,24 +380,31 @@
         system,
         lease_ticks=max(0, agent.lease_ticks - 1),
         link_ticks=max(0, agent.link_ticks - 1),
-        granted_ticks=max(0, agent.granted_ticks - 1),
-    )
-    system = _runner(system, lease_ticks=max(0, runner.lease_ticks - 1))
-    if runner.running and system.runner.lease_ticks == 0:
-        system = _runner(system, running=False, refused=True)
-    late_starts = tuple(
-        evolve(request, lease_ticks=max(0, request.lease_ticks - 1))
-        for request in system.late_starts
     )
+    if not system.suspended or Guard.SUSPENDED_LEASE not in guards:
+        system = _agent(system, granted_ticks=max(0, agent.granted_ticks - 1))
+    if not system.suspended:
+        system = _tick_runner(system)
     return evolve(
         system,
-        late_starts=late_starts,
         start_ticks=_older(system.start_ticks),
         stamp_ticks=_older(system.stamp_ticks),
         left_ticks=None if system.left_ticks is None else min(system.left_ticks + 1, RESEND_TICKS),
     )
 
 
+def _tick_runner(system: SystemState) -> SystemState:
+    """Let time pass on the runner's clock."""
+    system = _runner(system, lease_ticks=max(0, system.runner.lease_ticks - 1))
+    if system.runner.running and system.runner.lease_ticks == 0:
+        system = _runner(system, running=False, refused=True)
+    late_starts = tuple(
+        evolve(request, lease_ticks=max(0, request.lease_ticks - 1))
+        for request in system.late_starts
+    )
+    return evolve(system, late_starts=late_starts)
+
+
 def _older(age_ticks: int | None) -> int | None:
     return None if age_ticks is None else min(age_ticks + 1, ENTRY_LEASE_TICKS)
 
@@ -588,7 +477,7 @@
 def _cancel(system: SystemState) -> SystemState:
     system = evolve(_agent(system, sealed=True), cancel_sent=False)
     if system.agent.placement == Placement.QUEUED:
-        return _agent(system, placement=Placement.ENDED)
+        return _withdraw(system)
     return _agent(system, must_end=True)
 
 
@@ -606,7 +495,7 @@
 
 def _start(system: SystemState, guards: frozenset[Guard]) -> Iterator[Step]:
     agent = system.agent
-    request = Request("start", agent.token, RUNNER_LEASE_TICKS)
+    request = Request("start", agent.token, _sent_lease_ticks(agent))
     sent = evolve(agent, granted_ticks=RUNNER_LEASE_TICKS, sent=True, repeated=agent.sent)
     system = evolve(system, agent=sent)
     executed = _execute(system, request)
@@ -635,9 +524,17 @@
     agent = system.agent
     leased = agent.lease_ticks > 0 or Guard.LEASE_END not in guards
     renews = leased and not agent.must_end
-    lease_ticks = RUNNER_LEASE_TICKS if renews or Guard.RENEWAL not in guards else 0
-    system = _agent(system, granted_ticks=max(agent.granted_ticks, lease_ticks))
-    yield from _requests(system, Request("hold", agent.token, lease_ticks), "hold", guards)
+    if not renews and Guard.RENEWAL in guards:
+        yield from _requests(system, Request("hold", agent.token), "hold", guards)
+        return
+    system = _agent(system, granted_ticks=max(agent.granted_ticks, RUNNER_LEASE_TICKS))
+    request = Request("hold", agent.token, _sent_lease_ticks(agent))
+    yield from _requests(system, request, "hold", guards)
+
+
+def _sent_lease_ticks(agent: AgentState) -> int:
+    """Return how long a lease lasts at the runner that the agent takes for one of usual length."""
+    return LONGEST_LEASE_TICKS if agent.bound_ahead else RUNNER_LEASE_TICKS
 
 
 def _requests(
@@ -697,4 +594,10 @@
     return not (system.second_run and system.runner.running)
 
 
+def reported_run_has_ended(system: SystemState) -> bool:
+    """Return whether the first run has ended if its agent takes it for ended."""
+    return not (system.agent.placement == Placement.ENDED and system.runner.running)
+
+
 INVARIANTS = {"runs_do_not_overlap": runs_do_not_overlap}
+AGENT_INVARIANTS = {"reported_run_has_ended": reported_run_has_ended}
