--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -36,6 +36,7 @@
 ORIGIN_TESTS = "tests/http/test_direct_server.py::RequestOriginTest::"
 RUN_PROOFS_TESTS = "tests/agent/test_run_proofs.py::RunProofsTest::"
 LATE_START_TESTS = "tests/agent/test_late_starts.py::LateStartTest::"
+SUCCESSORS_TESTS = "tests/entry/test_successors.py::SuccessorsTest::"
 LOST_AGENT_TESTS = "tests/entry/test_late_starts.py::LostAgentTest::"
 RESENT_TESTS = "tests/failures/test_resent_jobs.py::ResentJobsTest::"
 RELEASE_TESTS = "tests/entry/test_best_effort.py::ReleaseTest::"
@@ -603,8 +604,8 @@
         (
             Edit(
                 "pistachiohill/peer_clock.py",
-                "(now_s - self.received_at_s) * (1.0 - MAX_CLOCK_DRIFT)",
-                "(now_s - self.received_at_s)",
+                "        drift = -MAX_CLOCK_DRIFT if passed_s > 0.0 else MAX_CLOCK_DRIFT\n",
+                "        drift = 0.0\n",
             ),
         ),
     ),
@@ -700,11 +701,70 @@
         (
             Edit(
                 "pistachiohill/agent/runner_lease.py",
-                "        clock_s = self._clock.lower_bound_s(now_s, ALWAYS_RUNNING_S)\n",
+                "        clock_s = self.clock_bound_s(now_s)\n",
                 "        clock_s = self._clock.reading_s + now_s - self._clock.received_at_s\n",
             ),
         ),
     ),
+    Mutant(
+        "a suspension counts for the runner's clock",
+        "tests/agent/test_runner_lease.py::RunnerLeaseTest::"
+        "test_suspension_does_not_count_for_the_bound_of_the_clock",
+        (
+            Edit(
+                "pistachiohill/agent/runner_lease.py",
+                "        self._clock.received_at_s += stalled_s\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "a suspension counts for the end of a lease",
+        "tests/agent/test_runner_lease.py::RunnerLeaseTest::"
+        "test_lease_goes_on_after_a_suspension_for_as_long_as_it_had_left",
+        (
+            Edit(
+                "pistachiohill/agent/runner_lease.py",
+                "        self.expires_at_s += stalled_s\n",
+                "",
+            ),
+        ),
+    ),
+    Mutant(
+        "no reading lowers the bound of the runner's clock",
+        "tests/agent/test_runner_lease.py::RunnerLeaseTest::"
+        "test_reading_that_proves_the_bound_wrong_replaces_it",
+        (
+            Edit(
+                "pistachiohill/agent/runner_lease.py",
+                "            self._clock = PeerClock()\n            self.granted_until",
+                "            self.granted_until",
+            ),
+        ),
+    ),
+    Mutant(
+        "an agent at another target takes runs over",
+        SUCCESSORS_TESTS + "test_agent_at_another_target_takes_nothing_over",
+        (
+            Edit(
+                "pistachiohill/entry/successors.py",
+                "        if task.target_id == successor.target_id\n",
+                "        if True\n",
+            ),
+        ),
+    ),
+    Mutant(
+        "a task that was taken over in vain is placed again",
+        SUCCESSORS_TESTS
+        + "test_outcome_other_than_success_fails_the_job_and_places_the_task_nowhere",
+        (
+            Edit(
+                "pistachiohill/entry/dispatcher.py",
+                "        if not succeeded and now_s < task.late_start_until_s:\n",
+                "        if False:\n",
+            ),
+        ),
+    ),
     Mutant(
         "a job's time limit counts from the reading of its request",
         BEST_EFFORT_TESTS + "LateRequestTest::test_deadline_counts_from_the_arrival",
@@ -923,7 +983,7 @@
         + "test_start_without_an_answer_is_not_carried_out_after_its_lease_and_a_restart",
         (
             Edit(
-                "pistachiohill/agent/leased_target.py",
+                "pistachiohill/agent/unsettled_starts.py",
                 "        run.unsettled_until_s = until_s\n",
                 "        run.unsettled_until_s = -math.inf\n",
             ),
@@ -948,7 +1008,7 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "            if clock.boot_s() >= run.unsettled_until_s:\n",
+                "            if self._observe() >= run.unsettled_until_s:\n",
                 "            if True:\n",
             ),
         ),
@@ -960,7 +1020,7 @@
         (
             Edit(
                 "pistachiohill/agent/leased_target.py",
-                "            self._expect_late_start(run, now_s + LATE_START_S, now_s)\n"
+                "            self._unsettled.expect(run, now_s + LATE_START_S, now_s)\n"
                 "        elif is_repeated",
                 "            run.unsettled_until_s = now_s + LATE_START_S\n"
                 "        elif is_repeated",
--- a/pistachiohill/agent/leased_target.py
+++ b/pistachiohill/agent/leased_target.py
@@ -30,7 +30,6 @@
 from ..errors import RefusalReason, Verdict
 from .const import (
     CLOCK_REFRESH_S,
-    HEDGE_S,
     HOLD_TIMEOUT_S,
     HOLD_WAIT_S,
     INITIAL_TOKEN_STEP,
@@ -40,7 +39,9 @@
     STALL_CHECK_INTERVAL_S,
     START_TIMEOUT_S,
 )
+from .end_acks import EndAcks
 from .fencing import initial_token
+from .hedge import Hedge
 from .late_start_notices import LateStartNotices
 from .late_starts import LateStarts
 from .models import (
@@ -69,7 +70,9 @@
 from .run_stops import RunnerAccess, async_stop, async_stop_foreign_runs
 from .run_table import RunTable
 from .runner_discovery import ConfirmedRunner, RunnerDiscovery
+from .runner_in_use import Change, RunnerInUse
 from .runner_lease import RunnerLease
+from .unsettled_starts import UnsettledStarts
 
 
 class LeasedTarget:
@@ -85,14 +88,11 @@
 
         `notices` tells entries of starts without an answer.
         """
-        self._notices = notices or LateStartNotices()
+        self._unsettled = UnsettledStarts(notices or LateStartNotices())
         self._runner_client = runner_client
         self._token = initial_token(now_wall_s)
         self._token_step = INITIAL_TOKEN_STEP
-        self._identity: RunnerIdentity | None = None
-        self._identified_at_s = -math.inf
-        self._successor: RunnerIdentity | None = None
-        self._shut_down = False
+        self._in_use = RunnerInUse()
         self._discovery = RunnerDiscovery(
             runner_client, lambda: self._token, self._handle_confirmation
         )
@@ -106,15 +106,13 @@
         self._predecessor_runs = PredecessorRuns()
         self._foreign_runs: frozenset[RunName] = frozenset()
         self._synchronized = False
-        self._ack_cursor = 0
-        self._ack_pending = False
+        self._acks = EndAcks()
         self._lease = RunnerLease()
         self._allowed_stall_s = 0.0
         self._response_missing = False
         self._responded_at_s = -math.inf
         self._newest_list_clock_s = -math.inf
-        self._hedge_until_s = -math.inf
-        self._hedge_needed = trio.Event()
+        self._hedge = Hedge(self._async_second_hold)
         self._changed = trio.Event()
         self._ready_changed = trio.Event()
         self._start_confirmed = trio.Event()
@@ -127,14 +125,12 @@
         The runs of the runner must have been listed, and this agent must know all of them. None are
         started while the runs at a runner that is to be replaced have not ended.
         """
-        if self._identity is None or self._successor is not None or self._shut_down:
-            return False
-        return self._synchronized and not self._foreign_runs
+        return self._in_use.is_usable() and self._synchronized and not self._foreign_runs
 
     @property
     def identity(self) -> RunnerIdentity | None:
         """Return the identity of the runner in use, None before any has answered."""
-        return self._identity
+        return self._in_use.identity
 
     async def async_ready_changed(self) -> None:
         """Wait until `ready` may have changed."""
@@ -145,37 +141,33 @@
 
         The runner in use is only asked if its clock was not read recently.
         """
-        in_use = identity == self._identity and self._successor is None and not self._shut_down
+        in_use = identity == self.identity and self._in_use.is_usable()
         if not in_use or self._lease.clock_age_s(now_s) > CLOCK_REFRESH_S:
             self._discovery.check(identity)
 
     def _handle_confirmation(self, confirmed: ConfirmedRunner, now_s: float) -> None:
-        """Use a runner that has answered, once the runs of the present one are known to have ended.
-
-        They have ended if the new one has the same id or address. Otherwise they are awaited.
-        """
-        known, identity = self._identity, confirmed.identity
-        if confirmed.sent_at_s < self._identified_at_s:
+        """Use a runner that has answered, once the runs of the present one have ended."""
+        change = self._in_use.change_by(confirmed, bool(self._runs))
+        if change == Change.NOTHING:
             return
         self._token = max(self._token, confirmed.token)
-        if identity == known:
+        identity = confirmed.identity
+        if change == Change.SAME:
             self._handle_same_runner(confirmed, now_s)
-        elif known is None or not self._runs:
-            self._replace_runner(identity, now_s)
-        elif (identity.runner_id, identity.born_ms) == (known.runner_id, known.born_ms):
+        elif change == Change.ADDRESS:
             self._handle_new_address(identity, now_s)
-        elif identity.runner_id == known.runner_id or identity.address == known.address:
+        elif change == Change.REPLACED:
             self._replace_runner(identity, now_s)
         else:
             logs.event("runner_successor", runner=identity.runner_id, runs=len(self._runs))
-            self._successor = identity
+            self._in_use.successor = identity
             self._signal_ready_changed()
 
     def _handle_same_runner(self, confirmed: ConfirmedRunner, now_s: float) -> None:
         """Read the clock of the runner in use, which may be used again after a shutdown message."""
         was_ready = self.ready
         self._lease.record_clock(confirmed.clock_s, confirmed.sent_at_s, now_s)
-        self._set_identity(confirmed.identity, now_s)
+        self._in_use.use(confirmed.identity, now_s)
         self._signal_changed()
         if self.ready != was_ready:
             self._signal_ready_changed()
@@ -183,23 +175,15 @@
     def _handle_new_address(self, identity: RunnerIdentity, now_s: float) -> None:
         """Use the runner at another address; its runs go on."""
         logs.event("runner_moved", runner=identity.runner_id, address=identity.address)
-        self._set_identity(identity, now_s)
+        self._in_use.use(identity, now_s)
         self._list_runs_soon()
         self._signal_ready_changed()
 
     def _replace_runner(self, identity: RunnerIdentity, now_s: float) -> None:
         """Use another runner or incarnation, and settle or await the runs of the present one."""
-        known = self._identity
-        logs.event(
-            "runner_met",
-            runner=identity.runner_id,
-            born_ms=identity.born_ms,
-            address=identity.address,
-            runs=len(self._runs),
-            known_runner=known.runner_id if known is not None else "",
-            known_born_ms=known.born_ms if known is not None else 0,
-        )
-        self._set_identity(identity, now_s)
+        known = self.identity
+        self._in_use.log_replacement(identity, len(self._runs))
+        self._in_use.use(identity, now_s)
         if known is not None and identity.runner_id == known.runner_id:
             self._handle_restart(now_s)
             return
@@ -207,31 +191,17 @@
         self._reset_runner_state(now_s)
         self._list_runs_soon()
 
-    def _next_ack(self) -> int:
-        """Return the number up to which ends are acknowledged, 0 if none is left to acknowledge.
-
-        A restarted runner that the agent doesn't know of yet counts its ends anew, and would take
-        them for acknowledged.
-        """
-        return self._ack_cursor if self._ack_pending else 0
-
-    def _set_identity(self, identity: RunnerIdentity, now_s: float) -> None:
-        self._identity = identity
-        self._identified_at_s = now_s
-        self._successor = None
-        self._shut_down = False
-
     def _use_successor(self, now_s: float) -> None:
         """Use the next runner if all runs at the present one have ended."""
-        if self._successor is not None and not self._runs:
-            self._replace_runner(self._successor, now_s)
+        if self._in_use.successor is not None and not self._runs:
+            self._replace_runner(self._in_use.successor, now_s)
 
     def handle_shutdown(self) -> None:
         """Start no more runs until the runner has been announced again and has answered.
 
         The message may be a late one of an earlier process with the same id, so live runs go on.
         """
-        self._shut_down = True
+        self._in_use.shut_down = True
         self._signal_ready_changed()
 
     async def async_call(
@@ -248,13 +218,12 @@
             return TargetResult(Verdict.NOT_RUN, RefusalReason.BUSY)
         if not self.ready or self._response_missing:
             return TargetResult(Verdict.NOT_RUN, RefusalReason.TARGET_LOST)
-        end = self._predecessor_runs.end_of(run.name)
-        if end is not None and run.was_started_before:
-            logs.event("predecessor_run_ended", name=call.name, run=call.run, outcome=end)
-            return TargetResult(Verdict.RAN, RUN_END_REASONS[end])
-        self._runs[run.name] = run
         if run.was_started_before:
+            result = self._predecessor_runs.result_of(call)
+            if result is not None:
+                return result
             self._lease.record_unknown_lease(self._observe())
+        self._runs[run.name] = run
         self._signal_changed()
         try:
             await self._async_start(run)
@@ -299,21 +268,21 @@
 
     def _access(self) -> RunnerAccess | None:
         """Return under what a request is sent now, None if no runner is known."""
-        return None if self._identity is None else RunnerAccess(self._identity, self._token)
+        return None if self.identity is None else RunnerAccess(self.identity, self._token)
 
     async def async_run(self) -> None:
         """Renew the lease and monitor the runs until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._async_watch_stalls)
-            nursery.start_soon(self._async_hedge)
+            nursery.start_soon(self._hedge.async_run)
             nursery.start_soon(self._discovery.async_run)
             while True:
-                if self._identity is None or not self._needs_hold():
+                if self.identity is None or not self._needs_hold():
                     await self._changed.wait()
                     self._changed = trio.Event()
                     continue
-                await self._async_hold_once(self._identity)
+                await self._async_hold_once(self.identity)
 
     async def _async_watch_stalls(self) -> None:
         """Notice when this process was stalled, until cancelled."""
@@ -331,22 +300,16 @@
         stalled_s = self._lease.stalled_s - self._allowed_stall_s
         if stalled_s > 0.0:
             self._allowed_stall_s = self._lease.stalled_s
-            for run in self._runs.values():
-                if run.unsettled_until_s > now_s - stalled_s:
-                    self._expect_late_start(run, run.unsettled_until_s + stalled_s, now_s)
+            self._unsettled.allow_for_stall(self._runs.values(), stalled_s, now_s)
             self._list_runs_soon()
         return now_s
 
-    async def _async_hedge(self) -> None:
-        """Keep a second long-polling request open while responses get lost, until cancelled."""
-        while True:
-            await self._hedge_needed.wait()
-            while clock.boot_s() < self._hedge_until_s:
-                if self._identity is not None and self._needs_second_hold():
-                    await self._async_hold_once(self._identity)
-                else:
-                    await trio.sleep(RETRY_DELAY_S)
-            self._hedge_needed = trio.Event()
+    async def _async_second_hold(self) -> bool:
+        """Send a second request beside the long-polling one, if that is of use."""
+        if self.identity is None or not self._needs_second_hold():
+            return False
+        await self._async_hold_once(self.identity)
+        return True
 
     def _needs_second_hold(self) -> bool:
         """Return whether a second request may find out more, or sooner, than the first."""
@@ -359,9 +322,9 @@
         return bool(self._runs) and not self._runs.has_unresolved_start()
 
     def _needs_hold(self) -> bool:
-        if self._shut_down and not self._runs:
+        if self._in_use.shut_down and not self._runs:
             return False
-        pending = not self._synchronized or self._ack_pending or self._response_missing
+        pending = not self._synchronized or self._acks.pending or self._response_missing
         return pending or bool(self._runs) or bool(self._foreign_runs)
 
     async def _async_hold_once(self, identity: RunnerIdentity) -> None:
@@ -369,10 +332,10 @@
         wait_s = HOLD_WAIT_S if self._can_long_poll() else 0.0
         lease = self._next_lease(sent_at_s)
         outcome = await self._runner_client.async_hold(
-            identity, lease, self._next_ack(), wait_s, wait_s + HOLD_TIMEOUT_S
+            identity, lease, self._acks.next_ack(), wait_s, wait_s + HOLD_TIMEOUT_S
         )
         now_s = self._observe()
-        if identity != self._identity:
+        if identity != self.identity:
             return
         if isinstance(outcome, RunList):
             self._apply_run_list(outcome, lease.token, sent_at_s, now_s)
@@ -390,9 +353,8 @@
         The lease is not renewed while a response is missing, so that it expires soon if the runner
         stays silent, nor while a run is overdue.
         """
-        if self._response_missing or not self._synchronized or self._foreign_runs:
-            return Lease(self._token, None)
-        if not self._runs.needs_lease():
+        is_known = self._synchronized and not self._response_missing and not self._foreign_runs
+        if not is_known or not self._runs.needs_lease():
             return Lease(self._token, None)
         if self._runs.is_renewal_paused(now_s):
             return Lease(self._token, None)
@@ -423,8 +385,7 @@
         if isinstance(outcome, NoAnswer):
             if lease.until_clock_s is not None:
                 self._raise_token_above(lease.token)
-            self._hedge_until_s = now_s + HEDGE_S
-            self._hedge_needed.set()
+            self._hedge.record_loss(now_s)
             if self._responded_at_s > sent_at_s:
                 logs.event("hold_unanswered", runs=len(self._runs), token=self._token)
                 return
@@ -441,12 +402,12 @@
         self, run_list: RunList, token: int, sent_at_s: float, now_s: float
     ) -> None:
         """Update all runs from a list that was requested under `token`."""
-        identity = self._identity
+        identity = self.identity
         assert identity is not None
         if run_list.born_ms != identity.born_ms:
             logs.event("runner_restarted", runner=identity.runner_id, born_ms=run_list.born_ms)
             restarted = RunnerIdentity(identity.runner_id, identity.address, run_list.born_ms)
-            self._set_identity(restarted, now_s)
+            self._in_use.use(restarted, now_s)
             self._handle_restart(now_s)
             # The request may have acknowledged these ends, so that no later list shows them.
             for ended in run_list.ended:
@@ -458,7 +419,7 @@
         same_time = run_list.clock_s == self._newest_list_clock_s
         self._newest_list_clock_s = run_list.clock_s
         self._record_response(run_list.clock_s, sent_at_s, now_s)
-        self._ack_pending = bool(run_list.ended)
+        self._acks.pending = bool(run_list.ended)
         for ended in run_list.ended:
             self._apply_ended_run(ended)
         for run in list(self._runs.values()):
@@ -473,7 +434,7 @@
             self._signal_ready_changed()
 
     def _apply_ended_run(self, ended: EndedRun) -> None:
-        self._ack_cursor = max(self._ack_cursor, ended.number)
+        self._acks.record_end(ended.number)
         run = self._runs.get(ended.name)
         if run is None:
             self._predecessor_runs.record_end(ended.name, ended.outcome)
@@ -483,7 +444,7 @@
             reason = RefusalReason.LEASE_ENDED  # by this agent, not by a fault of the runner
         if run.withheld is None or run.withheld.verdict == Verdict.NOT_RUN or reason is None:
             run.withheld = None
-            self._record_execution(run, self._observe())
+            self._unsettled.record_execution(run, self._observe())
             self._settle(run, Verdict.RAN, reason)
 
     def _reconcile_run(
@@ -500,7 +461,7 @@
             if run.runner_restarted or run.withheld is not None:
                 self._adopt_late_start(run, now_s)
             run.fencing_token = None
-            self._record_execution(run, now_s)
+            self._unsettled.record_execution(run, now_s)
             self._confirm_start(run, now_s)
         elif run.fencing_token is not None:
             if token < run.fencing_token:
@@ -554,7 +515,7 @@
                 self._stop_soon(run)
 
     async def _async_start(self, run: Run) -> None:
-        identity = self._identity
+        identity = self.identity
         assert identity is not None
         token = self._token
         sent_at_s = self._observe()
@@ -568,9 +529,8 @@
             return
         is_repeated = run.unsettled_until_s > sent_at_s
         if is_repeated:
-            # Entries may have been told that an earlier start was answered.
             until_s = sent_at_s + START_TIMEOUT_S + LATE_START_S
-            self._notices.record(run.call, until_s, sent_at_s)
+            self._unsettled.announce_repeat(run, until_s, sent_at_s)
         run.starts_sent += 1
         run.is_start_pending = True
         outcome = await self._runner_client.async_start(identity, run.call, lease, START_TIMEOUT_S)
@@ -579,22 +539,12 @@
         if isinstance(outcome, Started) and self._lease.is_reset_clock(outcome.clock_s, sent_at_s):
             self._handle_reset_clock(outcome.clock_s, sent_at_s, now_s)
         if isinstance(outcome, NoAnswer):
-            self._expect_late_start(run, now_s + LATE_START_S, now_s)
+            self._unsettled.expect(run, now_s + LATE_START_S, now_s)
         elif is_repeated:
-            self._notices.record(run.call, run.unsettled_until_s, now_s)
+            self._unsettled.confirm_repeat(run, now_s)
         if not run.is_settled:
             self._apply_start_outcome(run, outcome, token, sent_at_s, now_s)
 
-    def _expect_late_start(self, run: Run, until_s: float, now_s: float) -> None:
-        """Record until when the next process of the runner may execute a start of a run."""
-        run.unsettled_until_s = until_s
-        self._notices.record(run.call, until_s, now_s)
-
-    def _record_execution(self, run: Run, now_s: float) -> None:
-        """Record that a list shows a run: a start that was sent only once can't come again."""
-        if run.starts_sent == 1 and run.unsettled_until_s > now_s:
-            self._expect_late_start(run, -math.inf, now_s)
-
     def _handle_reset_clock(self, clock_s: float, sent_at_s: float, now_s: float) -> None:
         """Look at a runner whose clock has begun anew, so that it has restarted.
 
@@ -608,7 +558,7 @@
             bound_s=self._lease.clock_bound_s(sent_at_s),
         )
         self._lease.record_unknown_lease(now_s)
-        self._ack_pending = False
+        self._acks.pending = False
         self._require_sync()
         self._list_runs_soon()
 
@@ -657,15 +607,15 @@
     async def _async_resolve_start(self, run: Run) -> None:
         """List the runs, in parallel to a long-polling hold, until a start is resolved."""
         while run.result is None and run.fencing_token is not None:
-            identity = self._identity
+            identity = self.identity
             if identity is None:
                 return
             sent_at_s = self._observe()
             lease = self._next_lease(sent_at_s)
             outcome = await self._runner_client.async_hold(
-                identity, lease, self._next_ack(), 0.0, HOLD_TIMEOUT_S
+                identity, lease, self._acks.next_ack(), 0.0, HOLD_TIMEOUT_S
             )
-            if identity != self._identity:
+            if identity != self.identity:
                 return
             if isinstance(outcome, RunList):
                 self._apply_run_list(outcome, lease.token, sent_at_s, self._observe())
@@ -703,7 +653,7 @@
         self._lease.record_unknown_lease(now_s)
         for run in self._runs.values():
             if run.acknowledged_at_s is None and not run.is_settled:
-                self._expect_late_start(run, now_s + LATE_START_S, now_s)
+                self._unsettled.expect(run, now_s + LATE_START_S, now_s)
             run.fencing_token = self._token
             run.acknowledged_at_s = None
             run.runner_restarted = True
@@ -711,8 +661,8 @@
 
     def _list_runs_soon(self) -> None:
         """List the runs without waiting for a long-polling request to the previous incarnation."""
-        if self._nursery is not None and self._identity is not None:
-            self._nursery.start_soon(self._async_hold_once, self._identity)
+        if self._nursery is not None and self.identity is not None:
+            self._nursery.start_soon(self._async_hold_once, self.identity)
 
     def _handle_lease_end(self, now_s: float) -> None:
         """End the runs whose lease must have expired, if there are any."""
@@ -725,8 +675,7 @@
         """Reset the state known of the runner's previous incarnation."""
         self._foreign_runs = frozenset()
         self._newest_list_clock_s = -math.inf
-        self._ack_cursor = 0
-        self._ack_pending = False
+        self._acks = EndAcks()
         self._lease.reset(now_s)
         self._response_missing = False
         self._require_sync()
@@ -741,7 +690,7 @@
     @property
     def _runner_id(self) -> str:
         """Return the id of the runner in use for log lines, empty before any has answered."""
-        return self._identity.runner_id if self._identity is not None else ""
+        return self.identity.runner_id if self.identity is not None else ""
 
     def _confirm_start(self, run: Run, now_s: float) -> None:
         """Record that the runner has executed the start of a run."""
--- a/pistachiohill/agent/predecessor_runs.py
+++ b/pistachiohill/agent/predecessor_runs.py
@@ -7,7 +7,10 @@
 
 from attrs import define, field
 
-from .models import RunEnd, RunName
+from .. import logs
+from ..errors import Verdict
+from .models import RunEnd, RunName, TargetCall, TargetResult
+from .run import RUN_END_REASONS
 
 MAX_ENDS = 1000  # two full lists of a runner
 
@@ -24,6 +27,10 @@
         if len(self._ends) > MAX_ENDS:
             del self._ends[next(iter(self._ends))]
 
-    def end_of(self, name: RunName) -> RunEnd | None:
-        """Return how a run has ended, None if the runner has not listed that."""
-        return self._ends.get(name)
+    def result_of(self, call: TargetCall) -> TargetResult | None:
+        """Return the result of a run that has ended, None if the runner has not listed that."""
+        end = self._ends.get(RunName(call.task_id, call.run))
+        if end is None:
+            return None
+        logs.event("predecessor_run_ended", name=call.name, run=call.run, outcome=end)
+        return TargetResult(Verdict.RAN, RUN_END_REASONS[end])
--- a/tests/agent/test_predecessor_runs.py
+++ b/tests/agent/test_predecessor_runs.py
@@ -98,5 +98,5 @@
         runs = PredecessorRuns()
         for number in range(MAX_ENDS + 1):
             runs.record_end(RunName("a", number), RunEnd.DONE)
-        self.assertIsNone(runs.end_of(RunName("a", 0)))
-        self.assertEqual(RunEnd.DONE, runs.end_of(RunName("a", MAX_ENDS)))
+        self.assertIsNone(runs.result_of(call("a", run=0)))
+        self.assertEqual(RAN, runs.result_of(call("a", run=MAX_ENDS)))
