Suspended machines in the soak; a test of what is open

The soak had no machine whose runner's clock and runs stand still, with its agent. It draws up to three a plan now, of 0.3 to 0.7 s, half of them followed by a silence of the runner, beside all else.

--- a/experiments/soak_faults.py
+++ b/experiments/soak_faults.py
@@ -111,6 +111,16 @@
                 if rng.random() < FORCED_SHARE and process.popen is stopped:
                     process.signal(signal.SIGTERM)
 
+    async def async_suspend_machine(self, fault: Fault) -> None:
+        """Suspend the machine of an agent and its runner, which goes on where it stood still."""
+        index = self._agent_index(fault)
+        agent = self._deployment.agents[index]
+        if agent.name in self._under_fault or agent.runner.name in self._under_fault:
+            return
+        self._under_fault |= {agent.name, agent.runner.name}
+        await self._deployment.async_suspend_machine(index, fault.duration_s, cut_off=False)
+        self._under_fault -= {agent.name, agent.runner.name}
+
     async def async_delay_timers(self, fault: Fault) -> None:
         """Let some processes run only now and then, as on a machine short of processor time."""
         rng = random.Random(f"timers {fault.index}")
@@ -287,6 +297,7 @@
     ),
     FaultKind.SIGNAL_SERIES: FaultInjector.async_signal_series,
     FaultKind.LATE_TIMERS: FaultInjector.async_delay_timers,
+    FaultKind.SUSPEND_MACHINE: FaultInjector.async_suspend_machine,
     FaultKind.LATE_GRANTS: lambda injector, f: injector.async_runner_fault(
         f, {"late_share": 0.0}, late_share=LATE_SHARE, late_lease_moves=True
     ),
--- a/experiments/soak_plan.py
+++ b/experiments/soak_plan.py
@@ -49,6 +49,7 @@
     LATE_GRANTS = "late_grants"
     SIGNAL_SERIES = "signal_series"
     LATE_TIMERS = "late_timers"
+    SUSPEND_MACHINE = "suspend_machine"
 
 
 SHORT_CUTS: Final = (FaultKind.REFUSE_CONNECT, FaultKind.RESET_LINKS, FaultKind.HOLD_BYTES)
@@ -60,6 +61,8 @@
     FaultKind.LATE_GRANTS,
 )
 PROCESS_KINDS: Final = (FaultKind.SIGNAL_SERIES, FaultKind.LATE_TIMERS)
+# Longer ones are an open fault: entries take the runs for ended (test_suspended_machines.py).
+SUSPENDED_S: Final = (0.3, 0.7)
 # Faults that a plan draws one by one; SILENCE_STORE comes with a change of the manifest.
 RANDOM_KINDS: Final = [
     kind
@@ -71,6 +74,7 @@
         *SHORT_CUTS,
         *RUNNER_KINDS,
         *PROCESS_KINDS,
+        FaultKind.SUSPEND_MACHINE,
     )
 ]
 
@@ -118,6 +122,7 @@
     faults += _make_short_cuts(seed, count, fault_period_s)
     faults += _make_runner_faults(seed, fault_period_s)
     faults += _make_process_faults(seed, fault_period_s)
+    faults += _make_suspensions(seed, fault_period_s)
     ordered = tuple(sorted(faults, key=lambda fault: fault.at_s))
     return Plan(seed, spec, ordered, make_outage(seed + 3))
 
@@ -175,3 +180,17 @@
         )
         for _ in range(rng.randint(1, 4))
     ]
+
+
+def _make_suspensions(seed: int, fault_period_s: float) -> list[Fault]:
+    """Return suspensions of machines; some are followed at once by a silence of the runner."""
+    rng = random.Random(f"suspensions {seed}")
+    faults = []
+    for _ in range(rng.randint(0, 3)):
+        at_s, duration_s = rng.uniform(0.0, fault_period_s * 0.9), rng.uniform(*SUSPENDED_S)
+        index = rng.randrange(1000)
+        faults.append(Fault(at_s, duration_s, FaultKind.SUSPEND_MACHINE, index))
+        if rng.random() < 0.5:
+            silent_at_s = at_s + duration_s + rng.uniform(0.0, 0.5)
+            faults.append(Fault(silent_at_s, 1.0, FaultKind.SILENT_RUNNER, index))
+    return faults
--- a/tests/failures/test_suspended_machines.py
+++ b/tests/failures/test_suspended_machines.py
@@ -50,3 +50,8 @@
         """Guards against counting a suspension as time in which the runner's lease ran out."""
         async with PlatformDeployment(SPEC) as deployment, self._jobs(deployment):
             await deployment.async_suspend_machine(0, BRIEFLY_S, cut_off=True)
+
+    async def test_runs_do_not_go_on_beside_others_after_a_suspension_of_seconds(self) -> None:
+        """Entries place the tasks elsewhere meanwhile, as they can't tell it from a loss."""
+        async with PlatformDeployment(SPEC) as deployment, self._jobs(deployment):
+            await deployment.async_suspend_machine(0, SUSPENDED_S, cut_off=False)
