--- a/tests/agent/test_spec.py
+++ b/tests/agent/test_spec.py
@@ -47,7 +47,7 @@
         self.assertEqual(766088, result.states)
 
     def test_reported_runs_have_ended_with_two_suspensions_or_late_requests(self) -> None:
-        """What entries assume of a suspended machine is open: they can't tell it from a lost one."""
+        """What entries assume of a suspended machine is open (docs/PROOFS.md)."""
         result = check_reports(ALL_GUARDS)
         self.assertEqual((True, frozenset()), (result.exhaustive, result.broken))
         self.assertEqual(STATES_WITH_SUSPENSIONS, result.states)
