A job that fails while a start of it may come is always known as such

If its deadline passed while it waited for the agent's successor, the start wasn't in the table of late starts, and the job was held until its deadline when it was sent again. The test failed before.

--- a/pistachiohill/entry/dispatcher.py
+++ b/pistachiohill/entry/dispatcher.py
@@ -266,8 +266,10 @@
                 left_s=submission.deadline_s - now_s,
             )
         can_wait = until_s < submission.deadline_s or may_have_successor(agent, task, now_s)
-        if not can_wait and submission.failure is None:
-            self._directory.late_starts.expect(agent.incarnation, task_id, until_s, now_s)
+        if can_wait and submission.failure is None:
+            return True
+        self._directory.late_starts.expect(agent.incarnation, task_id, until_s, now_s)
+        if submission.failure is None:
             detail = f"task {task.index}: its agent is lost, and its run may still start"
             self._fail(submission, RefusalReason.LOST_AGENT, detail, now_s, force=True)
         return True
--- a/tests/entry/test_successors.py
+++ b/tests/entry/test_successors.py
@@ -109,6 +109,17 @@
         assert fixture.submission.answer is not None
         self.assertEqual(RefusalReason.LOST_AGENT, fixture.submission.answer.reason)
 
+    def test_job_whose_deadline_passes_meanwhile_is_known_as_one_that_may_start(self) -> None:
+        """Guards against holding it until its deadline when it is sent again."""
+        fixture = SuccessorFixture()
+        fixture.submission.deadline_s = LOST_AT_S + 0.1
+        fixture.starts_elsewhere(LOST_AT_S)
+        fixture.dispatcher.end_unwanted(LOST_AT_S + 1.0)
+        assert fixture.submission.answer is not None
+        self.assertEqual(RefusalReason.DEADLINE, fixture.submission.answer.reason)
+        fixture.starts_elsewhere(LOST_AT_S + 1.1)
+        self.assertGreater(fixture.directory.late_starts.job_until_s("k"), DEADLINE_S)
+
     def test_first_start_is_still_waited_for_if_the_successor_is_lost_too(self) -> None:
         """Guards against two runs: an answer to the second start says nothing of the first."""
         fixture = SuccessorFixture()
