Suspension tests count from the moment at which the machine resumes

The time was read after the agent had been told to go on, and a test that is late by 0.03 s (the overlap that is open) would have missed it.

--- a/standins/platform_deployment.py
+++ b/standins/platform_deployment.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import tempfile
+import time
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -125,6 +126,7 @@
         self.entries: list[PlatformEntryProcess] = []
         self.agents: list[PlatformAgentProcess] = []
         self.store_url = ""
+        self.resumed_at_s = -math.inf  # seconds since the epoch, of the machine suspended last
         self._entry_store_url = ""
         self._store_relay_url = ""
         self.version = 0
@@ -225,6 +227,7 @@
             await self.async_set_runner_faults(index, silent=True)
         await self.async_post(f"{self.agents[index].runner_url}/v1/suspend", {"for_s": for_s})
         await trio.sleep(for_s)
+        self.resumed_at_s = time.time()
         self.agents[index].signal(signal.SIGCONT)
 
     async def async_runner_heartbeat(self, index: int) -> tuple[str, dict[str, Any]]:
--- a/tests/failures/test_suspended_machines.py
+++ b/tests/failures/test_suspended_machines.py
@@ -1,6 +1,5 @@
 """Machines that are suspended: an agent and its runner, whose clock stands still meanwhile."""
 
-import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -24,18 +23,18 @@
 class SuspendedMachinesTest(TestCase):
     @asynccontextmanager
     async def _jobs(self, deployment: PlatformDeployment) -> AsyncIterator[None]:
-        """Check that no task has two runs at once after the block, beside a job of long tasks."""
+        """Check that no task of a job has two runs at once after the machine has resumed."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(deployment.async_submit_job, TASKS, RUN_S, DEADLINE_S)
             await trio.sleep(UNTIL_PLACED_S)
             yield
-            resumed_at_s = time.time()
             await trio.sleep(CUT_S)
             await deployment.async_set_runner_faults(0, silent=False)
             await trio.sleep(RUN_S)
             pairs = await deployment.async_overlapping_runs()
-            late = [pair for pair in pairs if min(run.ended_at_s for run in pair) > resumed_at_s]
-            self.assertEqual([], late, deployment.directory)
+            resumed_at_s = deployment.resumed_at_s
+            after = [pair for pair in pairs if min(run.ended_at_s for run in pair) > resumed_at_s]
+            self.assertEqual([], after, deployment.directory)
             nursery.cancel_scope.cancel()
 
     async def test_runs_go_on_for_no_longer_than_the_agent_assumes_after_a_suspension(self) -> None:
